Route model and plain calls through entry hosts

Cause: the project starts empty; later work needs one request path from end to end to measure against. Change: workspace with the types, configuration, table client and framing crates, the daemon with callers' and operators' listeners, prefill, KV transfer and decode for chat completions, idempotent calls of plain services, and the lab with stand-ins for engines, a plain service and the table service.

--- /dev/null
+++ b/crates/blame/src/lib.rs
@@ -0,0 +1,1 @@
+//! Identification of requests that crash the engines that run them.
--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! Operator commands.
--- /dev/null
+++ b/crates/drain/src/lib.rs
@@ -0,0 +1,1 @@
+//! Drain of backend servers and graceful shutdown of entry hosts.
--- /dev/null
+++ b/crates/lab/src/error.rs
@@ -0,0 +1,53 @@
+//! Failures of the lab.
+
+use std::path::PathBuf;
+
+use miette::Diagnostic;
+
+/// Failure to start or run a measurement.
+#[derive(Debug, thiserror::Error, Diagnostic)]
+pub enum LabError {
+    /// A file cannot be read.
+    #[error("reading {path}: {source}", path = path.display())]
+    #[diagnostic(code(lab::read))]
+    Read {
+        /// The file.
+        path: PathBuf,
+        /// The system's error.
+        source: std::io::Error,
+    },
+    /// The inventory is not valid.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Config(#[from] Box<bv_config::ConfigError>),
+    /// A loopback address cannot be used.
+    #[error("listening for {part}: {source}")]
+    #[diagnostic(code(lab::listen))]
+    Listen {
+        /// The stand-in.
+        part: &'static str,
+        /// The system's error.
+        source: std::io::Error,
+    },
+    /// The daemon cannot be started.
+    #[error("starting {path}: {source}", path = path.display())]
+    #[diagnostic(
+        code(lab::spawn),
+        help("build burdockvaled with the same profile: cargo build --workspace")
+    )]
+    Spawn {
+        /// The program.
+        path: PathBuf,
+        /// The system's error.
+        source: std::io::Error,
+    },
+    /// An entry host did not become ready.
+    #[error("entry host {host} did not become ready within {seconds} s")]
+    #[diagnostic(code(lab::not_ready))]
+    NotReady {
+        /// The entry host.
+        host: String,
+        /// Time waited.
+        seconds: u64,
+    },
+}
--- /dev/null
+++ b/crates/lease/src/lib.rs
@@ -0,0 +1,1 @@
+//! Leases with fencing numbers and the orders sent to engines.
--- /dev/null
+++ b/crates/ledger/src/lib.rs
@@ -0,0 +1,1 @@
+//! Request ledger that runs non-idempotent calls at most once.
--- /dev/null
+++ b/crates/member/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership of the entry hosts: probes, suspicion and rumours.
--- /dev/null
+++ b/crates/place/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placement, reservations and admission for one shard of runners.
--- /dev/null
+++ b/crates/retry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Retry budgets, backoff and ejection of backend servers.
--- /dev/null
+++ b/crates/server/src/callers.rs
@@ -0,0 +1,133 @@
+//! Callers' listener.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::Router;
+use axum::body::Body;
+use axum::routing::post;
+use bv_types::Refusal;
+use hyper::body::Incoming;
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::server::conn::auto;
+use hyper_util::server::graceful::GracefulShutdown;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tower::ServiceExt;
+use tracing::{debug, info, warn};
+
+use crate::{Host, counters, model, plain};
+
+/// Largest head of a request, in bytes.
+const MAX_HEAD_BYTES: usize = 16 << 10;
+/// Time to read the head of a request.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// Requests in progress on one HTTP/2 connection.
+const MAX_STREAMS: u32 = 100;
+/// Idle time after which a silent caller is probed.
+const KEEPALIVE_IDLE: Duration = Duration::from_secs(5);
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(2);
+/// Time after which a caller that acknowledges nothing is taken for gone.
+const USER_TIMEOUT: Duration = Duration::from_secs(10);
+/// Pause after a failed accept, such as when file descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+const BUSY_ANSWER: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\n\
+    x-burdockvale-outcome: not-run\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
+
+/// Address of the connection that carries a request.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct PeerAddr(pub SocketAddr);
+
+/// Serves callers until the host closes, then lets requests in progress finish.
+pub(crate) async fn serve(host: Arc<Host>, listener: TcpListener) {
+    let router = Router::new()
+        .route("/v1/chat/completions", post(model::chat))
+        .fallback(plain::call)
+        .with_state(host.clone());
+    let graceful = GracefulShutdown::new();
+    let permits = Arc::new(Semaphore::new(host.settings.max_connections));
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = host.shutdown.closing.cancelled() => break,
+        };
+        let (stream, addr) = match accepted {
+            Ok(accepted) => accepted,
+            Err(err) => {
+                warn!(%err, "callers: accept failed");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        match permits.clone().try_acquire_owned() {
+            Ok(permit) => connect(&router, &graceful, stream, addr, permit),
+            Err(_) => refuse(stream),
+        }
+    }
+    drop(listener);
+    let limit = host.settings.drain_limit_ms.duration();
+    match tokio::time::timeout(limit, graceful.shutdown()).await {
+        Ok(()) => info!("callers: all requests finished"),
+        Err(_) => warn!("callers: the drain limit passed with requests in progress"),
+    }
+}
+
+fn connect(
+    router: &Router,
+    graceful: &GracefulShutdown,
+    stream: TcpStream,
+    addr: SocketAddr,
+    permit: OwnedSemaphorePermit,
+) {
+    if let Err(err) = set_options(&stream) {
+        debug!(%err, "callers: socket options failed");
+    }
+    let router = router.clone();
+    let service = hyper::service::service_fn(move |mut req: hyper::Request<Incoming>| {
+        req.extensions_mut().insert(PeerAddr(addr));
+        router.clone().oneshot(req.map(Body::new))
+    });
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .max_buf_size(MAX_HEAD_BYTES);
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .max_concurrent_streams(MAX_STREAMS)
+        .max_header_list_size(MAX_HEAD_BYTES as u32)
+        .keep_alive_interval(KEEPALIVE_IDLE)
+        .keep_alive_timeout(USER_TIMEOUT);
+    let connection = builder
+        .serve_connection(TokioIo::new(stream), service)
+        .into_owned();
+    let watched = graceful.watch(connection);
+    tokio::spawn(async move {
+        if let Err(err) = watched.await {
+            debug!(%addr, %err, "callers: connection ended");
+        }
+        drop(permit);
+    });
+}
+
+fn refuse(mut stream: TcpStream) {
+    counters::refused(Refusal::TooManyConnections);
+    tokio::spawn(async move {
+        let _ = stream.write_all(BUSY_ANSWER).await;
+    });
+}
+
+fn set_options(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE_IDLE)
+        .with_interval(KEEPALIVE_INTERVAL);
+    socket.set_tcp_keepalive(&keepalive)?;
+    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
+}
--- /dev/null
+++ b/crates/server/src/engine.rs
@@ -0,0 +1,332 @@
+//! Client of backend servers: engines and plain services.
+
+use std::net::{IpAddr, SocketAddr};
+use std::time::Duration;
+
+use bv_types::AttemptId;
+use bytes::{Buf, Bytes, BytesMut};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::http::request::Parts;
+use hyper::{HeaderMap, Request, Response, StatusCode, Uri, header};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde_json::{Value, json};
+
+/// Largest answer of a backend server, in bytes.
+pub(crate) const MAX_ANSWER_BYTES: usize = 8 << 20;
+/// Largest event of a stream, in bytes.
+const MAX_EVENT_BYTES: usize = 64 << 10;
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+const CHAT_PATH: &str = "/v1/chat/completions";
+/// Headers that concern one connection only.
+const HOP_HEADERS: [&str; 7] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Failure of a call to a backend server.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum CallError {
+    /// The connection was refused; nothing was sent.
+    #[error("{step} at {peer}: connection refused: {detail}")]
+    Refused {
+        step: &'static str,
+        peer: SocketAddr,
+        detail: String,
+    },
+    /// The connection broke after something may have been sent.
+    #[error("{step} at {peer}: connection lost: {detail}")]
+    Lost {
+        step: &'static str,
+        peer: SocketAddr,
+        detail: String,
+    },
+    /// The backend server answered with an error.
+    #[error("{step} at {peer}: status {status}")]
+    Status {
+        step: &'static str,
+        peer: SocketAddr,
+        status: StatusCode,
+    },
+    /// The answer is malformed or belongs to another attempt.
+    #[error("{step} at {peer}: {detail}")]
+    Malformed {
+        step: &'static str,
+        peer: SocketAddr,
+        detail: &'static str,
+    },
+}
+
+/// Client of backend servers.
+#[derive(Debug, Clone)]
+pub(crate) struct EngineClient {
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl EngineClient {
+    pub fn new(bind_ip: Option<IpAddr>) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_local_address(bind_ip);
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        EngineClient {
+            client: Client::builder(TokioExecutor::new())
+                // A pooled connection that has just closed is indistinguishable from a lost call.
+                .retry_canceled_requests(false)
+                .build(connector),
+        }
+    }
+
+    async fn send(
+        &self,
+        step: &'static str,
+        peer: SocketAddr,
+        req: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, CallError> {
+        self.client.request(req).await.map_err(|err| {
+            let detail = err.to_string();
+            match err.is_connect() {
+                true => CallError::Refused { step, peer, detail },
+                false => CallError::Lost { step, peer, detail },
+            }
+        })
+    }
+
+    /// Forwards a call to a plain service and reads its whole answer.
+    pub async fn forward(
+        &self,
+        peer: SocketAddr,
+        parts: &Parts,
+        body: Bytes,
+    ) -> Result<Response<Bytes>, CallError> {
+        const STEP: &str = "forward";
+        let mut req = Request::new(Full::new(body));
+        *req.method_mut() = parts.method.clone();
+        *req.uri_mut() = target(peer, parts.uri.path_and_query().map_or("/", |p| p.as_str()));
+        *req.headers_mut() = end_to_end(&parts.headers);
+        req.headers_mut().remove(header::HOST);
+        req.headers_mut().remove(header::CONTENT_LENGTH);
+        let answer = self.send(STEP, peer, req).await?;
+        let (mut parts, body) = answer.into_parts();
+        let body = read_whole(STEP, peer, body).await?;
+        parts.headers = end_to_end(&parts.headers);
+        Ok(Response::from_parts(parts, body))
+    }
+
+    /// Posts JSON and reads the whole JSON answer.
+    pub async fn post_json(
+        &self,
+        step: &'static str,
+        peer: SocketAddr,
+        path: &str,
+        body: &Value,
+    ) -> Result<Value, CallError> {
+        let answer = self.post(step, peer, path, body).await?;
+        let body = read_whole(step, peer, answer.into_body()).await?;
+        serde_json::from_slice(&body).map_err(|_| CallError::Malformed {
+            step,
+            peer,
+            detail: "the answer is not JSON",
+        })
+    }
+
+    async fn post(
+        &self,
+        step: &'static str,
+        peer: SocketAddr,
+        path: &str,
+        body: &Value,
+    ) -> Result<Response<Incoming>, CallError> {
+        let mut req = Request::new(Full::new(Bytes::from(body.to_string())));
+        *req.method_mut() = hyper::Method::POST;
+        *req.uri_mut() = target(peer, path);
+        req.headers_mut().insert(
+            header::CONTENT_TYPE,
+            header::HeaderValue::from_static("application/json"),
+        );
+        let answer = self.send(step, peer, req).await?;
+        let status = answer.status();
+        match status.is_success() {
+            true => Ok(answer),
+            false => Err(CallError::Status { step, peer, status }),
+        }
+    }
+
+    /// Runs a chat completion and reads the whole answer.
+    pub async fn chat(
+        &self,
+        step: &'static str,
+        peer: SocketAddr,
+        attempt: &AttemptId,
+        body: &Value,
+    ) -> Result<Value, CallError> {
+        let answer = self.post_json(step, peer, CHAT_PATH, body).await?;
+        if answer["id"].as_str() != Some(attempt.to_string().as_str()) {
+            return Err(crossed(step, peer));
+        }
+        Ok(answer)
+    }
+
+    /// Starts a streamed chat completion.
+    pub async fn chat_stream(
+        &self,
+        step: &'static str,
+        peer: SocketAddr,
+        attempt: &AttemptId,
+        body: &Value,
+    ) -> Result<EventStream, CallError> {
+        let answer = self.post(step, peer, CHAT_PATH, body).await?;
+        Ok(EventStream {
+            step,
+            peer,
+            attempt: attempt.to_string(),
+            body: answer.into_body(),
+            buf: BytesMut::new(),
+        })
+    }
+
+    /// Cancels an attempt; succeeds also if the engine does not know it.
+    pub async fn abort(&self, peer: SocketAddr, attempt: &AttemptId) -> Result<(), CallError> {
+        let body = json!({"rid": attempt.to_string()});
+        self.post_json("abort", peer, "/abort_request", &body)
+            .await
+            .map(drop)
+    }
+}
+
+/// Events of a streamed chat completion.
+#[derive(Debug)]
+pub(crate) struct EventStream {
+    step: &'static str,
+    peer: SocketAddr,
+    attempt: String,
+    body: Incoming,
+    buf: BytesMut,
+}
+
+/// One event of a stream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Event {
+    /// Data of this attempt, with its terminating blank line.
+    Data(Bytes),
+    /// The end of a whole stream, with its terminating blank line.
+    Done(Bytes),
+}
+
+impl EventStream {
+    /// Reads the next event.
+    ///
+    /// # Errors
+    /// Fails if the stream ends without its last event or carries another attempt's event.
+    pub async fn next(&mut self) -> Result<Event, CallError> {
+        loop {
+            if let Some(event) = self.take_event()? {
+                return Ok(event);
+            }
+            match self.body.frame().await {
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        self.buf.extend_from_slice(data.chunk());
+                    }
+                }
+                Some(Err(err)) => return Err(self.lost(err.to_string())),
+                None => return Err(self.lost("the stream ended early".to_owned())),
+            }
+        }
+    }
+
+    fn take_event(&mut self) -> Result<Option<Event>, CallError> {
+        let Some(end) = self.buf.windows(2).position(|pair| pair == b"\n\n") else {
+            if self.buf.len() > MAX_EVENT_BYTES {
+                return Err(self.malformed("an event is too long"));
+            }
+            return Ok(None);
+        };
+        let event = self.buf.split_to(end + 2).freeze();
+        let data = event
+            .split(|byte| *byte == b'\n')
+            .find_map(|line| line.strip_prefix(b"data: "))
+            .unwrap_or_default();
+        if data == b"[DONE]" {
+            return Ok(Some(Event::Done(event)));
+        }
+        let json: Value =
+            serde_json::from_slice(data).map_err(|_| self.malformed("an event is not JSON"))?;
+        if json["id"].as_str() != Some(self.attempt.as_str()) {
+            return Err(crossed(self.step, self.peer));
+        }
+        Ok(Some(Event::Data(event)))
+    }
+
+    fn lost(&self, detail: String) -> CallError {
+        CallError::Lost {
+            step: self.step,
+            peer: self.peer,
+            detail,
+        }
+    }
+
+    fn malformed(&self, detail: &'static str) -> CallError {
+        CallError::Malformed {
+            step: self.step,
+            peer: self.peer,
+            detail,
+        }
+    }
+}
+
+fn crossed(step: &'static str, peer: SocketAddr) -> CallError {
+    crate::counters::dropped("crossed");
+    CallError::Malformed {
+        step,
+        peer,
+        detail: "the answer belongs to another attempt",
+    }
+}
+
+async fn read_whole(
+    step: &'static str,
+    peer: SocketAddr,
+    body: Incoming,
+) -> Result<Bytes, CallError> {
+    match Limited::new(body, MAX_ANSWER_BYTES).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(err) => Err(CallError::Lost {
+            step,
+            peer,
+            detail: err.to_string(),
+        }),
+    }
+}
+
+fn target(peer: SocketAddr, path: &str) -> Uri {
+    Uri::builder()
+        .scheme("http")
+        .authority(peer.to_string())
+        .path_and_query(path)
+        .build()
+        .unwrap_or_default()
+}
+
+fn end_to_end(headers: &HeaderMap) -> HeaderMap {
+    let named: Vec<String> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    headers
+        .iter()
+        .filter(|(name, _)| !HOP_HEADERS.contains(&name.as_str()))
+        .filter(|(name, _)| !named.iter().any(|named| named == name.as_str()))
+        .map(|(name, value)| (name.clone(), value.clone()))
+        .collect()
+}
--- /dev/null
+++ b/crates/server/src/host.rs
@@ -0,0 +1,115 @@
+//! Start-up and wiring of an entry host.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use bv_store::{HttpTable, Table, TableSettings};
+use bv_types::{Clock, Incarnation, RequestId};
+use miette::Diagnostic;
+use tokio::net::TcpListener;
+use tracing::info;
+
+use crate::conf::Conf;
+use crate::engine::EngineClient;
+use crate::shutdown::Shutdown;
+use crate::{Settings, callers, conf, counters, operate};
+
+/// Failure to start.
+#[derive(Debug, thiserror::Error, Diagnostic)]
+pub enum HostError {
+    /// An address cannot be used.
+    #[error("listening on {addr} for {peer}: {source}")]
+    #[diagnostic(
+        code(host::listen),
+        help("choose a free address with the flag named in --help")
+    )]
+    Listen {
+        /// Who was to connect.
+        peer: &'static str,
+        /// The address.
+        addr: SocketAddr,
+        /// The system's error.
+        source: std::io::Error,
+    },
+    /// A signal handler cannot be installed.
+    #[error("installing the signal handler: {0}")]
+    #[diagnostic(code(host::signal))]
+    Signal(std::io::Error),
+}
+
+/// State shared by the parts of an entry host.
+pub struct Host {
+    /// Settings of the process.
+    pub settings: Settings,
+    pub(crate) clock: Clock,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) table: Arc<dyn Table>,
+    pub(crate) conf: Conf,
+    pub(crate) engines: EngineClient,
+    pub(crate) shutdown: Shutdown,
+    sequence: AtomicU64,
+}
+
+impl Host {
+    fn new(settings: Settings) -> Self {
+        let clock = Clock::system();
+        let table = HttpTable::new(TableSettings {
+            addr: settings.store_addr,
+            table: settings.store_table.clone(),
+            key: settings.store_key.expose().to_owned(),
+            timeout: settings.store_timeout_ms,
+            bind_ip: settings.bind_ip,
+        });
+        Host {
+            incarnation: Incarnation(clock.now().0),
+            table: Arc::new(table),
+            conf: Conf::default(),
+            engines: EngineClient::new(settings.bind_ip),
+            shutdown: Shutdown::default(),
+            sequence: AtomicU64::new(0),
+            clock,
+            settings,
+        }
+    }
+
+    /// A new id for a caller's request.
+    pub(crate) fn next_request(&self) -> RequestId {
+        RequestId {
+            host: self.settings.host_id.clone(),
+            incarnation: self.incarnation,
+            sequence: self.sequence.fetch_add(1, Ordering::Relaxed),
+        }
+    }
+}
+
+/// Runs an entry host until SIGTERM or SIGINT, then drains it.
+///
+/// # Errors
+/// Fails if an address cannot be used.
+pub async fn run(settings: Settings) -> Result<(), HostError> {
+    let metrics = counters::install();
+    let caller_listener = listen("callers", settings.caller_addr).await?;
+    let operator_listener = listen("operators", settings.operator_addr).await?;
+    let host = Arc::new(Host::new(settings));
+    info!(
+        host = %host.settings.host_id,
+        incarnation = %host.incarnation,
+        callers = %host.settings.caller_addr,
+        "host: started"
+    );
+    tokio::spawn(conf::follow(host.clone()));
+    tokio::spawn(operate::serve(host.clone(), operator_listener, metrics));
+    let serving = tokio::spawn(callers::serve(host.clone(), caller_listener));
+    host.shutdown.on_signal(&host.settings).await?;
+    // The listener task ends once every connection has finished or the drain limit has passed.
+    let _ = serving.await;
+    info!("host: stopped");
+    Ok(())
+}
+
+async fn listen(peer: &'static str, addr: SocketAddr) -> Result<TcpListener, HostError> {
+    TcpListener::bind(addr)
+        .await
+        .map_err(|source| HostError::Listen { peer, addr, source })
+}
--- /dev/null
+++ b/crates/store/src/http.rs
@@ -0,0 +1,203 @@
+//! Adapter for a table service that speaks DynamoDB's JSON protocol over HTTP.
+
+use std::net::{IpAddr, SocketAddr};
+
+use bv_types::{Millis, Version};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{Request, StatusCode, header};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde_json::{Value, json};
+use smol_str::{SmolStr, format_smolstr};
+
+use crate::table::{Condition, Refused, Row, StoreError, Table, TableFuture, Transacted, Write};
+
+const MAX_ANSWER_BYTES: usize = 64 << 20;
+const TARGET_PREFIX: &str = "DynamoDB_20120810";
+const CONFLICT_CODE: &str = "ConditionalCheckFailed";
+
+/// Where the table is and how it is used.
+#[derive(Debug, Clone)]
+pub struct TableSettings {
+    /// Address of the service.
+    pub addr: SocketAddr,
+    /// Name of the table.
+    pub table: SmolStr,
+    /// Bearer key; never logged.
+    pub key: String,
+    /// Time until which a call must be answered.
+    pub timeout: Millis,
+    /// Local address of outgoing connections.
+    pub bind_ip: Option<IpAddr>,
+}
+
+/// Client of the table service.
+pub struct HttpTable {
+    settings: TableSettings,
+    peer: SmolStr,
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl HttpTable {
+    /// Creates a client; connections are opened when needed.
+    pub fn new(settings: TableSettings) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_local_address(settings.bind_ip);
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(settings.timeout.duration()));
+        HttpTable {
+            peer: format_smolstr!("{}", settings.addr),
+            client: Client::builder(TokioExecutor::new()).build(connector),
+            settings,
+        }
+    }
+
+    fn unavailable(&self, step: &'static str, detail: impl ToString) -> StoreError {
+        StoreError::Unavailable {
+            step,
+            peer: self.peer.clone(),
+            detail: detail.to_string(),
+        }
+    }
+
+    fn unanswered(&self, step: &'static str, detail: impl ToString) -> StoreError {
+        StoreError::Unanswered {
+            step,
+            peer: self.peer.clone(),
+            detail: detail.to_string(),
+        }
+    }
+
+    async fn call(
+        &self,
+        step: &'static str,
+        body: Value,
+    ) -> Result<(StatusCode, Value), StoreError> {
+        let req = Request::post(format!("http://{}/", self.settings.addr))
+            .header(header::CONTENT_TYPE, "application/x-amz-json-1.0")
+            .header("x-amz-target", format!("{TARGET_PREFIX}.{step}"))
+            .header(
+                header::AUTHORIZATION,
+                format!("Bearer {}", self.settings.key),
+            )
+            .body(Full::new(Bytes::from(body.to_string())))
+            .map_err(|err| self.unavailable(step, err))?;
+        let exchange = async {
+            let answer = self
+                .client
+                .request(req)
+                .await
+                .map_err(|err| match err.is_connect() {
+                    true => self.unavailable(step, err),
+                    false => self.unanswered(step, err),
+                })?;
+            let status = answer.status();
+            let body = Limited::new(answer.into_body(), MAX_ANSWER_BYTES)
+                .collect()
+                .await
+                .map_err(|err| self.unanswered(step, err))?
+                .to_bytes();
+            let json = serde_json::from_slice(&body).unwrap_or(Value::Null);
+            Ok((status, json))
+        };
+        tokio::time::timeout(self.settings.timeout.duration(), exchange)
+            .await
+            .unwrap_or_else(|_| Err(self.unanswered(step, "timeout")))
+    }
+
+    async fn get_row(&self, key: &str) -> Result<Option<Row>, StoreError> {
+        const STEP: &str = "GetItem";
+        let body = json!({
+            "TableName": self.settings.table.as_str(),
+            "Key": {"k": {"S": key}},
+            "ConsistentRead": true,
+        });
+        let (status, answer) = self.call(STEP, body).await?;
+        if !status.is_success() {
+            return Err(self.unavailable(STEP, format!("status {status}")));
+        }
+        match answer.get("Item") {
+            None => Ok(None),
+            Some(item) => parse_row(item)
+                .map(Some)
+                .ok_or_else(|| self.unavailable(STEP, "the item is malformed")),
+        }
+    }
+
+    async fn transact_rows(&self, writes: &[Write]) -> Result<Transacted, StoreError> {
+        const STEP: &str = "TransactWriteItems";
+        let items: Vec<Value> = writes.iter().map(|write| self.put(write)).collect();
+        let (status, answer) = self.call(STEP, json!({"TransactItems": items})).await?;
+        if status.is_success() {
+            return Ok(Transacted::Committed);
+        }
+        let kind = answer["__type"].as_str().unwrap_or_default();
+        if kind.ends_with("TransactionCanceledException") {
+            return parse_refused(&answer, writes.len())
+                .ok_or_else(|| self.unavailable(STEP, "the cancellation reasons are malformed"));
+        }
+        match status.is_client_error() || status == StatusCode::SERVICE_UNAVAILABLE {
+            true => Err(self.unavailable(STEP, format!("status {status} {kind}"))),
+            false => Err(self.unanswered(STEP, format!("status {status} {kind}"))),
+        }
+    }
+
+    fn put(&self, write: &Write) -> Value {
+        let mut item = json!({
+            "k": {"S": write.row.key.as_str()},
+            "ver": {"N": write.row.version.to_string()},
+            "body": {"S": write.row.body},
+        });
+        if let Some(expires) = write.expires {
+            item["ttl"] = json!({"N": (expires.0 / 1000).to_string()});
+        }
+        let mut put = json!({
+            "TableName": self.settings.table.as_str(),
+            "Item": item,
+            "ReturnValuesOnConditionCheckFailure": "ALL_OLD",
+        });
+        match write.condition {
+            Condition::Absent => put["ConditionExpression"] = json!("attribute_not_exists(k)"),
+            Condition::Version(version) => {
+                put["ConditionExpression"] = json!("ver = :expected");
+                put["ExpressionAttributeValues"] = json!({":expected": {"N": version.to_string()}});
+            }
+        }
+        json!({"Put": put})
+    }
+}
+
+impl Table for HttpTable {
+    fn get<'a>(&'a self, key: &'a str) -> TableFuture<'a, Option<Row>> {
+        Box::pin(self.get_row(key))
+    }
+
+    fn transact<'a>(&'a self, writes: &'a [Write]) -> TableFuture<'a, Transacted> {
+        Box::pin(self.transact_rows(writes))
+    }
+}
+
+fn parse_row(item: &Value) -> Option<Row> {
+    Some(Row {
+        key: item["k"]["S"].as_str()?.into(),
+        version: Version(item["ver"]["N"].as_str()?.parse().ok()?),
+        body: item["body"]["S"].as_str()?.to_owned(),
+    })
+}
+
+fn parse_refused(answer: &Value, writes: usize) -> Option<Transacted> {
+    let reasons = answer["CancellationReasons"].as_array()?;
+    if reasons.len() != writes {
+        return None;
+    }
+    let refused = reasons
+        .iter()
+        .map(|reason| match reason["Code"].as_str() {
+            Some(CONFLICT_CODE) => Refused::Conflict(reason.get("Item").and_then(parse_row)),
+            _ => Refused::Innocent,
+        })
+        .collect();
+    Some(Transacted::Refused(refused))
+}
--- /dev/null
+++ b/crates/types/src/id.rs
@@ -0,0 +1,230 @@
+//! Identifiers.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+use smol_str::SmolStr;
+
+use crate::ParseError;
+
+const MAX_ID_LEN: usize = 64;
+
+fn check_id(kind: &'static str, text: &str) -> Result<SmolStr, ParseError> {
+    let allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_');
+    if text.is_empty() || text.len() > MAX_ID_LEN || !text.chars().all(allowed) {
+        return Err(ParseError {
+            kind,
+            value: text.chars().take(MAX_ID_LEN).collect(),
+            expected: "1 to 64 letters, digits, '-' or '_'",
+        });
+    }
+    Ok(SmolStr::new(text))
+}
+
+macro_rules! text_id {
+    ($($(#[$doc:meta])* $name:ident = $kind:literal;)*) => {$(
+        $(#[$doc])*
+        #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(try_from = "SmolStr", into = "SmolStr")]
+        pub struct $name(SmolStr);
+
+        impl $name {
+            /// The id as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl TryFrom<&str> for $name {
+            type Error = ParseError;
+            fn try_from(text: &str) -> Result<Self, ParseError> {
+                check_id($kind, text).map(Self)
+            }
+        }
+
+        impl TryFrom<SmolStr> for $name {
+            type Error = ParseError;
+            fn try_from(text: SmolStr) -> Result<Self, ParseError> {
+                check_id($kind, &text).map(Self)
+            }
+        }
+
+        impl From<$name> for SmolStr {
+            fn from(id: $name) -> SmolStr {
+                id.0
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = ParseError;
+            fn from_str(text: &str) -> Result<Self, ParseError> {
+                Self::try_from(text)
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+    )*};
+}
+
+text_id! {
+    /// An entry host.
+    HostId = "entry host id";
+    /// A backend server: a runner or a server of a plain service.
+    BackendId = "backend server id";
+    /// An availability zone.
+    ZoneId = "availability zone id";
+    /// A model.
+    ModelId = "model id";
+    /// A pool of runners.
+    PoolId = "pool id";
+    /// A plain service.
+    ServiceId = "service id";
+    /// A route of a plain service.
+    RouteId = "route id";
+    /// A team of callers.
+    TeamId = "team id";
+}
+
+/// Start of a process in milliseconds since the Unix epoch; a restart has a higher value.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Incarnation(pub u64);
+
+impl fmt::Display for Incarnation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+impl FromStr for Incarnation {
+    type Err = ParseError;
+    fn from_str(text: &str) -> Result<Self, ParseError> {
+        parse_part("incarnation", text).map(Self)
+    }
+}
+
+fn parse_part<T: FromStr>(kind: &'static str, text: &str) -> Result<T, ParseError> {
+    text.parse().map_err(|_| ParseError {
+        kind,
+        value: text.to_owned(),
+        expected: "a whole number",
+    })
+}
+
+/// A caller's request at one entry host process.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RequestId {
+    /// Entry host that accepted the request.
+    pub host: HostId,
+    /// Process of that host.
+    pub incarnation: Incarnation,
+    /// Position among the requests of that process.
+    pub sequence: u64,
+}
+
+impl RequestId {
+    /// The id of one attempt of this request; attempts count from 0.
+    pub fn attempt(&self, attempt: u32) -> AttemptId {
+        AttemptId {
+            request: self.clone(),
+            attempt,
+        }
+    }
+}
+
+impl fmt::Display for RequestId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}.{}", self.host, self.incarnation, self.sequence)
+    }
+}
+
+/// One attempt to run a request on a backend server.
+///
+/// ```
+/// use bv_types::AttemptId;
+/// let id: AttemptId = "host-a.17.4.0".parse().unwrap();
+/// assert_eq!(id.request.sequence, 4);
+/// assert_eq!(id.to_string(), "host-a.17.4.0");
+/// ```
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct AttemptId {
+    /// The request.
+    pub request: RequestId,
+    /// Number of the attempt, from 0.
+    pub attempt: u32,
+}
+
+impl fmt::Display for AttemptId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.request, self.attempt)
+    }
+}
+
+impl FromStr for AttemptId {
+    type Err = ParseError;
+    fn from_str(text: &str) -> Result<Self, ParseError> {
+        let parts: Vec<&str> = text.split('.').collect();
+        let [host, incarnation, sequence, attempt] = parts[..] else {
+            return Err(ParseError {
+                kind: "attempt id",
+                value: text.to_owned(),
+                expected: "host.incarnation.sequence.attempt",
+            });
+        };
+        Ok(AttemptId {
+            request: RequestId {
+                host: host.parse()?,
+                incarnation: incarnation.parse()?,
+                sequence: parse_part("request sequence", sequence)?,
+            },
+            attempt: parse_part("attempt number", attempt)?,
+        })
+    }
+}
+
+/// Digest that identifies a request by its content.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Fingerprint(pub [u8; 16]);
+
+impl Fingerprint {
+    /// Digests the parts; each is prefixed by its length, so that parts cannot run together.
+    pub fn digest<'a>(parts: impl IntoIterator<Item = &'a [u8]>) -> Self {
+        let mut hasher = Sha256::new();
+        for part in parts {
+            hasher.update((part.len() as u64).to_le_bytes());
+            hasher.update(part);
+        }
+        let mut bytes = [0; 16];
+        bytes.copy_from_slice(&hasher.finalize()[..16]);
+        Fingerprint(bytes)
+    }
+}
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
+
+impl FromStr for Fingerprint {
+    type Err = ParseError;
+    fn from_str(text: &str) -> Result<Self, ParseError> {
+        u128::from_str_radix(text, 16)
+            .ok()
+            .filter(|_| text.len() == 32)
+            .map(|bits| Fingerprint(bits.to_be_bytes()))
+            .ok_or_else(|| ParseError {
+                kind: "fingerprint",
+                value: text.chars().take(40).collect(),
+                expected: "32 hexadecimal digits",
+            })
+    }
+}
--- /dev/null
+++ b/crates/types/src/lib.rs
@@ -0,0 +1,26 @@
+//! Ids, sizes, rates, the clock and the reason codes shared by all crates.
+
+mod clock;
+mod id;
+mod reason;
+mod size;
+
+pub use clock::{Clock, Millis};
+pub use id::{
+    AttemptId, BackendId, Fingerprint, HostId, Incarnation, ModelId, PoolId, RequestId, RouteId,
+    ServiceId, TeamId, ZoneId,
+};
+pub use reason::{Refusal, RetryReason};
+pub use size::{Bytes, Fence, PIECE_TOKENS, Pieces, RatePerSec, Tokens, Version};
+
+/// Error for text that does not form a valid value.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("{kind} {value:?} is invalid: {expected}")]
+pub struct ParseError {
+    /// Kind of value that was expected, such as "entry host id".
+    pub kind: &'static str,
+    /// The rejected text.
+    pub value: String,
+    /// What is allowed.
+    pub expected: &'static str,
+}
--- /dev/null
+++ b/crates/wire/src/message.rs
@@ -0,0 +1,68 @@
+//! Frames of the calls between entry hosts.
+
+/// One call or its answer; an answer carries the id of its call.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Frame {
+    /// Id of the call, chosen by the caller of the connection.
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+    /// Content.
+    #[prost(oneof = "frame::Body", tags = "2, 3, 4, 5")]
+    pub body: Option<frame::Body>,
+}
+
+/// Contents of a [`Frame`].
+pub mod frame {
+    /// The content of a frame.
+    #[derive(Clone, PartialEq, prost::Oneof)]
+    pub enum Body {
+        /// First frame of a connection.
+        #[prost(message, tag = "2")]
+        Hello(super::Hello),
+        /// Asks for the configuration in force.
+        #[prost(message, tag = "3")]
+        GetConfig(super::GetConfig),
+        /// The configuration in force.
+        #[prost(message, tag = "4")]
+        Config(super::Config),
+        /// The receiver does not know the content of the call.
+        #[prost(message, tag = "5")]
+        Unsupported(super::Unsupported),
+    }
+}
+
+/// Names the sender of a connection.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Hello {
+    /// Entry host id.
+    #[prost(string, tag = "1")]
+    pub host: String,
+    /// Incarnation of its process.
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    /// Key shared by the entry hosts of a deployment.
+    #[prost(string, tag = "3")]
+    pub cluster_key: String,
+}
+
+/// Asks for the configuration in force.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct GetConfig {}
+
+/// A configuration; version 0 means none.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Config {
+    /// Version.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    /// Id of the change that made it.
+    #[prost(string, tag = "2")]
+    pub change: String,
+    /// The document.
+    #[prost(string, tag = "3")]
+    pub document: String,
+}
+
+/// The content of a call is not known.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct Unsupported {}
