--- /dev/null
+++ b/crates/place/src/affinity.rs
@@ -0,0 +1,46 @@
+//! Rendezvous hashing.
+
+/// Bytes of a prompt that select its preferred prefill runner.
+const PREFIX_BYTES: usize = 256;
+const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
+
+/// Hash of the start of a prompt.
+pub fn prefix_key(prompt: &[u8]) -> u64 {
+    fnv(FNV_OFFSET, &prompt[..prompt.len().min(PREFIX_BYTES)])
+}
+
+/// Rank of a member for a key; the highest is preferred.
+pub fn score(key: u64, member: &str) -> u64 {
+    mix(fnv(FNV_OFFSET ^ mix(key), member.as_bytes()))
+}
+
+/// Members in the order of preference for a key.
+///
+/// ```
+/// let members = ["a", "b", "c"];
+/// let ranked = bv_place::rank(7, members);
+/// assert_eq!(ranked.len(), 3);
+/// assert_eq!(ranked, bv_place::rank(7, ["c", "b", "a"]));
+/// ```
+pub fn rank<T: AsRef<str>>(key: u64, members: impl IntoIterator<Item = T>) -> Vec<T> {
+    let mut ranked: Vec<(u64, T)> = members
+        .into_iter()
+        .map(|member| (score(key, member.as_ref()), member))
+        .collect();
+    ranked.sort_by(|(a, x), (b, y)| b.cmp(a).then_with(|| x.as_ref().cmp(y.as_ref())));
+    ranked.into_iter().map(|(_, member)| member).collect()
+}
+
+fn fnv(start: u64, bytes: &[u8]) -> u64 {
+    bytes.iter().fold(start, |hash, byte| {
+        (hash ^ u64::from(*byte)).wrapping_mul(FNV_PRIME)
+    })
+}
+
+/// Finalizer of SplitMix64; FNV alone leaves the high bits of short keys nearly equal.
+fn mix(value: u64) -> u64 {
+    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ (value >> 31)
+}
