--- a/crates/server/src/callers.rs
+++ b/crates/server/src/callers.rs
@@ -1,5 +1,6 @@
 //! Callers' listener.
 
+use std::error::Error;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -109,12 +110,27 @@
     let watched = graceful.watch(connection);
     tokio::spawn(async move {
         if let Err(err) = watched.await {
+            count_rejected_head(&*err);
             debug!(%addr, %err, "callers: connection ended");
         }
         drop(permit);
     });
 }
 
+/// Counts a head that was rejected before it became a request.
+fn count_rejected_head(err: &(dyn Error + 'static)) {
+    let Some(err) = err.downcast_ref::<hyper::Error>() else {
+        return;
+    };
+    if err.is_parse_too_large() {
+        counters::refused(Refusal::HeadTooLarge);
+    } else if err.is_parse() {
+        counters::refused(Refusal::BadRequest);
+    } else if err.is_timeout() {
+        counters::refused(Refusal::ReadTimeout);
+    }
+}
+
 fn refuse(mut stream: TcpStream) {
     counters::refused(Refusal::TooManyConnections);
     tokio::spawn(async move {
