Call other entry hosts over framed TCP

Cause: homes, allowances and configuration need calls between entry hosts, and only the frame codec existed.

Change: a listener on peer_addr admits connections whose first frame is a hello with the cluster key, and answers their calls concurrently. A host without a configuration asks its peers for one.

Conclusion: a host without the table service becomes ready through a seed (crates/lab/tests/peer_config.rs).

--- a/crates/lab/src/hosts.rs
+++ b/crates/lab/src/hosts.rs
@@ -35,6 +35,8 @@
     pub peer_addr: SocketAddr,
     /// Address of the table service.
     pub store_addr: SocketAddr,
+    /// Peer addresses of other entry hosts.
+    pub seeds: Vec<SocketAddr>,
     /// Placement policy.
     pub policy: String,
 }
@@ -61,6 +63,7 @@
             operator_addr,
             peer_addr,
             store_addr: deployment.store_addr,
+            seeds: Vec::new(),
             policy: policy.to_owned(),
         })
     }
@@ -87,6 +90,7 @@
             .args(["--operator-addr", &spec.operator_addr.to_string()])
             .args(["--peer-addr", &spec.peer_addr.to_string()])
             .args(["--store-addr", &spec.store_addr.to_string()])
+            .args(["--seeds", &join(&spec.seeds)])
             .args(["--policy", &spec.policy])
             .env("BURDOCKVALE_OPERATOR_KEY", OPERATOR_KEY)
             .env("BURDOCKVALE_CLUSTER_KEY", CLUSTER_KEY)
@@ -138,6 +142,11 @@
     }
 }
 
+fn join(addrs: &[SocketAddr]) -> String {
+    let texts: Vec<String> = addrs.iter().map(ToString::to_string).collect();
+    texts.join(",")
+}
+
 fn daemon_path() -> PathBuf {
     let mut path = std::env::current_exe().unwrap_or_default();
     path.pop();
--- /dev/null
+++ b/crates/lab/tests/peer_config.rs
@@ -0,0 +1,25 @@
+//! An entry host without the table service takes its configuration from a peer.
+
+use std::net::SocketAddr;
+
+use bv_lab::{Deployment, HostProcess, HostSpec};
+
+const INVENTORY: &str = include_str!("../../../examples/start-up.toml");
+/// Nothing listens on the discard port.
+const NO_STORE: SocketAddr =
+    SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 9);
+
+/// Guards against a restarted host that stays not ready while the store is down.
+#[tokio::test]
+async fn seed_gives_configuration() {
+    let deployment = Deployment::start(INVENTORY).await.unwrap();
+    let spec = HostSpec::new(0, &deployment, "planned").await.unwrap();
+    let seed = spec.peer_addr;
+    let first = HostProcess::start(spec).unwrap();
+    first.wait_ready().await.unwrap();
+    let mut spec = HostSpec::new(1, &deployment, "planned").await.unwrap();
+    spec.store_addr = NO_STORE;
+    spec.seeds = vec![seed];
+    let second = HostProcess::start(spec).unwrap();
+    second.wait_ready().await.unwrap();
+}
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -1,1 +1,5 @@
 //! Membership of the entry hosts: probes, suspicion and rumours.
+
+mod member;
+
+pub use member::Member;
--- a/crates/server/src/host.rs
+++ b/crates/server/src/host.rs
@@ -12,8 +12,9 @@
 
 use crate::conf::Conf;
 use crate::engine::EngineClient;
+use crate::peers::Peers;
 use crate::shutdown::Shutdown;
-use crate::{Settings, callers, conf, counters, operate};
+use crate::{Settings, callers, conf, counters, operate, peers};
 
 /// Failure to start.
 #[derive(Debug, thiserror::Error, Diagnostic)]
@@ -47,6 +48,7 @@
     pub(crate) table: Arc<dyn Table>,
     pub(crate) conf: Conf,
     pub(crate) engines: EngineClient,
+    pub(crate) peers: Peers,
     pub(crate) shutdown: Shutdown,
     sequence: AtomicU64,
 }
@@ -61,8 +63,10 @@
             timeout: settings.store_timeout_ms,
             bind_ip: settings.bind_ip,
         });
+        let incarnation = Incarnation(clock.now().0);
         Host {
-            incarnation: Incarnation(clock.now().0),
+            peers: Peers::new(&settings, incarnation),
+            incarnation,
             table: Arc::new(table),
             conf: Conf::default(),
             engines: EngineClient::new(settings.bind_ip),
@@ -91,13 +95,17 @@
     let metrics = counters::install();
     let caller_listener = listen("callers", settings.caller_addr).await?;
     let operator_listener = listen("operators", settings.operator_addr).await?;
+    let peer_listener = listen("peers", settings.peer_addr).await?;
     let host = Arc::new(Host::new(settings));
+    host.peers.attach(&host);
     info!(
         host = %host.settings.host_id,
         incarnation = %host.incarnation,
         callers = %host.settings.caller_addr,
         "host: started"
     );
+    tokio::spawn(peers::serve(host.clone(), peer_listener));
+    tokio::spawn(peers::follow_seeds(host.clone()));
     tokio::spawn(conf::follow(host.clone()));
     tokio::spawn(operate::serve(host.clone(), operator_listener, metrics));
     let serving = tokio::spawn(callers::serve(host.clone(), caller_listener));
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -8,6 +8,7 @@
 mod host;
 mod model;
 mod operate;
+mod peers;
 mod plain;
 mod settings;
 mod shutdown;
--- /dev/null
+++ b/crates/server/src/peers/answer.rs
@@ -0,0 +1,35 @@
+//! Answers to calls of other entry hosts.
+
+use std::sync::Arc;
+
+use bv_types::{HostId, Incarnation};
+use bv_wire::frame::Body;
+use bv_wire::{Config, Unsupported};
+
+use crate::Host;
+
+/// Answers one call; calls of one connection are answered concurrently.
+pub(crate) async fn answer(
+    host: &Arc<Host>,
+    _from: &HostId,
+    _incarnation: Incarnation,
+    body: Body,
+) -> Body {
+    match body {
+        Body::GetConfig(_) => Body::Config(config(host)),
+        Body::Hello(_) | Body::Config(_) | Body::Unsupported(_) => {
+            Body::Unsupported(Unsupported {})
+        }
+    }
+}
+
+fn config(host: &Host) -> Config {
+    let Some(current) = host.conf.current() else {
+        return Config::default();
+    };
+    Config {
+        version: current.version.0,
+        change: current.row.change,
+        document: current.row.document,
+    }
+}
