Place model calls through shard homes

Entry hosts chose runners in turn by themselves. Queued requests are kept by short calls that are repeated, so that a dead home is noticed and a request can be withdrawn. Attempts before the first byte are repeated within a budget, broken streams are resumed at the same engine, and callers of HTTP/1.0 get whole bodies.

--- a/crates/place/src/event.rs
+++ b/crates/place/src/event.rs
@@ -92,6 +92,8 @@
     pub prefill_time: Millis,
     /// Predicted time from the grant to the first token.
     pub first_token: Millis,
+    /// Whether the decode slot is reserved; otherwise decode waits for [`Action::Proceed`].
+    pub slot_ready: bool,
 }
 
 /// What the caller of the state machine must do.
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -54,6 +54,7 @@
 //!     first_token_by: now + Millis(1_100),
 //!     token_gap: Millis(71),
 //!     deadline: now + Millis::from_secs(5),
+//!     avoid: Vec::new(),
 //! };
 //! let actions = shard.handle(now, Event::Reserve(request));
 //! let [Action::Grant(grant)] = &actions[..] else { panic!("{actions:?}") };
--- a/crates/place/src/life.rs
+++ b/crates/place/src/life.rs
@@ -14,6 +14,8 @@
 impl Shard {
     pub(crate) fn prefill_done(&mut self, now: Millis, id: &AttemptId, actions: &mut Vec<Action>) {
         let Some(decode) = self.index.decode_of(id) else {
+            // A grant of an earlier home that is not adopted yet.
+            actions.push(Action::Proceed(id.clone()));
             return;
         };
         let eviction = self.spec.pool.eviction;
--- a/crates/place/src/planned.rs
+++ b/crates/place/src/planned.rs
@@ -58,13 +58,15 @@
         let preferred = self.preferred_prefill(request);
         let max_batch = self.spec.pool.max_batch(request.token_gap);
         let decodes: Vec<(usize, Usage)> = self
-            .usable(Role::Decode)
-            .map(|(index, runner)| (index, runner.usage()))
+            .candidates(Role::Decode, request)
+            .into_iter()
+            .map(|index| (index, self.runners[index].usage()))
             .filter(|(_, usage)| self.may_fit(request, usage, max_batch))
             .collect();
         let mut best: Option<Plan> = None;
         let mut too_late = false;
-        for (prefill, runner) in self.usable(Role::Prefill) {
+        for prefill in self.candidates(Role::Prefill, request) {
+            let runner = &self.runners[prefill];
             let wait = runner.prefill_wait_ms(now, &self.spec.pool);
             if wait > PREFILL_AHEAD_MS {
                 continue;
@@ -96,6 +98,17 @@
         }
     }
 
+    /// Usable runners; those on which the request failed only if there are no others.
+    fn candidates(&self, role: Role, request: &Request) -> Vec<usize> {
+        let all: Vec<usize> = self.usable(role).map(|(index, _)| index).collect();
+        let failed = |index: &usize| request.avoid.contains(&self.runners[*index].spec.id);
+        let others: Vec<usize> = all.iter().copied().filter(|i| !failed(i)).collect();
+        match others.is_empty() {
+            true => all,
+            false => others,
+        }
+    }
+
     /// Quick check that leaves out full runners before pairs are examined.
     fn may_fit(&self, request: &Request, usage: &Usage, max_batch: u32) -> bool {
         let waiting = request.class == Class::Waiting;
--- a/crates/place/src/shard.rs
+++ b/crates/place/src/shard.rs
@@ -251,6 +251,7 @@
             decode: self.runners[decode].spec.id.clone(),
             prefill_time: hold.prefill_end - hold.granted_at,
             first_token: hold.first_token - hold.granted_at,
+            slot_ready: hold.owns_slot,
         }
     }
 
--- a/crates/place/src/spec.rs
+++ b/crates/place/src/spec.rs
@@ -91,6 +91,8 @@
     pub token_gap: Millis,
     /// Time by which the whole answer must be at the entry host.
     pub deadline: Millis,
+    /// Runners on which earlier attempts failed; used only if there are no others.
+    pub avoid: Vec<BackendId>,
 }
 
 impl Request {
--- a/crates/server/src/counters.rs
+++ b/crates/server/src/counters.rs
@@ -8,6 +8,8 @@
 const RETRIES: &str = "burdockvale_retries_total";
 const UNKNOWN: &str = "burdockvale_outcome_unknown_total";
 const DROPPED: &str = "burdockvale_answers_dropped_total";
+const BLIND: &str = "burdockvale_blind_placement_total";
+const CRASHED: &str = "burdockvale_engine_crashes_total";
 const CONFIG_VERSION: &str = "burdockvale_config_version";
 
 /// Installs the recorder, with every refusal and retry reason at 0.
@@ -20,6 +22,13 @@
     describe_counter!(RETRIES, "Attempts and messages repeated, by reason.");
     describe_counter!(UNKNOWN, "Requests whose outcome is unknown, by reason.");
     describe_counter!(DROPPED, "Answers dropped as late or crossed, by reason.");
+    describe_counter!(BLIND, "Model calls placed without a home.");
+    describe_counter!(
+        CRASHED,
+        "Connections lost to runners with attempts in flight."
+    );
+    counter!(BLIND).absolute(0);
+    counter!(CRASHED).absolute(0);
     for reason in Refusal::ALL {
         counter!(REFUSED, "reason" => reason.code()).absolute(0);
     }
@@ -45,6 +54,14 @@
     counter!(DROPPED, "reason" => reason).increment(1);
 }
 
+pub(crate) fn blind_placement() {
+    counter!(BLIND).increment(1);
+}
+
+pub(crate) fn engine_crashed() {
+    counter!(CRASHED).increment(1);
+}
+
 pub(crate) fn config_version(version: u64) {
     gauge!(CONFIG_VERSION).set(version as f64);
 }
--- a/crates/server/src/engine.rs
+++ b/crates/server/src/engine.rs
@@ -3,22 +3,26 @@
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
-use bv_types::AttemptId;
+use bv_types::{AttemptId, RetryReason};
 use bytes::{Buf, Bytes, BytesMut};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
+use hyper::header::HeaderValue;
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Request, Response, StatusCode, Uri, header};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use serde_json::{Value, json};
+use smol_str::SmolStr;
 
 /// Largest answer of a backend server, in bytes.
 pub(crate) const MAX_ANSWER_BYTES: usize = 8 << 20;
 /// Largest event of a stream, in bytes.
 const MAX_EVENT_BYTES: usize = 64 << 10;
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+const CROSSED: &str = "the answer belongs to another attempt";
+const LAST_EVENT_ID: &str = "last-event-id";
 const CHAT_PATH: &str = "/v1/chat/completions";
 /// Headers that concern one connection only.
 const HOP_HEADERS: [&str; 7] = [
@@ -64,6 +68,22 @@
     },
 }
 
+impl CallError {
+    /// Why a failed attempt is repeated.
+    pub fn reason(&self) -> RetryReason {
+        match self {
+            CallError::Refused { .. } => RetryReason::ConnectRefused,
+            CallError::Lost { .. } => RetryReason::ConnectionLost,
+            CallError::Status { status, .. } if *status == StatusCode::GONE => {
+                RetryReason::PrefillEvicted
+            }
+            CallError::Status { .. } => RetryReason::ServerError,
+            CallError::Malformed { detail, .. } if *detail == CROSSED => RetryReason::CrossedAnswer,
+            CallError::Malformed { .. } => RetryReason::ServerError,
+        }
+    }
+}
+
 /// Client of backend servers.
 #[derive(Debug, Clone)]
 pub(crate) struct EngineClient {
@@ -128,29 +148,17 @@
         path: &str,
         body: &Value,
     ) -> Result<Value, CallError> {
-        let answer = self.post(step, peer, path, body).await?;
-        let body = read_whole(step, peer, answer.into_body()).await?;
-        serde_json::from_slice(&body).map_err(|_| CallError::Malformed {
-            step,
-            peer,
-            detail: "the answer is not JSON",
-        })
+        let req = json_request(peer, path, body);
+        let answer = self.send_checked(step, peer, req).await?;
+        read_json(step, peer, answer.into_body()).await
     }
 
-    async fn post(
+    async fn send_checked(
         &self,
         step: &'static str,
         peer: SocketAddr,
-        path: &str,
-        body: &Value,
+        req: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, CallError> {
-        let mut req = Request::new(Full::new(Bytes::from(body.to_string())));
-        *req.method_mut() = hyper::Method::POST;
-        *req.uri_mut() = target(peer, path);
-        req.headers_mut().insert(
-            header::CONTENT_TYPE,
-            header::HeaderValue::from_static("application/json"),
-        );
         let answer = self.send(step, peer, req).await?;
         let status = answer.status();
         match status.is_success() {
@@ -174,24 +182,39 @@
         Ok(answer)
     }
 
-    /// Starts a streamed chat completion.
+    /// Starts a streamed chat completion, or resumes it after the event with this id.
     pub async fn chat_stream(
         &self,
         step: &'static str,
         peer: SocketAddr,
         attempt: &AttemptId,
         body: &Value,
+        last_event: Option<&str>,
     ) -> Result<EventStream, CallError> {
-        let answer = self.post(step, peer, CHAT_PATH, body).await?;
+        let mut req = json_request(peer, CHAT_PATH, body);
+        if let Some(id) = last_event.and_then(|id| HeaderValue::from_str(id).ok()) {
+            req.headers_mut().insert(LAST_EVENT_ID, id);
+        }
+        let answer = self.send_checked(step, peer, req).await?;
         Ok(EventStream {
             step,
             peer,
             attempt: attempt.to_string(),
             body: answer.into_body(),
             buf: BytesMut::new(),
+            last_event: last_event.map(SmolStr::new),
         })
     }
 
+    /// Asks an engine for its load.
+    pub async fn load(&self, peer: SocketAddr) -> Result<Value, CallError> {
+        const STEP: &str = "load";
+        let mut req = Request::new(Full::default());
+        *req.uri_mut() = target(peer, "/load");
+        let answer = self.send_checked(STEP, peer, req).await?;
+        read_json(STEP, peer, answer.into_body()).await
+    }
+
     /// Cancels an attempt; succeeds also if the engine does not know it.
     pub async fn abort(&self, peer: SocketAddr, attempt: &AttemptId) -> Result<(), CallError> {
         let body = json!({"rid": attempt.to_string()});
@@ -209,12 +232,13 @@
     attempt: String,
     body: Incoming,
     buf: BytesMut,
+    last_event: Option<SmolStr>,
 }
 
 /// One event of a stream.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum Event {
-    /// Data of this attempt, with its terminating blank line.
+    /// Data of this attempt without the event id, with its terminating blank line.
     Data(Bytes),
     /// The end of a whole stream, with its terminating blank line.
     Done(Bytes),
@@ -242,27 +266,45 @@
         }
     }
 
+    /// Id of the last event read, from which the stream can be resumed.
+    pub fn last_event(&self) -> Option<&str> {
+        self.last_event.as_deref()
+    }
+
+    /// The failure of a stream that has become silent.
+    pub fn stalled(&self) -> CallError {
+        self.lost("no event in time".to_owned())
+    }
+
     fn take_event(&mut self) -> Result<Option<Event>, CallError> {
-        let Some(end) = self.buf.windows(2).position(|pair| pair == b"\n\n") else {
-            if self.buf.len() > MAX_EVENT_BYTES {
-                return Err(self.malformed("an event is too long"));
+        loop {
+            let Some(end) = self.buf.windows(2).position(|pair| pair == b"\n\n") else {
+                if self.buf.len() > MAX_EVENT_BYTES {
+                    return Err(self.malformed("an event is too long"));
+                }
+                return Ok(None);
+            };
+            let event = self.buf.split_to(end + 2).freeze();
+            // An event without data is a comment that keeps the connection open.
+            if let Some(data) = field(&event, b"data:") {
+                return self.check_event(&event, data).map(Some);
             }
-            return Ok(None);
-        };
-        let event = self.buf.split_to(end + 2).freeze();
-        let data = event
-            .split(|byte| *byte == b'\n')
-            .find_map(|line| line.strip_prefix(b"data: "))
-            .unwrap_or_default();
+        }
+    }
+
+    fn check_event(&mut self, event: &[u8], data: &[u8]) -> Result<Event, CallError> {
         if data == b"[DONE]" {
-            return Ok(Some(Event::Done(event)));
+            return Ok(Event::Done(data_event(data)));
         }
         let json: Value =
             serde_json::from_slice(data).map_err(|_| self.malformed("an event is not JSON"))?;
         if json["id"].as_str() != Some(self.attempt.as_str()) {
             return Err(crossed(self.step, self.peer));
         }
-        Ok(Some(Event::Data(event)))
+        if let Some(id) = field(event, b"id:") {
+            self.last_event = Some(SmolStr::new(String::from_utf8_lossy(id)));
+        }
+        Ok(Event::Data(data_event(data)))
     }
 
     fn lost(&self, detail: String) -> CallError {
@@ -282,12 +324,52 @@
     }
 }
 
+/// Value of the first line of an event that starts with a field name.
+fn field<'a>(event: &'a [u8], name: &[u8]) -> Option<&'a [u8]> {
+    event
+        .split(|byte| *byte == b'\n')
+        .find_map(|line| line.strip_prefix(name))
+        .map(<[u8]>::trim_ascii)
+}
+
+fn data_event(data: &[u8]) -> Bytes {
+    let mut event = BytesMut::with_capacity(data.len() + 8);
+    event.extend_from_slice(b"data: ");
+    event.extend_from_slice(data);
+    event.extend_from_slice(b"\n\n");
+    event.freeze()
+}
+
+fn json_request(peer: SocketAddr, path: &str, body: &Value) -> Request<Full<Bytes>> {
+    let mut req = Request::new(Full::new(Bytes::from(body.to_string())));
+    *req.method_mut() = hyper::Method::POST;
+    *req.uri_mut() = target(peer, path);
+    req.headers_mut().insert(
+        header::CONTENT_TYPE,
+        HeaderValue::from_static("application/json"),
+    );
+    req
+}
+
+async fn read_json(
+    step: &'static str,
+    peer: SocketAddr,
+    body: Incoming,
+) -> Result<Value, CallError> {
+    let body = read_whole(step, peer, body).await?;
+    serde_json::from_slice(&body).map_err(|_| CallError::Malformed {
+        step,
+        peer,
+        detail: "the answer is not JSON",
+    })
+}
+
 fn crossed(step: &'static str, peer: SocketAddr) -> CallError {
     crate::counters::dropped("crossed");
     CallError::Malformed {
         step,
         peer,
-        detail: "the answer belongs to another attempt",
+        detail: CROSSED,
     }
 }
 
--- a/crates/server/src/host.rs
+++ b/crates/server/src/host.rs
@@ -12,9 +12,11 @@
 
 use crate::conf::Conf;
 use crate::engine::EngineClient;
+use crate::model::RetryBudget;
 use crate::peers::Peers;
+use crate::placement::Placement;
 use crate::shutdown::Shutdown;
-use crate::{Settings, callers, conf, counters, operate, peers};
+use crate::{Settings, callers, conf, counters, operate, peers, placement};
 
 /// Failure to start.
 #[derive(Debug, thiserror::Error, Diagnostic)]
@@ -49,6 +51,8 @@
     pub(crate) conf: Conf,
     pub(crate) engines: EngineClient,
     pub(crate) peers: Peers,
+    pub(crate) placement: Placement,
+    pub(crate) retries: RetryBudget,
     pub(crate) shutdown: Shutdown,
     sequence: AtomicU64,
 }
@@ -66,6 +70,8 @@
         let incarnation = Incarnation(clock.now().0);
         Host {
             peers: Peers::new(&settings, incarnation),
+            placement: Placement::new(&settings.policy),
+            retries: RetryBudget::default(),
             incarnation,
             table: Arc::new(table),
             conf: Conf::default(),
@@ -107,6 +113,7 @@
     tokio::spawn(peers::serve(host.clone(), peer_listener));
     tokio::spawn(peers::follow_seeds(host.clone()));
     tokio::spawn(conf::follow(host.clone()));
+    tokio::spawn(placement::follow(host.clone()));
     tokio::spawn(operate::serve(host.clone(), operator_listener, metrics));
     let serving = tokio::spawn(callers::serve(host.clone(), caller_listener));
     host.shutdown.on_signal(&host.settings).await?;
--- /dev/null
+++ b/crates/server/src/model/attempt.rs
@@ -0,0 +1,195 @@
+//! One attempt of a model call: prefill, transfer and decode.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use axum::response::{IntoResponse, Response};
+use bv_types::{AttemptId, BackendId, Millis, Refusal, RetryReason};
+use serde_json::{Value, json};
+use tracing::debug;
+
+use super::check::Call;
+use super::stream::{Decode, DecodeStream};
+use crate::engine::CallError;
+use crate::open_attempt::{OpenAttempt, address};
+use crate::placement::{self, Ask, GrantGuard, OpenGrant};
+use crate::{Host, crash};
+
+/// A step may take this many times its predicted time, plus `STEP_MARGIN`, before it counts as
+/// stalled.
+const STEP_FACTOR: u64 = 3;
+const STEP_MARGIN: Millis = Millis(1_000);
+
+/// Why an attempt gave no answer.
+#[derive(Debug)]
+pub(super) enum Failure {
+    /// It was refused before it ran.
+    Refused(Refusal),
+    /// It failed at a runner.
+    Broken {
+        reason: RetryReason,
+        runner: BackendId,
+    },
+}
+
+/// An attempt with its grant; engine memory and reservations are freed when it is dropped.
+pub(super) struct Attempt {
+    pub host: Arc<Host>,
+    pub id: AttemptId,
+    pub grant: OpenGrant,
+    pub guard: GrantGuard,
+    pub open: OpenAttempt,
+    pub deadline: Millis,
+}
+
+/// Runs one attempt up to its whole answer or the first event of its stream.
+pub(super) async fn run(
+    host: &Arc<Host>,
+    call: &Call,
+    id: AttemptId,
+    avoid: &[BackendId],
+    may_have_run: &AtomicBool,
+) -> Result<Response, Failure> {
+    let ask = ask(call, id.clone(), avoid);
+    let (guard, grant) = placement::ask(host, &call.inventory, &call.model, &ask)
+        .await
+        .map_err(Failure::Refused)?;
+    let mut attempt = Attempt {
+        host: host.clone(),
+        open: OpenAttempt::new(host, id.clone()),
+        id,
+        grant,
+        guard,
+        deadline: ask.deadline,
+    };
+    let mut body = call.body.clone();
+    body["request_id"] = json!(attempt.id.to_string());
+    body["kv_transfer_params"] = attempt.prefill(&body, may_have_run).await?;
+    attempt.wait_for_slot(call).await?;
+    attempt.decode(call, body).await
+}
+
+fn ask(call: &Call, attempt: AttemptId, avoid: &[BackendId]) -> Ask {
+    let deadline = call.arrived + call.model.deadline;
+    // Only a stream shows its first token, and a repeated attempt is better late than not.
+    let first_token_by = match call.streamed && !call.buffered && attempt.attempt == 0 {
+        true => call.arrived + call.model.first_token,
+        false => deadline,
+    };
+    Ask {
+        attempt,
+        team: call.team.clone(),
+        prompt: call.prompt,
+        max_output: call.max_output,
+        prefix: call.prefix,
+        first_token_by: first_token_by.min(deadline),
+        deadline,
+        fingerprint: call.fingerprint,
+        avoid: avoid.to_vec(),
+    }
+}
+
+impl Attempt {
+    async fn prefill(&mut self, body: &Value, may_have_run: &AtomicBool) -> Result<Value, Failure> {
+        let mut body = body.clone();
+        body["stream"] = json!(false);
+        body["max_tokens"] = json!(1);
+        body["kv_transfer_params"] = json!({"do_remote_decode": true, "do_remote_prefill": false});
+        let runner = self.grant.prefill.clone();
+        let addr = address(&self.host, &runner).ok_or(Failure::Refused(Refusal::NoBackend))?;
+        self.open.sent_to(&runner);
+        let ran_before = may_have_run.swap(true, Ordering::Relaxed);
+        let answer = self.host.engines.chat("prefill", addr, &self.id, &body);
+        let limit = self.step_limit(self.grant.prefill_time);
+        match tokio::time::timeout(limit, answer).await {
+            Ok(Ok(mut answer)) => Ok(answer["kv_transfer_params"].take()),
+            Ok(Err(err)) => {
+                // A refused connection carried nothing.
+                let refused = matches!(err, CallError::Refused { .. });
+                may_have_run.store(ran_before || !refused, Ordering::Relaxed);
+                Err(self.failed(&runner, &err))
+            }
+            Err(_) => Err(broken(&runner, RetryReason::Timeout)),
+        }
+    }
+
+    async fn wait_for_slot(&mut self, call: &Call) -> Result<(), Failure> {
+        if self.grant.slot_ready {
+            placement::report_prefill(&self.host, &self.guard, &self.grant);
+        } else {
+            let eviction = call.inventory.pool(&call.model.pool).map(|p| p.eviction);
+            let limit = eviction.unwrap_or(STEP_MARGIN);
+            placement::wait_for_slot(&self.host, &self.guard, &self.grant, limit)
+                .await
+                .map_err(|reason| broken(&self.grant.decode, reason))?;
+        }
+        self.guard.decoding();
+        Ok(())
+    }
+
+    async fn decode(mut self, call: &Call, body: Value) -> Result<Response, Failure> {
+        let runner = self.grant.decode.clone();
+        let addr = address(&self.host, &runner).ok_or(Failure::Refused(Refusal::NoBackend))?;
+        self.open.sent_to(&runner);
+        let first = self.step_limit(self.grant.first_token - self.grant.prefill_time);
+        if call.streamed {
+            let decode = Decode { addr, body };
+            let start = DecodeStream::start(self, decode);
+            let stream = match tokio::time::timeout(first, start).await {
+                Ok(started) => started?,
+                Err(_) => return Err(broken(&runner, RetryReason::TransferStalled)),
+            };
+            return match call.buffered {
+                true => stream.whole().await,
+                false => Ok(stream.into_response()),
+            };
+        }
+        let limit = (first + self.decode_limit(call)).min(self.left());
+        let answer = self.host.engines.chat("decode", addr, &self.id, &body);
+        match tokio::time::timeout(limit, answer).await {
+            Ok(Ok(answer)) => {
+                self.open.finish();
+                Ok(axum::Json(answer).into_response())
+            }
+            Ok(Err(err)) => Err(self.failed(&runner, &err)),
+            Err(_) => Err(broken(&runner, RetryReason::TransferStalled)),
+        }
+    }
+
+    /// Time for a step with this prediction, at most up to the deadline.
+    fn step_limit(&self, predicted: Millis) -> Duration {
+        let limit = Millis(predicted.0.saturating_mul(STEP_FACTOR)) + STEP_MARGIN;
+        limit.duration().min(self.left())
+    }
+
+    /// Time to generate the whole output in a full batch.
+    fn decode_limit(&self, call: &Call) -> Duration {
+        let Some(pool) = call.inventory.pool(&call.model.pool) else {
+            return self.left();
+        };
+        let others = f64::from(pool.slots.saturating_sub(1));
+        let gap = pool.token_gap_ms + pool.token_gap_slope_ms * others;
+        Millis((gap * call.max_output.0 as f64) as u64 * STEP_FACTOR).duration()
+    }
+
+    fn left(&self) -> Duration {
+        (self.deadline - self.host.clock.now()).duration()
+    }
+
+    /// Notes why a call to a runner failed.
+    pub fn failed(&self, runner: &BackendId, err: &CallError) -> Failure {
+        debug!(%err, attempt = %self.id, "model: attempt failed");
+        if matches!(err, CallError::Lost { .. }) {
+            crash::engine_crashed(&self.host, runner);
+        }
+        broken(runner, err.reason())
+    }
+}
+
+pub(super) fn broken(runner: &BackendId, reason: RetryReason) -> Failure {
+    Failure::Broken {
+        reason,
+        runner: runner.clone(),
+    }
+}
--- /dev/null
+++ b/crates/server/src/model/budget.rs
@@ -0,0 +1,57 @@
+//! Retry budget of model calls.
+
+use std::sync::{Mutex, PoisonError};
+
+use bv_types::Millis;
+
+/// Retries earned by each first attempt.
+const SHARE: f64 = 0.1;
+/// Retries earned each second, so that light traffic can be retried.
+const MINIMUM_PER_SEC: f64 = 3.0;
+/// Most retries that are saved up.
+const CAPACITY: f64 = 30.0;
+
+/// A token bucket that is filled by first attempts and time.
+#[derive(Debug)]
+pub(crate) struct RetryBudget(Mutex<Bucket>);
+
+#[derive(Debug)]
+struct Bucket {
+    tokens: f64,
+    filled_at: Millis,
+}
+
+impl Default for RetryBudget {
+    fn default() -> Self {
+        RetryBudget(Mutex::new(Bucket {
+            tokens: MINIMUM_PER_SEC,
+            filled_at: Millis::MAX,
+        }))
+    }
+}
+
+impl RetryBudget {
+    /// Notes a first attempt.
+    pub fn first_attempt(&self, now: Millis) {
+        self.fill(now, SHARE);
+    }
+
+    /// Takes a retry if the budget allows one.
+    pub fn take(&self, now: Millis) -> bool {
+        self.fill(now, 0.0);
+        let mut bucket = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let allowed = bucket.tokens >= 1.0;
+        if allowed {
+            bucket.tokens -= 1.0;
+        }
+        allowed
+    }
+
+    fn fill(&self, now: Millis, earned: f64) {
+        let mut bucket = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let elapsed = (now - bucket.filled_at).0 as f64 / 1000.0;
+        bucket.filled_at = now;
+        let tokens = bucket.tokens + earned + elapsed * MINIMUM_PER_SEC;
+        bucket.tokens = tokens.min(CAPACITY);
+    }
+}
--- /dev/null
+++ b/crates/server/src/model/stream.rs
@@ -0,0 +1,180 @@
+//! Streamed answers: resume at the same engine, and delivery to the caller.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use axum::body::{Body, Bytes};
+use axum::response::{IntoResponse, Response};
+use bv_types::{Millis, RetryReason};
+use bytes::BytesMut;
+use futures_util::stream;
+use hyper::header;
+use serde_json::Value;
+use tokio::sync::mpsc;
+use tracing::debug;
+
+use super::attempt::{Attempt, Failure, broken};
+use crate::counters;
+use crate::engine::{CallError, Event, EventStream, MAX_ANSWER_BYTES};
+
+const EVENT_STREAM: [(header::HeaderName, &str); 1] = [(header::CONTENT_TYPE, "text/event-stream")];
+/// Longest silence of a running stream; it is far above any time between tokens.
+const STALL: Duration = Duration::from_secs(3);
+/// Tries to resume a broken stream; engines keep it for about 1 s.
+const RESUME_TRIES: u32 = 4;
+const RESUME_INTERVAL: Millis = Millis(200);
+/// Events that a slow caller may be behind before its engine is held up.
+const BUFFERED_EVENTS: usize = 64;
+/// Time without progress after which a caller that does not read is taken for gone.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Where and what an attempt decodes.
+pub(super) struct Decode {
+    pub addr: SocketAddr,
+    pub body: Value,
+}
+
+/// The events of an attempt, with the first one read.
+pub(super) struct DecodeStream {
+    attempt: Attempt,
+    decode: Decode,
+    events: EventStream,
+    first: Option<Event>,
+}
+
+impl DecodeStream {
+    /// Starts decode and reads the first event.
+    pub async fn start(attempt: Attempt, decode: Decode) -> Result<Self, Failure> {
+        let runner = attempt.grant.decode.clone();
+        let client = &attempt.host.engines;
+        let events = client.chat_stream("decode", decode.addr, &attempt.id, &decode.body, None);
+        let mut events = match events.await {
+            Ok(events) => events,
+            Err(err) => return Err(attempt.failed(&runner, &err)),
+        };
+        match events.next().await {
+            Ok(first) => Ok(DecodeStream {
+                attempt,
+                decode,
+                events,
+                first: Some(first),
+            }),
+            Err(err) => Err(attempt.failed(&runner, &err)),
+        }
+    }
+
+    /// Reads the next event; a broken stream is resumed at the same engine.
+    async fn next(&mut self) -> Result<Event, CallError> {
+        if let Some(first) = self.first.take() {
+            return Ok(first);
+        }
+        loop {
+            let next = tokio::time::timeout(STALL, self.events.next());
+            let err = match next.await {
+                Ok(Ok(event)) => return Ok(event),
+                Ok(Err(err)) => err,
+                Err(_) => self.events.stalled(),
+            };
+            if !matches!(err, CallError::Lost { .. }) {
+                return Err(err);
+            }
+            self.resume(err).await?;
+        }
+    }
+
+    async fn resume(&mut self, mut err: CallError) -> Result<(), CallError> {
+        let Some(last) = self.events.last_event().map(str::to_owned) else {
+            return Err(err);
+        };
+        for _ in 0..RESUME_TRIES {
+            let (addr, body) = (self.decode.addr, &self.decode.body);
+            let client = &self.attempt.host.engines;
+            let resumed = client.chat_stream("resume", addr, &self.attempt.id, body, Some(&last));
+            match resumed.await {
+                Ok(events) => {
+                    counters::retried(RetryReason::StreamResumed);
+                    self.events = events;
+                    return Ok(());
+                }
+                // The engine no longer has the stream.
+                Err(CallError::Status { .. }) => return Err(err),
+                Err(next) => err = next,
+            }
+            tokio::time::sleep(RESUME_INTERVAL.duration()).await;
+        }
+        let _ = self.attempt.failed(&self.attempt.grant.decode, &err);
+        Err(err)
+    }
+
+    /// Reads all events before any is sent, for callers that cannot read a chunked body.
+    pub async fn whole(mut self) -> Result<Response, Failure> {
+        let mut text = BytesMut::new();
+        loop {
+            match self.next().await {
+                Ok(Event::Data(data)) if text.len() + data.len() <= MAX_ANSWER_BYTES => {
+                    text.extend_from_slice(&data);
+                }
+                Ok(Event::Done(data)) => {
+                    text.extend_from_slice(&data);
+                    self.attempt.open.finish();
+                    return Ok((EVENT_STREAM, text.freeze()).into_response());
+                }
+                Ok(Event::Data(_)) => {
+                    let runner = &self.attempt.grant.decode;
+                    return Err(broken(runner, RetryReason::ServerError));
+                }
+                Err(err) => {
+                    let runner = self.attempt.grant.decode.clone();
+                    return Err(self.attempt.failed(&runner, &err));
+                }
+            }
+        }
+    }
+
+    /// Passes events on as they arrive; a failure aborts the caller's connection, so that a
+    /// truncated stream does not look complete.
+    pub fn into_response(self) -> Response {
+        let (tx, rx) = mpsc::channel(BUFFERED_EVENTS);
+        tokio::spawn(self.deliver(tx));
+        let body = stream::unfold(rx, |mut rx| async {
+            let item = rx.recv().await?;
+            Some((item, rx))
+        });
+        (EVENT_STREAM, Body::from_stream(body)).into_response()
+    }
+
+    async fn deliver(mut self, tx: mpsc::Sender<io::Result<Bytes>>) {
+        let left = (self.attempt.deadline - self.attempt.host.clock.now()).duration();
+        let sent = tokio::select! {
+            sent = self.send_events(&tx) => sent,
+            // The caller has closed its connection.
+            () = tx.closed() => return,
+            () = tokio::time::sleep(left) => Err(io::Error::other("the deadline has passed")),
+        };
+        if let Err(err) = sent {
+            debug!(%err, attempt = %self.attempt.id, "model: stream aborted");
+            // The body must end with an error even if the buffer is full now.
+            let _ = tokio::time::timeout(WRITE_TIMEOUT, tx.send(Err(err))).await;
+        }
+    }
+
+    async fn send_events(&mut self, tx: &mpsc::Sender<io::Result<Bytes>>) -> io::Result<()> {
+        loop {
+            let event = self.next().await.map_err(io::Error::other)?;
+            let (data, done) = match event {
+                Event::Data(data) => (data, false),
+                Event::Done(data) => (data, true),
+            };
+            if done {
+                self.attempt.open.finish();
+            }
+            match tokio::time::timeout(WRITE_TIMEOUT, tx.send(Ok(data))).await {
+                Ok(Ok(())) if done => return Ok(()),
+                Ok(Ok(())) => {}
+                Ok(Err(_)) => return Err(io::Error::other("the caller is gone")),
+                Err(_) => return Err(io::Error::other("the caller does not read")),
+            }
+        }
+    }
+}
--- a/crates/server/src/peers/answer.rs
+++ b/crates/server/src/peers/answer.rs
@@ -6,7 +6,7 @@
 use bv_wire::frame::Body;
 use bv_wire::{Config, Unsupported};
 
-use crate::Host;
+use crate::{Host, placement};
 
 /// Answers one call; calls of one connection are answered concurrently.
 pub(crate) async fn answer(
@@ -17,9 +17,17 @@
 ) -> Body {
     match body {
         Body::GetConfig(_) => Body::Config(config(host)),
-        Body::Hello(_) | Body::Config(_) | Body::Unsupported(_) => {
-            Body::Unsupported(Unsupported {})
-        }
+        Body::Reserve(call) => placement::reserve(host, call).await,
+        Body::PrefillDone(call) => placement::prefill_done(host, call).await,
+        Body::Release(call) => placement::release(host, call).await,
+        Body::Adopt(call) => placement::adopt(host, call).await,
+        Body::Hello(_)
+        | Body::Config(_)
+        | Body::Unsupported(_)
+        | Body::Grant(_)
+        | Body::Deny(_)
+        | Body::Queued(_)
+        | Body::Done(_) => Body::Unsupported(Unsupported {}),
     }
 }
 
--- /dev/null
+++ b/crates/server/src/placement/blind.rs
@@ -0,0 +1,51 @@
+//! Placement without a home.
+
+use bv_config::{EngineRole, Inventory, Model};
+use bv_place::score;
+use bv_types::BackendId;
+
+use super::{Placement, lock};
+
+impl Placement {
+    /// Chooses a pair by rendezvous among the runners this host uses least, and counts it.
+    pub(super) fn place_blind(
+        &self,
+        inventory: &Inventory,
+        model: &Model,
+        prefix: u64,
+        avoid: &[BackendId],
+    ) -> Option<(BackendId, BackendId)> {
+        let mut counts = lock(&self.blind);
+        let mut choose = |role: EngineRole| {
+            let count = |id: &BackendId| match counts.binary_search_by(|(known, _)| known.cmp(id)) {
+                Ok(at) => counts[at].1,
+                Err(_) => 0,
+            };
+            let chosen = inventory
+                .runners_of(&model.pool)
+                .filter(|runner| runner.role == role)
+                .map(|runner| &runner.id)
+                .min_by_key(|id| {
+                    let rank = std::cmp::Reverse(score(prefix, id.as_str()));
+                    (avoid.contains(id), count(id), rank)
+                })?
+                .clone();
+            match counts.binary_search_by(|(known, _)| known.cmp(&chosen)) {
+                Ok(at) => counts[at].1 += 1,
+                Err(at) => counts.insert(at, (chosen.clone(), 1)),
+            }
+            Some(chosen)
+        };
+        Some((choose(EngineRole::Prefill)?, choose(EngineRole::Decode)?))
+    }
+
+    /// Ends a pair that was placed without a home.
+    pub(super) fn release_blind(&self, pair: [&BackendId; 2]) {
+        let mut counts = lock(&self.blind);
+        for id in pair {
+            if let Ok(at) = counts.binary_search_by(|(known, _)| known.cmp(id)) {
+                counts[at].1 = counts[at].1.saturating_sub(1);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/server/src/placement/poll.rs
@@ -0,0 +1,151 @@
+//! Duties of a home between calls: load reports, time, dead hosts, changed configuration.
+
+use std::sync::Arc;
+
+use bv_member::Member;
+use bv_place::{Event, Report};
+use bv_types::{BackendId, Incarnation, Millis, Pieces};
+use smol_str::SmolStr;
+use tokio::task::JoinSet;
+use tracing::debug;
+
+use super::answer::create;
+use super::home::Home;
+use super::{grants, lock, shards};
+use crate::Host;
+
+/// Time between load reports of a runner.
+const POLL: Millis = Millis(250);
+/// Time for one load report.
+const POLL_TIMEOUT: Millis = Millis(200);
+/// Ticks of the shards between two polls.
+const TICKS: u32 = 5;
+
+/// Serves the shards of which this host is the home, until the process ends.
+pub(crate) async fn follow(host: Arc<Host>) {
+    let mut members = host.peers.alive();
+    loop {
+        members = follow_members(&host, members);
+        configure(&host);
+        for home in homes(&host) {
+            let host = host.clone();
+            tokio::spawn(async move {
+                poll(host, home.clone()).await;
+                home.polled.get_or_init(|| std::future::ready(())).await;
+            });
+        }
+        grants::move_to_new_homes(&host);
+        for _ in 0..TICKS {
+            tokio::time::sleep((POLL.duration()) / TICKS).await;
+            for home in homes(&host) {
+                home.handle(&host, Event::Tick);
+            }
+        }
+    }
+}
+
+/// Asks each runner of a shard for its load.
+pub(super) async fn poll(host: Arc<Host>, home: Arc<Home>) {
+    let Some(current) = host.conf.current() else {
+        return;
+    };
+    let mut polls = JoinSet::new();
+    for runner in home.spec().runners {
+        let Some(addr) = current.inventory.runner(&runner.id).map(|r| r.addr) else {
+            continue;
+        };
+        let client = host.engines.clone();
+        polls.spawn(async move {
+            let load = client.load(addr);
+            let load = tokio::time::timeout(POLL_TIMEOUT.duration(), load).await;
+            (runner.id, load.ok().and_then(Result::ok))
+        });
+    }
+    while let Some(Ok((runner, load))) = polls.join_next().await {
+        home.handle(&host, event_of(runner, load.as_ref().and_then(report_of)));
+    }
+}
+
+fn event_of(runner: BackendId, report: Option<Report>) -> Event {
+    match report {
+        Some(report) => Event::Report { runner, report },
+        None => Event::RunnerFailed(runner),
+    }
+}
+
+fn report_of(load: &serde_json::Value) -> Option<Report> {
+    let count = |name: &str| load[name].as_u64();
+    let small = |name: &str| count(name).and_then(|value| u32::try_from(value).ok());
+    Some(Report {
+        at: Millis(count("at_ms")?),
+        incarnation: Incarnation(count("incarnation")?),
+        running: small("running")?,
+        waiting: small("waiting")?,
+        free_pieces: Pieces(small("free_pieces")?),
+        leaving: load["leaving"].as_bool().unwrap_or(false),
+    })
+}
+
+fn homes(host: &Host) -> Vec<Arc<Home>> {
+    lock(&host.placement.homes).clone()
+}
+
+/// Tells the shards which entry host processes have died or returned.
+fn follow_members(host: &Arc<Host>, before: Vec<Member>) -> Vec<Member> {
+    let members = host.peers.alive();
+    let is_in = |list: &[Member], member: &Member| {
+        list.iter()
+            .any(|m| m.host == member.host && m.incarnation == member.incarnation)
+    };
+    for gone in before.iter().filter(|member| !is_in(&members, member)) {
+        debug!(host = %gone.host, incarnation = %gone.incarnation, "place: entry host is gone");
+        for home in homes(host) {
+            home.handle(
+                host,
+                Event::HostDead {
+                    host: gone.host.clone(),
+                    incarnation: gone.incarnation,
+                },
+            );
+        }
+    }
+    for new in members.iter().filter(|member| !is_in(&before, member)) {
+        for home in homes(host) {
+            home.handle(
+                host,
+                Event::HostAlive {
+                    host: new.host.clone(),
+                    incarnation: new.incarnation,
+                },
+            );
+        }
+    }
+    members
+}
+
+/// Creates the shards of which this host is the home and drops those that it no longer serves.
+fn configure(host: &Arc<Host>) {
+    let Some(current) = host.conf.current() else {
+        return;
+    };
+    let inventory = current.inventory;
+    let members = host.peers.alive();
+    let is_home = |key: &SmolStr| {
+        let first = shards::homes(key, members.clone()).into_iter().next();
+        first.as_ref() == Some(&host.settings.host_id)
+    };
+    for pool in &inventory.pools {
+        for key in shards::keys(&inventory, &pool.id) {
+            if is_home(&key) {
+                create(host, &key);
+            }
+        }
+    }
+    lock(&host.placement.homes).retain(|home| match shards::find(&inventory, &home.key) {
+        Some(spec) => {
+            home.configure(spec, host.placement.policy);
+            is_home(&home.key) || !home.is_idle()
+        }
+        None => !home.is_idle(),
+    });
+}
--- /dev/null
+++ b/crates/server/src/placement/shards.rs
@@ -0,0 +1,88 @@
+//! Shards of an inventory.
+
+use bv_config::{self as config, EngineRole, Inventory};
+use bv_member::Member;
+use bv_place::{Class, PoolSpec, Role, RunnerSpec, ShardSpec, prefix_key, rank, split};
+use bv_types::{HostId, PoolId};
+use smol_str::{SmolStr, format_smolstr};
+
+/// Share of the batch slots kept for urgent work, as a divisor.
+const HEADROOM_DIVISOR: u32 = 5;
+
+/// Keys of the shards of a pool.
+pub(super) fn keys(inventory: &Inventory, pool: &PoolId) -> Vec<SmolStr> {
+    let count = split(&runners(inventory, pool), inventory.shard_runners).len();
+    (0..count).map(|index| key(pool, index)).collect()
+}
+
+/// The shard with this key.
+pub(super) fn find(inventory: &Inventory, wanted: &str) -> Option<ShardSpec> {
+    let (pool, index) = wanted.split_once('/')?;
+    let pool = inventory.pool(&pool.parse().ok()?)?;
+    let index: usize = index.parse().ok()?;
+    let runners = split(&runners(inventory, &pool.id), inventory.shard_runners)
+        .into_iter()
+        .nth(index)?;
+    let has_urgent = inventory
+        .models
+        .iter()
+        .any(|model| model.pool == pool.id && model.class == config::Class::Urgent);
+    Some(ShardSpec {
+        pool: facts(pool),
+        runners,
+        zone_delay_ms: inventory.zone_delay_ms,
+        zone_price: inventory.zone_price,
+        headroom_slots: match has_urgent {
+            true => pool.slots.div_ceil(HEADROOM_DIVISOR),
+            false => 0,
+        },
+    })
+}
+
+/// Hosts in the order in which they are home of a shard.
+pub(super) fn homes(shard: &SmolStr, members: Vec<Member>) -> Vec<HostId> {
+    let ids: Vec<SmolStr> = members.into_iter().map(|m| m.host.into()).collect();
+    rank(prefix_key(shard.as_bytes()), ids)
+        .into_iter()
+        .filter_map(|id| HostId::try_from(id).ok())
+        .collect()
+}
+
+/// Class of a model's calls.
+pub(crate) fn class_of(class: config::Class) -> Class {
+    match class {
+        config::Class::Urgent => Class::Urgent,
+        config::Class::Waiting => Class::Waiting,
+    }
+}
+
+fn key(pool: &PoolId, index: usize) -> SmolStr {
+    format_smolstr!("{pool}/{index}")
+}
+
+fn runners(inventory: &Inventory, pool: &PoolId) -> Vec<RunnerSpec> {
+    inventory
+        .runners_of(pool)
+        .map(|runner| RunnerSpec {
+            id: runner.id.clone(),
+            role: match runner.role {
+                EngineRole::Prefill => Role::Prefill,
+                EngineRole::Decode => Role::Decode,
+            },
+            zone: runner.zone.clone(),
+        })
+        .collect()
+}
+
+fn facts(pool: &config::Pool) -> PoolSpec {
+    PoolSpec {
+        slots: pool.slots,
+        pieces: pool.pieces,
+        prefill: pool.prefill,
+        token_gap_ms: pool.token_gap_ms,
+        token_gap_slope_ms: pool.token_gap_slope_ms,
+        link: pool.link,
+        kv_per_token: pool.kv_per_token,
+        eviction: pool.eviction,
+    }
+}
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -7,7 +7,10 @@
     #[prost(uint64, tag = "1")]
     pub id: u64,
     /// Content.
-    #[prost(oneof = "frame::Body", tags = "2, 3, 4, 5")]
+    #[prost(
+        oneof = "frame::Body",
+        tags = "2, 3, 4, 5, 16, 17, 18, 19, 20, 21, 22, 23"
+    )]
     pub body: Option<frame::Body>,
 }
 
@@ -28,6 +31,30 @@
         /// The receiver does not know the content of the call.
         #[prost(message, tag = "5")]
         Unsupported(super::Unsupported),
+        /// Asks the home of a shard for a pair of runners.
+        #[prost(message, tag = "16")]
+        Reserve(super::Reserve),
+        /// A pair of runners.
+        #[prost(message, tag = "17")]
+        Grant(super::Grant),
+        /// The request is refused.
+        #[prost(message, tag = "18")]
+        Deny(super::Deny),
+        /// The request is still queued.
+        #[prost(message, tag = "19")]
+        Queued(super::Queued),
+        /// The prefill of an attempt has ended.
+        #[prost(message, tag = "20")]
+        PrefillDone(super::PrefillDone),
+        /// An attempt has ended.
+        #[prost(message, tag = "21")]
+        Release(super::Release),
+        /// A grant of an earlier home.
+        #[prost(message, tag = "22")]
+        Adopt(super::Adopt),
+        /// Answer without content.
+        #[prost(message, tag = "23")]
+        Done(super::Done),
     }
 }
 
@@ -66,3 +93,131 @@
 /// The content of a call is not known.
 #[derive(Clone, Copy, PartialEq, prost::Message)]
 pub struct Unsupported {}
+
+/// Asks the home of a shard for a pair of runners; repeated, it asks for the same answer.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Reserve {
+    /// Shard.
+    #[prost(string, tag = "1")]
+    pub shard: String,
+    /// Attempt id.
+    #[prost(string, tag = "2")]
+    pub attempt: String,
+    /// Team, or the address of a caller without one.
+    #[prost(string, tag = "3")]
+    pub team: String,
+    /// Whether the request may wait.
+    #[prost(bool, tag = "4")]
+    pub may_wait: bool,
+    /// Estimated tokens of the prompt.
+    #[prost(uint64, tag = "5")]
+    pub prompt_tokens: u64,
+    /// Largest output in tokens.
+    #[prost(uint64, tag = "6")]
+    pub output_tokens: u64,
+    /// Hash of the start of the prompt.
+    #[prost(fixed64, tag = "7")]
+    pub prefix: u64,
+    /// Availability zone of the entry host.
+    #[prost(string, tag = "8")]
+    pub zone: String,
+    /// Time left until the first token is due, in ms.
+    #[prost(uint64, tag = "9")]
+    pub first_token_ms: u64,
+    /// Target between tokens in ms.
+    #[prost(uint64, tag = "10")]
+    pub token_gap_ms: u64,
+    /// Time left until the whole answer is due, in ms.
+    #[prost(uint64, tag = "11")]
+    pub deadline_ms: u64,
+    /// Time in ms for which the home may keep the call before it answers `Queued`.
+    #[prost(uint64, tag = "12")]
+    pub wait_ms: u64,
+    /// Runners on which earlier attempts failed.
+    #[prost(string, repeated, tag = "13")]
+    pub avoid: Vec<String>,
+}
+
+/// A pair of runners for an attempt.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Grant {
+    /// Prefill runner.
+    #[prost(string, tag = "1")]
+    pub prefill: String,
+    /// Decode runner.
+    #[prost(string, tag = "2")]
+    pub decode: String,
+    /// Predicted time to the end of prefill in ms.
+    #[prost(uint64, tag = "3")]
+    pub prefill_ms: u64,
+    /// Predicted time to the first token in ms.
+    #[prost(uint64, tag = "4")]
+    pub first_token_ms: u64,
+    /// Load of the shard in percent of its decode slots.
+    #[prost(uint32, tag = "5")]
+    pub load_percent: u32,
+    /// Whether decode may start after prefill without an answer to `PrefillDone`.
+    #[prost(bool, tag = "6")]
+    pub slot_ready: bool,
+}
+
+/// A request is refused.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Deny {
+    /// Code of the reason.
+    #[prost(string, tag = "1")]
+    pub reason: String,
+    /// Load of the shard in percent of its decode slots.
+    #[prost(uint32, tag = "2")]
+    pub load_percent: u32,
+}
+
+/// A request is still queued.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct Queued {}
+
+/// The prefill of an attempt has ended; answered by `Done` when decode may start.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct PrefillDone {
+    /// Shard.
+    #[prost(string, tag = "1")]
+    pub shard: String,
+    /// Attempt id.
+    #[prost(string, tag = "2")]
+    pub attempt: String,
+    /// Time in ms for which the home may keep the call before it answers `Queued`.
+    #[prost(uint64, tag = "3")]
+    pub wait_ms: u64,
+}
+
+/// An attempt has ended or is withdrawn.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Release {
+    /// Shard.
+    #[prost(string, tag = "1")]
+    pub shard: String,
+    /// Attempt id.
+    #[prost(string, tag = "2")]
+    pub attempt: String,
+}
+
+/// A grant of an earlier home.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Adopt {
+    /// The request as it was granted.
+    #[prost(message, optional, tag = "1")]
+    pub request: Option<Reserve>,
+    /// Prefill runner.
+    #[prost(string, tag = "2")]
+    pub prefill: String,
+    /// Decode runner.
+    #[prost(string, tag = "3")]
+    pub decode: String,
+    /// Whether decode has started.
+    #[prost(bool, tag = "4")]
+    pub decoding: bool,
+}
+
+/// Answer without content.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct Done {}
