Offer plain and model calls and judge answers by their content

Cause: the load offered model calls only and counted words, so a crossed or repeated answer and a second run of a booking went unseen.

Change: callers put a nonce into each prompt, query or body and the stand-ins echo it. Non-idempotent calls carry a unique key and are sent again through another host after an open outcome; the attempt travels in a header, so that a run is attributed to the attempt that was told "not run". Callers may close early or stop reading. The table service checks its key and counts reads and writes; both it and the plain service get faults. Connections can be refused, cut and delayed by zone.

Before: model calls only.

--- a/crates/lab/src/commands/run.rs
+++ b/crates/lab/src/commands/run.rs
@@ -2,11 +2,14 @@
 
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::sync::Arc;
 
 use argh::FromArgs;
 use miette::IntoDiagnostic;
 
-use crate::{Deployment, HostProcess, HostSpec, LabError, Load, LoadSettings, Report};
+use crate::{
+    Balancer, Deployment, HostProcess, HostSpec, LabError, Load, LoadSettings, Observer, Report,
+};
 
 /// run entry hosts under load against stand-ins and print a report; the last line of standard
 /// output is one JSON object. Exit status 1 if a promise was broken.
@@ -28,9 +31,12 @@
     /// inventory file; addresses are replaced by those of the stand-ins
     #[argh(option, default = "PathBuf::from(\"examples/co-operative.toml\")")]
     pub inventory: PathBuf,
-    /// offered model load in percent of the decode capacity
+    /// offered load in percent; 100 fills the decode slots
     #[argh(option, default = "70")]
     pub load: u32,
+    /// further urgent lookups a second in the middle fifth of the run (default 0)
+    #[argh(option, default = "0")]
+    pub burst: u32,
 }
 
 impl Run {
@@ -64,14 +70,19 @@
             host.wait_ready().await?;
         }
         eprintln!("lab: {} entry hosts are ready", hosts.len());
+        let observer = Arc::new(Observer::default());
         let load = Load::new(LoadSettings {
             seed: self.seed,
             seconds: self.seconds.clamp(1, 600),
             percent: self.load,
-            callers: hosts.iter().map(|host| host.spec.caller_addr).collect(),
+            burst: self.burst,
+            balancer: Arc::new(Balancer::new(
+                hosts.iter().map(|host| host.spec.caller_addr),
+            )),
+            observer: observer.clone(),
+            faults: Arc::default(),
         });
-        let mut report = load.run(&deployment.inventory).await;
-        deployment.add_to(&mut report);
-        Ok(report)
+        let offered = load.run(&deployment.inventory).await;
+        Ok(deployment.report(offered))
     }
 }
--- a/crates/lab/src/deployment.rs
+++ b/crates/lab/src/deployment.rs
@@ -7,10 +7,13 @@
 use serde_json::json;
 use tokio::net::TcpListener;
 
-use crate::stand_in::{Engine, Exports, PlainService, TableService};
+use crate::hosts::STORE_KEY;
+use crate::load::Offered;
+use crate::stand_in::{Engine, Exports, Gate, PlainService, TableService, Zones};
 use crate::{LabError, Report};
 
-const CONFIG_KEY: &str = "config/current";
+/// Key of the configuration row.
+pub(crate) const CONFIG_KEY: &str = "config/current";
 
 /// Running stand-ins for the backend servers and the table service of an inventory.
 pub struct Deployment {
@@ -22,8 +25,12 @@
     pub engines: Vec<Arc<Engine>>,
     /// Plain services, in the order of the inventory's services.
     pub services: Vec<Arc<PlainService>>,
+    /// Connections of the plain services' servers, in the order of the inventory's servers.
+    pub server_gates: Vec<Arc<Gate>>,
     /// Table service.
     pub table: Arc<TableService>,
+    /// Zones of the entry hosts, and the delay between zones.
+    pub zones: Arc<Zones>,
 }
 
 impl Deployment {
@@ -44,60 +51,98 @@
         for server in &original.servers {
             let (listener, addr) = listen("plain service").await?;
             text = replace_addr(&text, &server.addr, &addr);
-            server_listeners.push((server.service.clone(), listener));
+            server_listeners.push(listener);
         }
         let inventory = Arc::new(Inventory::parse(&text)?);
-        let exports = Arc::new(Exports::default());
-        let mut engines = Vec::new();
-        for (runner, listener) in inventory.runners.iter().zip(engine_listeners) {
-            let Some(pool) = inventory.pool(&runner.pool) else {
-                continue;
-            };
-            let engine = Arc::new(Engine::new(
-                runner.id.clone(),
-                pool.clone(),
-                exports.clone(),
-            ));
-            tokio::spawn(engine.clone().serve(listener));
-            engines.push(engine);
-        }
-        let mut services = Vec::new();
-        for service in &inventory.services {
-            services.push((service.id.clone(), Arc::new(PlainService::default())));
-        }
-        for (id, listener) in server_listeners {
-            if let Some((_, service)) = services.iter().find(|(service, _)| *service == id) {
-                tokio::spawn(service.clone().serve(listener));
-            }
-        }
-        let table = Arc::new(TableService::default());
-        table.put(
-            CONFIG_KEY,
-            1,
-            &json!({"change": "lab", "document": text}).to_string(),
-        );
+        let zones = Arc::new(Zones::new(inventory.zone_delay_ms));
+        let table = Arc::new(TableService::with_key(STORE_KEY));
+        let row = json!({"change": "lab", "document": text}).to_string();
+        table.put(CONFIG_KEY, 1, &row);
         let (listener, store_addr) = listen("table service").await?;
         tokio::spawn(table.clone().serve(listener));
+        let (services, server_gates) = start_servers(&inventory, server_listeners, &zones);
         Ok(Deployment {
+            engines: start_engines(&inventory, engine_listeners, &zones),
             inventory,
             store_addr,
-            engines,
-            services: services.into_iter().map(|(_, service)| service).collect(),
+            services,
+            server_gates,
             table,
+            zones,
         })
     }
 
-    /// Adds the counts taken at the stand-ins.
-    pub fn add_to(&self, report: &mut Report) {
+    /// Adds the counts taken at the stand-ins to those of the callers.
+    pub fn report(&self, offered: Offered) -> Report {
+        let mut report = offered.report;
         for engine in &self.engines {
             let counts = engine.counts();
             report.prefill_tokens += counts.prefill_tokens;
             report.imported_tokens += counts.imported_tokens;
+            report.work_after_leaving += counts.work_after_leaving;
+            report.engine_crashes += counts.crashes;
         }
         for service in &self.services {
             report.double_runs += service.double_runs();
         }
+        for (key, attempt) in &offered.not_run {
+            let ran = self
+                .services
+                .iter()
+                .flat_map(|service| service.attempts_of(key));
+            match ran.collect::<Vec<u32>>() {
+                ran if ran.contains(attempt) => report.ran_after_not_run += 1,
+                ran if !ran.is_empty() => report.ran_under_earlier_attempt += 1,
+                _ => {}
+            }
+        }
+        let rates = self.table.rates();
+        report.store_reads_per_s = rates.reads;
+        report.store_writes_per_s = rates.writes;
+        report
+    }
+}
+
+fn start_engines(
+    inventory: &Inventory,
+    listeners: Vec<TcpListener>,
+    zones: &Arc<Zones>,
+) -> Vec<Arc<Engine>> {
+    let exports = Arc::new(Exports::default());
+    let mut engines = Vec::new();
+    for (runner, listener) in inventory.runners.iter().zip(listeners) {
+        let Some(pool) = inventory.pool(&runner.pool) else {
+            continue;
+        };
+        let engine = Engine::new(runner.id.clone(), pool.clone(), exports.clone())
+            .in_zone(zones.clone(), runner.zone.clone());
+        let engine = Arc::new(engine);
+        tokio::spawn(engine.clone().serve(listener));
+        engines.push(engine);
+    }
+    engines
+}
+
+fn start_servers(
+    inventory: &Inventory,
+    listeners: Vec<TcpListener>,
+    zones: &Arc<Zones>,
+) -> (Vec<Arc<PlainService>>, Vec<Arc<Gate>>) {
+    let services: Vec<Arc<PlainService>> =
+        inventory.services.iter().map(|_| Arc::default()).collect();
+    let mut gates = Vec::new();
+    for (server, listener) in inventory.servers.iter().zip(listeners) {
+        let gate = Arc::new(Gate::new(zones.clone(), Some(server.zone.clone())));
+        let service = inventory
+            .services
+            .iter()
+            .position(|s| s.id == server.service);
+        if let Some(index) = service {
+            tokio::spawn(services[index].clone().serve_behind(listener, gate.clone()));
+        }
+        gates.push(gate);
     }
+    (services, gates)
 }
 
 pub(crate) async fn listen(part: &'static str) -> Result<(TcpListener, SocketAddr), LabError> {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,15 +1,19 @@
 //! Stand-ins for backend servers and the platform, a bounded load, and measurement.
 
+mod balancer;
 pub mod commands;
 mod deployment;
 mod error;
 mod hosts;
 mod load;
+mod observe;
 mod report;
 pub mod stand_in;
 
+pub use balancer::Balancer;
 pub use deployment::Deployment;
 pub use error::LabError;
 pub use hosts::{HostProcess, HostSpec, STORE_KEY};
-pub use load::{Load, LoadSettings};
-pub use report::Report;
+pub use load::{CallerFaults, Load, LoadSettings, Offered};
+pub use observe::{HELD_LIMIT, Observer};
+pub use report::{Report, Tally};
--- /dev/null
+++ b/crates/lab/src/load/exchange.rs
@@ -0,0 +1,131 @@
+//! One HTTP exchange of a caller on a connection of its own.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1;
+use hyper::{Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpSocket, TcpStream};
+use tokio_util::task::AbortOnDropHandle;
+
+use crate::observe::Observer;
+
+const OUTCOME_HEADER: &str = "x-burdockvale-outcome";
+/// Time after a whole answer in which bytes of a second answer are noticed.
+const EXTRA_WAIT: Duration = Duration::from_millis(3);
+/// Receive buffer of a silent caller; a large one would hide that nobody reads.
+const SILENT_BUFFER_BYTES: u32 = 4 << 10;
+/// Time for which a silent caller keeps its connection.
+const SILENT_TIME: Duration = Duration::from_secs(25);
+const SILENT_POLL: Duration = Duration::from_millis(100);
+const PEEK_BYTES: usize = 64 << 10;
+
+/// A whole HTTP answer.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    pub status: StatusCode,
+    /// Value of the outcome header.
+    pub outcome: Option<String>,
+    pub body: Vec<u8>,
+    /// Time until the first byte of the body.
+    pub first: Duration,
+    /// Time until the end of the body.
+    pub total: Duration,
+    /// Whether further bytes followed the answer.
+    pub extra: bool,
+}
+
+/// Why there is no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Failure {
+    /// The connection was not accepted; nothing was sent.
+    Refused,
+    /// The connection ended before the answer did.
+    Cut,
+}
+
+/// Sends a request and reads the whole answer; times count from `start`.
+pub(crate) async fn exchange(
+    host: SocketAddr,
+    req: Request<Full<Bytes>>,
+    start: Instant,
+) -> Result<Answer, Failure> {
+    let stream = TcpStream::connect(host)
+        .await
+        .map_err(|_| Failure::Refused)?;
+    let _ = stream.set_nodelay(true);
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
+        .await
+        .map_err(|_| Failure::Refused)?;
+    let mut connection = AbortOnDropHandle::new(tokio::spawn(connection));
+    let answer = sender.send_request(req).await.map_err(|_| Failure::Cut)?;
+    let (parts, mut incoming) = answer.into_parts();
+    let mut first = None;
+    let mut body = Vec::new();
+    while let Some(frame) = incoming.frame().await {
+        let frame = frame.map_err(|_| Failure::Cut)?;
+        if let Ok(data) = frame.into_data() {
+            first.get_or_insert_with(|| start.elapsed());
+            body.extend_from_slice(&data);
+        }
+    }
+    let total = start.elapsed();
+    // hyper ends an idle connection with an error when bytes arrive that no request asked for.
+    let ended = tokio::time::timeout(EXTRA_WAIT, &mut connection).await;
+    Ok(Answer {
+        status: parts.status,
+        outcome: parts
+            .headers
+            .get(OUTCOME_HEADER)
+            .and_then(|value| value.to_str().ok())
+            .map(str::to_owned),
+        body,
+        first: first.unwrap_or(total),
+        total,
+        extra: matches!(ended, Ok(Ok(Err(err))) if err.to_string().contains("unexpected message")),
+    })
+}
+
+/// Sends a request and then reads nothing, as a device out of radio range.
+///
+/// The caller counts as gone from the moment its receive buffer stopped filling.
+pub(crate) async fn go_silent(
+    host: SocketAddr,
+    head: String,
+    body: String,
+    observer: &Observer,
+    nonce: &str,
+) {
+    let Ok(socket) = TcpSocket::new_v4() else {
+        return;
+    };
+    let _ = socket.set_recv_buffer_size(SILENT_BUFFER_BYTES);
+    let Ok(mut stream) = socket.connect(host).await else {
+        return;
+    };
+    if stream.write_all(head.as_bytes()).await.is_err()
+        || stream.write_all(body.as_bytes()).await.is_err()
+    {
+        return;
+    }
+    let end = Instant::now() + SILENT_TIME;
+    let mut buf = vec![0; PEEK_BYTES];
+    let mut filled = 0;
+    while Instant::now() < end {
+        // A peek waits for the first byte and then leaves all bytes in the receive buffer.
+        let peeked = tokio::time::timeout(SILENT_POLL, stream.peek(&mut buf)).await;
+        match peeked {
+            Ok(Ok(0) | Err(_)) => break,
+            Ok(Ok(count)) if count > filled => {
+                filled = count;
+                observer.caller_gone(nonce);
+            }
+            _ => {}
+        }
+        tokio::time::sleep(SILENT_POLL).await;
+    }
+}
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -1,114 +1,184 @@
 //! The report of a run.
 
-use serde_json::json;
+use serde::Serialize;
+use serde_json::{Value, json};
+use smol_str::SmolStr;
 
-/// What one caller got.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Outcome {
-    /// The whole answer; `in_time` if it met both latency targets.
-    Whole { in_time: bool },
-    /// "Not run".
-    NotRun,
-    /// "Outcome unknown".
-    Unknown,
-    /// An answer that looked complete and was not.
-    Truncated,
-    /// The connection failed or the deadline passed.
-    Lost,
+/// Counts by name, sorted by name.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Tally(Vec<(SmolStr, u64)>);
+
+impl Tally {
+    /// Adds to the count of a name.
+    pub fn add(&mut self, name: &str, count: u64) {
+        match self
+            .0
+            .binary_search_by(|(known, _)| known.as_str().cmp(name))
+        {
+            Ok(index) => self.0[index].1 += count,
+            Err(index) => self.0.insert(index, (name.into(), count)),
+        }
+    }
+
+    /// The count of a name.
+    pub fn get(&self, name: &str) -> u64 {
+        self.0
+            .binary_search_by(|(known, _)| known.as_str().cmp(name))
+            .map_or(0, |index| self.0[index].1)
+    }
+
+    /// Sum over all names.
+    pub fn total(&self) -> u64 {
+        self.0.iter().map(|(_, count)| count).sum()
+    }
+}
+
+impl Serialize for Tally {
+    fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_map(self.0.iter().map(|(name, count)| (name, count)))
+    }
 }
 
 /// Counts taken at the callers and stand-ins.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize)]
 pub struct Report {
-    /// Requests offered.
+    /// Requests offered, without those whose caller closed early or went silent.
     pub requests: u64,
     /// Whole answers.
     pub answered_whole: u64,
-    /// Whole answers that met both latency targets.
+    /// Whole answers within both latency targets; within the deadline for plain services.
     pub in_time: u64,
     /// Requests told "not run".
     pub refused_not_run: u64,
-    /// Requests told "outcome unknown".
+    /// Requests told "outcome unknown" as the last word.
     pub outcome_unknown: u64,
-    /// Answers that looked complete and were not.
-    pub truncated_answers: u64,
     /// Requests without an answer.
     pub lost: u64,
-    /// Runs of a non-idempotent key beyond the first.
-    pub double_runs: u64,
-    /// Prompt tokens computed.
+    /// Calls of urgent models and urgent idempotent routes.
+    pub urgent: u64,
+    /// Urgent calls answered whole before their deadline.
+    pub urgent_in_time: u64,
+    /// Requests whose caller closed early.
+    pub callers_gone: u64,
+    /// Requests whose caller stopped reading.
+    pub callers_silent: u64,
+    /// Requests sent again by their caller.
+    pub resends: u64,
+    /// Prompt tokens computed, without those found in the prefix cache.
     pub prefill_tokens: u64,
-    /// Prompt tokens whose KV cache reached a decode.
+    /// Computed prompt tokens whose KV cache reached a decode.
     pub imported_tokens: u64,
+    /// Runs of a non-idempotent key beyond the first.
+    pub double_runs: u64,
+    /// Non-idempotent attempts that ran although their caller was told "not run".
+    pub ran_after_not_run: u64,
+    /// Keys that ran under an earlier attempt and whose last word was "not run".
+    pub ran_under_earlier_attempt: u64,
+    /// Answers whose content names another request.
+    pub crossed_answers: u64,
+    /// Answers that looked complete and were not.
+    pub truncated_answers: u64,
+    /// Requests that received an answer or a part of it twice.
+    pub answered_twice: u64,
+    /// Attempts that held engine memory 12 s after their caller or entry host was gone.
+    pub held_after_gone: u64,
+    /// Requests cut by an entry host that drained on SIGTERM.
+    pub cut_by_shutdown: u64,
+    /// Times an entry host reported a lower configuration version than before.
+    pub config_reverts: u64,
+    /// Accepted configurations that a running entry host did not report within 17 s.
+    pub config_late: u64,
+    /// Longest time until every running entry host reported an accepted configuration.
+    pub config_in_force_ms: u64,
+    /// Operator races in which both changes or none were accepted.
+    pub operator_races_broken: u64,
+    /// Attempts started at a leaving backend server more than 3 s after its mark.
+    pub work_after_leaving: u64,
+    /// Calls of waiting models that ended without a whole answer and without "not run".
+    pub accepted_waiting_lost: u64,
+    /// Engine crashes, from faults and from requests.
+    pub engine_crashes: u64,
+    /// Reads of the table service in its busiest second.
+    pub store_reads_per_s: u64,
+    /// Rows written to the table service in its busiest second.
+    pub store_writes_per_s: u64,
+    /// Refused requests by the reason in their answers.
+    pub refusals: Tally,
+    /// Requests with unknown outcome by the reason in their answers.
+    pub unknowns: Tally,
+    /// Repeated attempts by reason, from the entry hosts' own counters
+    /// `burdockvale_retries_total`; all other fields are counted at the callers and stand-ins.
+    pub retries: Tally,
 }
 
 impl Report {
-    pub(crate) fn add(&mut self, outcome: Outcome) {
-        self.requests += 1;
-        match outcome {
-            Outcome::Whole { in_time } => {
-                self.answered_whole += 1;
-                self.in_time += u64::from(in_time);
-            }
-            Outcome::NotRun => self.refused_not_run += 1,
-            Outcome::Unknown => self.outcome_unknown += 1,
-            Outcome::Truncated => self.truncated_answers += 1,
-            Outcome::Lost => self.lost += 1,
-        }
-    }
-
     /// Sum of the broken promises.
     pub fn violations(&self) -> u64 {
-        self.double_runs + self.truncated_answers
+        self.double_runs
+            + self.ran_after_not_run
+            + self.crossed_answers
+            + self.truncated_answers
+            + self.answered_twice
+            + self.held_after_gone
+            + self.cut_by_shutdown
+            + self.config_reverts
+            + self.config_late
+            + self.operator_races_broken
+            + self.work_after_leaving
     }
 
     /// Share of the offered requests answered whole within both latency targets.
     pub fn goodput_ratio(&self) -> f64 {
-        ratio(self.in_time, self.requests)
+        ratio(self.in_time, self.requests, 0.0)
+    }
+
+    /// Share of the urgent calls answered whole before their deadline.
+    pub fn urgent_in_time_ratio(&self) -> f64 {
+        ratio(self.urgent_in_time, self.urgent, 1.0)
     }
 
     /// Share of the prompt tokens whose result reached no decode.
     pub fn wasted_prefill_ratio(&self) -> f64 {
         let wasted = self.prefill_tokens.saturating_sub(self.imported_tokens);
-        ratio(wasted, self.prefill_tokens)
+        ratio(wasted, self.prefill_tokens, 0.0)
     }
 
     /// Lines for people.
     pub fn summary(&self) -> String {
         format!(
             "requests {}\nanswered whole {}\nnot run {}\noutcome unknown {}\nlost {}\n\
-             goodput {:.3}\nwasted prefill {:.3}",
+             goodput {:.3}\nurgent in time {:.4}\nwasted prefill {:.3}\nviolations {}",
             self.requests,
             self.answered_whole,
             self.refused_not_run,
             self.outcome_unknown,
             self.lost,
             self.goodput_ratio(),
+            self.urgent_in_time_ratio(),
             self.wasted_prefill_ratio(),
+            self.violations(),
         )
     }
 
+    /// All fields and the values computed from them.
+    pub fn value(&self) -> Value {
+        let mut value = serde_json::to_value(self).unwrap_or_default();
+        value["goodput_ratio"] = json!(self.goodput_ratio());
+        value["urgent_in_time_ratio"] = json!(self.urgent_in_time_ratio());
+        value["wasted_prefill_ratio"] = json!(self.wasted_prefill_ratio());
+        value["violations"] = json!(self.violations());
+        value
+    }
+
     /// One JSON object on one line.
     pub fn json(&self) -> String {
-        json!({
-            "requests": self.requests,
-            "answered_whole": self.answered_whole,
-            "refused_not_run": self.refused_not_run,
-            "outcome_unknown": self.outcome_unknown,
-            "lost": self.lost,
-            "goodput_ratio": self.goodput_ratio(),
-            "wasted_prefill_ratio": self.wasted_prefill_ratio(),
-            "double_runs": self.double_runs,
-            "truncated_answers": self.truncated_answers,
-            "violations": self.violations(),
-        })
-        .to_string()
+        self.value().to_string()
     }
 }
 
-fn ratio(part: u64, whole: u64) -> f64 {
-    if whole == 0 {
-        return 0.0;
+fn ratio(part: u64, whole: u64, empty: f64) -> f64 {
+    match whole {
+        0 => empty,
+        whole => part as f64 / whole as f64,
     }
-    part as f64 / whole as f64
 }
--- a/crates/lab/src/stand_in/service.rs
+++ b/crates/lab/src/stand_in/service.rs
@@ -1,63 +1,167 @@
-//! Plain service that counts how often each key ran.
+//! Plain service that counts how often each key ran, by attempt.
 
-use std::sync::{Arc, Mutex};
+use std::convert::Infallible;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
 
+use axum::body::{Body, Bytes};
 use axum::extract::{Request, State};
-use axum::http::Method;
+use axum::http::{Method, header};
 use axum::response::{IntoResponse, Response};
+use futures_util::stream;
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
 
+use super::gate::Cut;
+use super::{Gate, Shares};
+use crate::load::ATTEMPT_HEADER;
+
 const MAX_BODY_BYTES: usize = 4 << 20;
+/// Time one call takes in ms.
+const RUN_MS: std::ops::Range<u64> = 5..30;
+/// Time one delayed call takes in ms.
+const SLOW_RUN_MS: std::ops::Range<u64> = 500..3_000;
+
+/// Faults of a plain service, each with the share of calls it hits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ServiceFault {
+    /// A call takes 0.5 to 3 s.
+    Slow,
+    /// The connection is cut after the call ran.
+    CutAfterRun,
+    /// The connection is cut within the answer.
+    Truncated,
+}
+
+const FAULTS: usize = 3;
 
 /// Servers of one plain service; they share their records.
 #[derive(Debug, Default)]
 pub struct PlainService {
-    /// Runs by key, sorted by key.
-    runs: Mutex<Vec<(String, u64)>>,
+    /// Attempts that ran by key, sorted by key.
+    runs: Mutex<Vec<(String, Vec<u32>)>>,
+    faults: Shares<FAULTS>,
 }
 
 impl PlainService {
     /// Serves calls until the runtime ends.
     pub async fn serve(self: Arc<Self>, listener: TcpListener) {
+        self.serve_behind(listener, Arc::default()).await;
+    }
+
+    /// Serves calls until the runtime ends, with the connections that the gate allows.
+    pub async fn serve_behind(self: Arc<Self>, listener: TcpListener, gate: Arc<Gate>) {
         let router = axum::Router::new().fallback(run).with_state(self);
-        let _ = axum::serve(listener, router).await;
+        gate.serve(listener, router).await;
+    }
+
+    /// Lets a fault hit this share of the calls, in thousandths; 0 undoes it.
+    pub fn set_fault(&self, fault: ServiceFault, thousandths: u32) {
+        self.faults.set(fault as usize, thousandths);
     }
 
     /// Runs beyond the first, over all keys.
     pub fn double_runs(&self) -> u64 {
-        let runs = self.runs.lock().unwrap_or_else(|err| err.into_inner());
-        runs.iter().map(|(_, count)| count - 1).sum()
+        let runs = self.lock();
+        runs.iter()
+            .map(|(_, attempts)| attempts.len() as u64 - 1)
+            .sum()
     }
 
     /// How often the call with this key ran.
     pub fn runs_of(&self, key: &str) -> u64 {
-        let runs = self.runs.lock().unwrap_or_else(|err| err.into_inner());
+        self.attempts_of(key).len() as u64
+    }
+
+    /// The caller's attempts under which this key ran, in the order of their runs.
+    pub fn attempts_of(&self, key: &str) -> Vec<u32> {
+        let runs = self.lock();
         match runs.binary_search_by(|(known, _)| known.as_str().cmp(key)) {
-            Ok(index) => runs[index].1,
-            Err(_) => 0,
+            Ok(index) => runs[index].1.clone(),
+            Err(_) => Vec::new(),
         }
     }
 
-    fn record(&self, key: &str) {
-        let mut runs = self.runs.lock().unwrap_or_else(|err| err.into_inner());
+    fn lock(&self) -> MutexGuard<'_, Vec<(String, Vec<u32>)>> {
+        self.runs.lock().unwrap_or_else(|err| err.into_inner())
+    }
+
+    fn record(&self, key: &str, attempt: u32) {
+        let mut runs = self.lock();
         match runs.binary_search_by(|(known, _)| known.as_str().cmp(key)) {
-            Ok(index) => runs[index].1 += 1,
-            Err(index) => runs.insert(index, (key.to_owned(), 1)),
+            Ok(index) => runs[index].1.push(attempt),
+            Err(index) => runs.insert(index, (key.to_owned(), vec![attempt])),
         }
     }
+
+    fn hits(&self, fault: ServiceFault) -> bool {
+        self.faults.hits(fault as usize)
+    }
 }
 
 async fn run(State(service): State<Arc<PlainService>>, req: Request) -> Response {
     let (parts, body) = req.into_parts();
-    if parts.method == Method::GET {
-        return axum::Json(json!({"path": parts.uri.path()})).into_response();
-    }
     let body = axum::body::to_bytes(body, MAX_BODY_BYTES)
         .await
         .unwrap_or_default();
-    let call: Value = serde_json::from_slice(&body).unwrap_or_default();
-    let key = call["key"].as_str().unwrap_or_default().to_owned();
-    service.record(&key);
-    axum::Json(json!({"key": key, "done": true})).into_response()
+    let time_ms = match service.hits(ServiceFault::Slow) {
+        true => fastrand::u64(SLOW_RUN_MS),
+        false => fastrand::u64(RUN_MS),
+    };
+    let answer = match parts.method {
+        Method::GET => {
+            tokio::time::sleep(Duration::from_millis(time_ms)).await;
+            json!({"path": parts.uri.path(), "key": nonce_of(parts.uri.query())})
+        }
+        _ => {
+            let call: Value = serde_json::from_slice(&body).unwrap_or_default();
+            let key = call["key"].as_str().unwrap_or_default();
+            // The call takes effect first: a caller that gives up cannot undo it.
+            service.record(key, attempt_of(&parts.headers));
+            tokio::time::sleep(Duration::from_millis(time_ms)).await;
+            json!({"key": key, "done": true})
+        }
+    };
+    let Some(Cut(cut)) = parts.extensions.get::<Cut>().cloned() else {
+        return axum::Json(answer).into_response();
+    };
+    if service.hits(ServiceFault::CutAfterRun) {
+        cut.cancel();
+        return std::future::pending().await;
+    }
+    if service.hits(ServiceFault::Truncated) {
+        return half(&answer.to_string(), cut);
+    }
+    axum::Json(answer).into_response()
+}
+
+/// Half of an answer with the length of the whole, then a cut connection.
+fn half(answer: &str, cut: tokio_util::sync::CancellationToken) -> Response {
+    let part = Bytes::from(answer.as_bytes()[..answer.len() / 2].to_vec());
+    let body = stream::unfold(Some(part), move |part| {
+        let cut = cut.clone();
+        async move {
+            let Some(part) = part else {
+                cut.cancel();
+                return std::future::pending().await;
+            };
+            Some((Ok::<_, Infallible>(part), None))
+        }
+    });
+    let length = [(header::CONTENT_LENGTH, answer.len().to_string())];
+    (length, Body::from_stream(body)).into_response()
+}
+
+fn nonce_of(query: Option<&str>) -> Option<&str> {
+    query?
+        .split('&')
+        .find_map(|field| field.strip_prefix("nonce="))
+}
+
+fn attempt_of(headers: &axum::http::HeaderMap) -> u32 {
+    headers
+        .get(ATTEMPT_HEADER)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|text| text.parse().ok())
+        .unwrap_or_default()
 }
--- a/crates/lab/src/stand_in/table.rs
+++ b/crates/lab/src/stand_in/table.rs
@@ -1,28 +1,98 @@
 //! Table service with DynamoDB's JSON protocol: `GetItem` and `TransactWriteItems`.
 
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
 
 use axum::Json;
 use axum::body::Bytes;
 use axum::extract::State;
-use axum::http::{HeaderMap, StatusCode};
+use axum::http::{HeaderMap, StatusCode, header};
 use axum::response::{IntoResponse, Response};
 use axum::routing::post;
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
 
+use super::{Gate, Shares};
+
+/// Largest number of actions in a transaction, as published.
+const MAX_ACTIONS: usize = 100;
+/// Added time of a slow call in ms; a part exceeds the client's timeout of 1 s.
+const SLOW_MS: std::ops::Range<u64> = 200..1_500;
+/// Time for which a lost answer is withheld; longer than any client waits.
+const LOST_TIME: Duration = Duration::from_secs(5);
+const ERROR_PREFIX: &str = "com.amazonaws.dynamodb.v20120810#";
+
+/// Faults of the table service, each with the share of calls it hits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StoreFault {
+    /// A call takes 0.2 to 1.5 s longer, before or after it takes effect.
+    Slow,
+    /// A write takes effect and its answer is lost.
+    LoseAnswer,
+    /// A call fails with 503 and takes no effect.
+    Unavailable,
+}
+
+const FAULTS: usize = 3;
+
+/// Reads and written rows in the busiest second.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct StoreRates {
+    /// Reads.
+    pub reads: u64,
+    /// Written rows.
+    pub writes: u64,
+}
+
 /// Rows in memory.
 #[derive(Debug, Default)]
 pub struct TableService {
     /// Items by key, sorted by key.
     rows: Mutex<Vec<(String, Value)>>,
+    /// Bearer key that callers must send, if any.
+    key: Option<String>,
+    gate: Arc<Gate>,
+    faults: Shares<FAULTS>,
+    rates: Mutex<Rates>,
+}
+
+#[derive(Debug, Default)]
+struct Rates {
+    since: Option<Instant>,
+    current: StoreRates,
+    busiest: StoreRates,
 }
 
 impl TableService {
+    /// An empty table that checks this bearer key.
+    pub fn with_key(key: &str) -> Self {
+        TableService {
+            key: Some(key.to_owned()),
+            ..TableService::default()
+        }
+    }
+
     /// Serves calls until the runtime ends.
     pub async fn serve(self: Arc<Self>, listener: TcpListener) {
-        let router = axum::Router::new().route("/", post(call)).with_state(self);
-        let _ = axum::serve(listener, router).await;
+        let router = axum::Router::new()
+            .route("/", post(call))
+            .with_state(self.clone());
+        self.gate.clone().serve(listener, router).await;
+    }
+
+    /// Connections of the service; closing and cutting them is an outage.
+    pub fn gate(&self) -> &Arc<Gate> {
+        &self.gate
+    }
+
+    /// Lets a fault hit this share of the calls, in thousandths; 0 undoes it.
+    pub fn set_fault(&self, fault: StoreFault, thousandths: u32) {
+        self.faults.set(fault as usize, thousandths);
+    }
+
+    /// Reads and writes in the busiest second.
+    pub fn rates(&self) -> StoreRates {
+        self.lock_rates().busiest
     }
 
     /// Sets a row without a condition.
@@ -39,12 +109,34 @@
         Some((version, item["body"]["S"].as_str()?.to_owned()))
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, Vec<(String, Value)>> {
+    fn lock(&self) -> MutexGuard<'_, Vec<(String, Value)>> {
         self.rows.lock().unwrap_or_else(|err| err.into_inner())
     }
 
+    fn lock_rates(&self) -> MutexGuard<'_, Rates> {
+        self.rates.lock().unwrap_or_else(|err| err.into_inner())
+    }
+
+    fn hits(&self, fault: StoreFault) -> bool {
+        self.faults.hits(fault as usize)
+    }
+
+    fn allows(&self, headers: &HeaderMap) -> bool {
+        let Some(key) = &self.key else {
+            return true;
+        };
+        let given = headers
+            .get(header::AUTHORIZATION)
+            .and_then(|value| value.to_str().ok())
+            .and_then(|value| value.strip_prefix("Bearer "));
+        given == Some(key)
+    }
+
     fn get(&self, call: &Value) -> Response {
-        let key = call["Key"]["k"]["S"].as_str().unwrap_or_default();
+        self.lock_rates().add(1, 0);
+        let Some(key) = call["Key"]["k"]["S"].as_str() else {
+            return error(StatusCode::BAD_REQUEST, "ValidationException");
+        };
         match find(&self.lock(), key) {
             Some(item) => Json(json!({"Item": item})).into_response(),
             None => Json(json!({})).into_response(),
@@ -52,16 +144,20 @@
     }
 
     fn transact(&self, call: &Value) -> Response {
-        let mut rows = self.lock();
         let none = Vec::new();
         let items = call["TransactItems"].as_array().unwrap_or(&none);
+        self.lock_rates().add(0, items.len() as u64);
+        if items.is_empty() || items.len() > MAX_ACTIONS || !are_distinct(items) {
+            return error(StatusCode::BAD_REQUEST, "ValidationException");
+        }
+        let mut rows = self.lock();
         let reasons: Vec<Value> = items
             .iter()
             .map(|item| check(&rows, &item["Put"]))
             .collect();
         if reasons.iter().any(|reason| reason["Code"] != "None") {
             let body = json!({
-                "__type": "com.amazonaws.dynamodb.v20120810#TransactionCanceledException",
+                "__type": format!("{ERROR_PREFIX}TransactionCanceledException"),
                 "CancellationReasons": reasons,
             });
             return (StatusCode::BAD_REQUEST, Json(body)).into_response();
@@ -73,19 +169,74 @@
     }
 }
 
+impl Rates {
+    fn add(&mut self, reads: u64, writes: u64) {
+        let now = Instant::now();
+        if self
+            .since
+            .is_none_or(|since| now - since >= Duration::from_secs(1))
+        {
+            self.since = Some(now);
+            self.current = StoreRates::default();
+        }
+        self.current.reads += reads;
+        self.current.writes += writes;
+        self.busiest.reads = self.busiest.reads.max(self.current.reads);
+        self.busiest.writes = self.busiest.writes.max(self.current.writes);
+    }
+}
+
 async fn call(State(table): State<Arc<TableService>>, headers: HeaderMap, body: Bytes) -> Response {
+    if !table.allows(&headers) {
+        return error(StatusCode::BAD_REQUEST, "UnrecognizedClientException");
+    }
     let Ok(call) = serde_json::from_slice::<Value>(&body) else {
-        return StatusCode::BAD_REQUEST.into_response();
+        return error(StatusCode::BAD_REQUEST, "SerializationException");
+    };
+    if table.hits(StoreFault::Unavailable) {
+        return error(StatusCode::SERVICE_UNAVAILABLE, "ServiceUnavailable");
+    }
+    let (before, after) = match table.hits(StoreFault::Slow) {
+        true if fastrand::bool() => (fastrand::u64(SLOW_MS), 0),
+        true => (0, fastrand::u64(SLOW_MS)),
+        false => (0, 0),
     };
+    tokio::time::sleep(Duration::from_millis(before)).await;
     let target = headers
         .get("x-amz-target")
         .and_then(|value| value.to_str().ok())
         .unwrap_or_default();
-    match target {
+    let answer = match target {
         "DynamoDB_20120810.GetItem" => table.get(&call),
         "DynamoDB_20120810.TransactWriteItems" => table.transact(&call),
-        _ => StatusCode::BAD_REQUEST.into_response(),
+        _ => return error(StatusCode::BAD_REQUEST, "UnknownOperationException"),
+    };
+    tokio::time::sleep(Duration::from_millis(after)).await;
+    if table.hits(StoreFault::LoseAnswer) {
+        tokio::time::sleep(LOST_TIME).await;
+        return error(StatusCode::INTERNAL_SERVER_ERROR, "InternalServerError");
     }
+    answer
+}
+
+fn error(status: StatusCode, kind: &str) -> Response {
+    (
+        status,
+        Json(json!({"__type": format!("{ERROR_PREFIX}{kind}")})),
+    )
+        .into_response()
+}
+
+/// A transaction with two actions on one item is refused, as published.
+fn are_distinct(items: &[Value]) -> bool {
+    let mut keys: Vec<&str> = items
+        .iter()
+        .filter_map(|item| item["Put"]["Item"]["k"]["S"].as_str())
+        .collect();
+    let count = keys.len();
+    keys.sort_unstable();
+    keys.dedup();
+    keys.len() == count && count == items.len()
 }
 
 fn find<'a>(rows: &'a [(String, Value)], key: &str) -> Option<&'a Value> {
