--- a/crates/lab/src/hosts.rs
+++ b/crates/lab/src/hosts.rs
@@ -15,7 +15,8 @@
 
 /// Key for the table service stand-in.
 pub const STORE_KEY: &str = "lab-store-key-0123456789";
-const OPERATOR_KEY: &str = "lab-operator-key-0123456789";
+/// Key for the operators' listener.
+pub const OPERATOR_KEY: &str = "lab-operator-key-0123456789";
 const CLUSTER_KEY: &str = "lab-cluster-key-0123456789";
 const READY_LIMIT_S: u64 = 20;
 const READY_POLL: Duration = Duration::from_millis(100);
@@ -35,6 +36,8 @@
     pub peer_addr: SocketAddr,
     /// Address of the table service.
     pub store_addr: SocketAddr,
+    /// Peer addresses of other entry hosts.
+    pub seeds: Vec<SocketAddr>,
     /// Placement policy.
     pub policy: String,
 }
@@ -61,6 +64,7 @@
             operator_addr,
             peer_addr,
             store_addr: deployment.store_addr,
+            seeds: Vec::new(),
             policy: policy.to_owned(),
         })
     }
@@ -87,6 +91,7 @@
             .args(["--operator-addr", &spec.operator_addr.to_string()])
             .args(["--peer-addr", &spec.peer_addr.to_string()])
             .args(["--store-addr", &spec.store_addr.to_string()])
+            .args(["--seeds", &join(&spec.seeds)])
             .args(["--policy", &spec.policy])
             .env("BURDOCKVALE_OPERATOR_KEY", OPERATOR_KEY)
             .env("BURDOCKVALE_CLUSTER_KEY", CLUSTER_KEY)
@@ -138,6 +143,11 @@
     }
 }
 
+fn join(addrs: &[SocketAddr]) -> String {
+    let texts: Vec<String> = addrs.iter().map(ToString::to_string).collect();
+    texts.join(",")
+}
+
 fn daemon_path() -> PathBuf {
     let mut path = std::env::current_exe().unwrap_or_default();
     path.pop();
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -13,7 +13,7 @@
 pub use balancer::Balancer;
 pub use deployment::Deployment;
 pub use error::LabError;
-pub use hosts::{HostProcess, HostSpec, STORE_KEY};
+pub use hosts::{HostProcess, HostSpec, OPERATOR_KEY, STORE_KEY};
 pub use load::{CallerFaults, Load, LoadSettings, Offered};
 pub use observe::{HELD_LIMIT, Observer};
 pub use report::{Report, Tally};
