Drop repeated events and pass the class to engines

An engine that sends an event twice made the caller read it twice. Events with an id that was read already are dropped and counted. Engines honour a priority, so urgent work now goes before waiting work in their queues too.

--- a/crates/server/src/engine.rs
+++ b/crates/server/src/engine.rs
@@ -286,9 +286,27 @@
             };
             let event = self.buf.split_to(end + 2).freeze();
             // An event without data is a comment that keeps the connection open.
-            if let Some(data) = field(&event, b"data:") {
-                return self.check_event(&event, data).map(Some);
+            let Some(data) = field(&event, b"data:") else {
+                continue;
+            };
+            if self.is_repeated(&event) {
+                crate::counters::dropped("repeated");
+                continue;
             }
+            return self.check_event(&event, data).map(Some);
+        }
+    }
+
+    /// Whether an event of this stream with this or a later id has been read.
+    fn is_repeated(&self, event: &[u8]) -> bool {
+        let number = |id: &str| id.parse::<u64>().ok();
+        let id = field(event, b"id:").and_then(|id| std::str::from_utf8(id).ok());
+        let (Some(id), Some(last)) = (id, self.last_event.as_deref()) else {
+            return false;
+        };
+        match (number(id), number(last)) {
+            (Some(id), Some(last)) => id <= last,
+            _ => id == last,
         }
     }
 
--- a/crates/server/src/model/attempt.rs
+++ b/crates/server/src/model/attempt.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use axum::response::{IntoResponse, Response};
+use bv_config::{Class, Model};
 use bv_types::{AttemptId, BackendId, Millis, Refusal, RetryReason};
 use serde_json::{Value, json};
 use tracing::debug;
@@ -65,11 +66,20 @@
     };
     let mut body = call.body.clone();
     body["request_id"] = json!(attempt.id.to_string());
+    body["priority"] = json!(priority(&call.model));
     body["kv_transfer_params"] = attempt.prefill(&body, may_have_run).await?;
     attempt.wait_for_slot(call).await?;
     attempt.decode(call, body).await
 }
 
+/// Priority in the engine's queue; lower goes first.
+fn priority(model: &Model) -> i32 {
+    match model.class {
+        Class::Urgent => 0,
+        Class::Waiting => 1,
+    }
+}
+
 fn ask(call: &Call, attempt: AttemptId, avoid: &[BackendId]) -> Ask {
     let deadline = call.arrived + call.model.deadline;
     // Only a stream shows its first token, and a repeated attempt is better late than not.
