Predict the end of decodes from the batch over time

Requests got the slot of an ending attempt by a prediction made when that attempt started, and the batch changed afterwards. Ends now follow a token counter of each runner that advances with the size of the batch and an observed pace, 200 ms of error are allowed for, and load seen in a single report only does not count.

--- a/crates/place/src/arrival.rs
+++ b/crates/place/src/arrival.rs
@@ -110,11 +110,12 @@
             return Millis::ZERO;
         }
         let place = ahead - free;
+        let urgent = request.class == Class::Urgent;
         let mut ends: Vec<Millis> = self
             .usable(Role::Decode)
-            .flat_map(|(_, runner)| &runner.holds)
-            .filter(|hold| request.class == Class::Urgent || hold.request.class == Class::Waiting)
-            .map(|hold| hold.end - now)
+            .flat_map(|(_, runner)| runner.holds.iter().map(move |hold| (runner, hold)))
+            .filter(|(_, hold)| urgent || hold.request.class == Class::Waiting)
+            .map(|(runner, hold)| runner.end_of(now, hold, pool) - now)
             .collect();
         ends.sort_unstable();
         let Some(last) = ends.last() else {
--- a/crates/place/src/hold.rs
+++ b/crates/place/src/hold.rs
@@ -31,8 +31,10 @@
     pub first_token: Millis,
     /// Start of decode.
     pub since: Millis,
-    /// Predicted end of decode.
+    /// Predicted end of decode at the time of the grant.
     pub end: Millis,
+    /// Token counter of the runner at the start of decode, and at its end.
+    pub tokens: (f64, f64),
     pub expires: Millis,
 }
 
@@ -41,10 +43,10 @@
         &self.request.attempt
     }
 
-    pub fn start_decode(&mut self, now: Millis, time: Millis, expires: Millis) {
+    pub fn start_decode(&mut self, now: Millis, counter: f64, tokens: f64, expires: Millis) {
         self.phase = Phase::Decode;
         self.since = now;
-        self.end = now + time;
+        self.tokens = (counter, counter + tokens);
         self.expires = expires;
     }
 }
--- a/crates/place/src/life.rs
+++ b/crates/place/src/life.rs
@@ -39,6 +39,7 @@
     pub(crate) fn start_ready(&mut self, now: Millis, decode: usize, actions: &mut Vec<Action>) {
         let pool = &self.spec.pool;
         let runner = &mut self.runners[decode];
+        let counter = runner.advance(now, pool);
         let mut usage = runner.usage();
         let mut order: Vec<usize> = (0..runner.holds.len())
             .filter(|index| runner.holds[*index].phase != Phase::Decode)
@@ -56,10 +57,11 @@
                 usage.pieces += hold.pieces;
             }
             if hold.owns_slot && hold.phase == Phase::Ready {
-                let first = pool.transfer_ms(hold.request.prompt);
-                let time = pool.decode_time(hold.request.max_output, usage.slots.min(pool.slots));
+                let gap = pool.gap_ms(usage.slots.min(pool.slots));
+                let transfer = pool.transfer_ms(hold.request.prompt) / gap;
+                let tokens = hold.request.max_output.0 as f64 + transfer;
                 let expires = hold.request.deadline + EXPIRY;
-                hold.start_decode(now, time + crate::predict::ceil(first), expires);
+                hold.start_decode(now, counter, tokens, expires);
                 actions.push(Action::Proceed(hold.attempt().clone()));
             }
         }
@@ -97,7 +99,7 @@
     fn take_hold(&mut self, now: Millis, id: &AttemptId) -> Option<(usize, Hold)> {
         let decode = self.index.decode_of(id)?;
         self.index.remove(id);
-        let hold = self.runners[decode].remove_hold(now, id)?;
+        let hold = self.runners[decode].remove_hold(now, id, &self.spec.pool)?;
         self.runners[hold.prefill].remove_prefill(now, id, false, &self.spec.pool);
         Some((decode, hold))
     }
@@ -113,7 +115,7 @@
             return;
         }
         let pool = &self.spec.pool;
-        let time = pool.decode_time(request.max_output, pool.slots);
+        let counter = self.runners[decode].advance(now, pool);
         let phase = match adoption.decoding {
             true => Phase::Decode,
             false => Phase::Prefill,
@@ -134,7 +136,9 @@
             first_token: prefill_end,
             // The last report may already count it.
             since: Millis::ZERO,
-            end: now + time,
+            end: request.deadline,
+            // How much is generated already is not known.
+            tokens: (counter, counter + request.max_output.0 as f64),
             expires,
             request,
         };
@@ -179,13 +183,14 @@
         let mut ended = Vec::new();
         let mut late = Vec::new();
         for (decode, runner) in self.runners.iter_mut().enumerate() {
+            let counter = runner.advance(now, &self.spec.pool);
             for hold in &mut runner.holds {
                 if is_dead(hold.attempt()) {
                     ended.push(hold.attempt().clone());
                 } else if hold.expires <= now && hold.phase == Phase::Prefill {
                     // PrefillDone may be lost while decode runs, so the slot stays reserved.
-                    let deadline = hold.request.deadline;
-                    hold.start_decode(now, deadline - now, deadline + EXPIRY);
+                    let tokens = hold.request.max_output.0 as f64;
+                    hold.start_decode(now, counter, tokens, hold.request.deadline + EXPIRY);
                     late.push((decode, hold.prefill, hold.attempt().clone()));
                 } else if hold.expires <= now {
                     ended.push(hold.attempt().clone());
--- a/crates/place/src/planned.rs
+++ b/crates/place/src/planned.rs
@@ -15,6 +15,10 @@
 /// Time after the end of prefill within which the decode slot must be there. It leaves 100 ms of
 /// the shortest eviction time of 800 ms for the import.
 const SLOT_WAIT_MS: f64 = 700.0;
+/// Error of a predicted end that is allowed for.
+const END_ERROR: Millis = Millis(200);
+/// Time after its predicted end in which an attempt is still expected to end soon.
+const OVERDUE: Millis = Millis(200);
 /// Share of a prefill that the preferred runner is expected to have in its prefix cache.
 const AFFINITY_SHARE: f64 = 0.5;
 /// Tokens over which the longer time between tokens in a fuller batch is counted as cost.
@@ -182,19 +186,22 @@
             return Some(Room::Now);
         }
         let until = now + ceil(known_ms + SLOT_WAIT_MS);
+        // An attempt that is long overdue has a wrong prediction and may run on.
         let mut ending: Vec<_> = runner
             .holds
             .iter()
-            .filter(|hold| hold.phase == Phase::Decode && hold.owns_slot && hold.end <= until)
+            .filter(|hold| hold.phase == Phase::Decode && hold.owns_slot)
+            .map(|hold| (runner.end_of(now, hold, &self.spec.pool), hold))
+            .filter(|(end, _)| *end + OVERDUE > now && *end + END_ERROR <= until)
             .collect();
-        ending.sort_by_key(|hold| hold.end);
+        ending.sort_by_key(|(end, _)| *end);
         let mut freed = Usage::default();
-        for hold in ending {
+        for (end, hold) in ending {
             freed.slots += 1;
             freed.pieces += hold.pieces;
             freed.waiting_slots += u32::from(hold.request.class == Class::Waiting);
             if self.fits(request, usage, &freed) {
-                return Some(Room::Later((hold.end - now).0 as f64));
+                return Some(Room::Later((end - now).0 as f64));
             }
         }
         None
--- a/crates/place/src/runner.rs
+++ b/crates/place/src/runner.rs
@@ -7,12 +7,18 @@
 
 /// Time for which an ended attempt may still appear in a late report.
 const REPORT_LAG: Millis = Millis(5_000);
+/// Time by which a start or end at the runner and the message about it may differ.
+const MESSAGE_TIME: Millis = Millis(50);
 /// Prompt assumed for a prefill that this home did not grant.
 const FOREIGN_PROMPT_TOKENS: u64 = 2_000;
 /// Weight of the newest prefill in the observed pace.
 const PACE_WEIGHT: f64 = 0.1;
 /// Bounds of the observed pace, so that one stalled prefill cannot make a runner look unusable.
 const PACE_RANGE: (f64, f64) = (0.25, 4.0);
+/// Generated share of the largest output, by the token counter, that counts as an observation.
+const OBSERVED_DECODE: std::ops::RangeInclusive<f64> = 0.8..=1.5;
+/// Bound of a predicted decode time.
+const MAX_DECODE: Millis = Millis(3_600_000);
 
 /// Work in a prefill runner's queue.
 #[derive(Debug, Clone)]
@@ -60,11 +66,18 @@
     pub link_until: Millis,
     foreign_slots: u32,
     foreign_pieces: u32,
+    /// Slots and pieces in the last report that this home did not grant.
+    unexplained: (u32, u32),
     queue: Vec<Queued>,
     head_since: Millis,
     recent: Vec<Ended>,
     /// Observed prefill time divided by the computed one.
     pace: f64,
+    /// Observed decode time divided by the computed one.
+    decode_pace: f64,
+    /// Tokens that a request would have got in the batch since the start, up to `tokens_at`.
+    tokens: f64,
+    tokens_at: Millis,
 }
 
 impl Runner {
@@ -78,10 +91,14 @@
             link_until: Millis::ZERO,
             foreign_slots: 0,
             foreign_pieces: 0,
+            unexplained: (0, 0),
             queue: Vec::new(),
             head_since: Millis::ZERO,
             recent: Vec::new(),
             pace: 1.0,
+            decode_pace: 1.0,
+            tokens: 0.0,
+            tokens_at: Millis::MAX,
         }
     }
 
@@ -98,13 +115,24 @@
         }
         // A runner whose clock is ahead would otherwise hide the grants made since.
         let at = report.at.min(now);
+        self.advance(now, pool);
         self.failed = false;
         self.mark_leaving(&report);
         self.recent.retain(|ended| ended.until + REPORT_LAG > now);
         let known = self.visible_at(at);
-        self.foreign_slots = (report.running + report.waiting).saturating_sub(known.slots);
         let used = pool.pieces.0.saturating_sub(report.free_pieces.0);
-        self.foreign_pieces = used.saturating_sub(known.pieces);
+        let unexplained = (
+            (report.running + report.waiting).saturating_sub(known.slots),
+            used.saturating_sub(known.pieces),
+        );
+        // A start or end under way when the report was taken disappears from the next one.
+        let last = match &self.report {
+            Some(_) => self.unexplained,
+            None => unexplained,
+        };
+        self.foreign_slots = unexplained.0.min(last.0);
+        self.foreign_pieces = unexplained.1.min(last.1);
+        self.unexplained = unexplained;
         self.report = Some(report);
     }
 
@@ -121,6 +149,7 @@
 
     /// Work of this home that a report of that time contains.
     fn visible_at(&self, at: Millis) -> Usage {
+        let (from, to) = (at - MESSAGE_TIME, at + MESSAGE_TIME);
         let mut usage = Usage::default();
         let mut add = |pieces: u32| {
             usage.slots += 1;
@@ -128,15 +157,15 @@
         };
         self.holds
             .iter()
-            .filter(|hold| hold.phase == Phase::Decode && hold.since <= at)
+            .filter(|hold| hold.phase == Phase::Decode && hold.since <= to)
             .for_each(|hold| add(hold.pieces));
         self.queue
             .iter()
-            .filter(|queued| queued.since <= at)
+            .filter(|queued| queued.since <= to)
             .for_each(|queued| add(Tokens(queued.tokens).pieces().0));
         self.recent
             .iter()
-            .filter(|ended| ended.since <= at && at < ended.until)
+            .filter(|ended| ended.since <= to && from < ended.until)
             .for_each(|ended| add(ended.pieces));
         usage
     }
@@ -145,6 +174,7 @@
     pub fn explain(&mut self, pieces: u32) {
         self.foreign_slots = self.foreign_slots.saturating_sub(1);
         self.foreign_pieces = self.foreign_pieces.saturating_sub(pieces);
+        self.unexplained = (self.foreign_slots, self.foreign_pieces);
     }
 
     /// Current use: other work by the last report and this home's grants.
@@ -175,10 +205,17 @@
     }
 
     /// Takes out an open grant.
-    pub fn remove_hold(&mut self, now: Millis, attempt: &AttemptId) -> Option<Hold> {
+    pub fn remove_hold(
+        &mut self,
+        now: Millis,
+        attempt: &AttemptId,
+        pool: &PoolSpec,
+    ) -> Option<Hold> {
+        self.advance(now, pool);
         let index = self.holds.iter().position(|h| h.attempt() == attempt)?;
         let hold = self.holds.remove(index);
         if hold.phase == Phase::Decode {
+            self.observe_decode(&hold);
             self.recent.push(Ended {
                 since: hold.since,
                 until: now,
@@ -225,6 +262,41 @@
         });
     }
 
+    /// Advances the token counter, which counts the tokens that a request in the batch has got.
+    ///
+    /// It follows the size of the batch, so that predictions hold while the batch changes.
+    pub fn advance(&mut self, now: Millis, pool: &PoolSpec) -> f64 {
+        self.tokens += (now - self.tokens_at).0 as f64 / self.gap_ms(pool);
+        self.tokens_at = now;
+        self.tokens
+    }
+
+    /// Predicted end of an open grant.
+    pub fn end_of(&self, now: Millis, hold: &Hold, pool: &PoolSpec) -> Millis {
+        if hold.phase != Phase::Decode {
+            return hold.end;
+        }
+        let left_ms = (hold.tokens.1 - self.tokens) * self.gap_ms(pool);
+        let end = self.tokens_at.0 as f64 + left_ms;
+        // An overdue end stays in the past, where it does not count as room.
+        Millis(end.max(0.0) as u64).min(now + MAX_DECODE)
+    }
+
+    fn gap_ms(&self, pool: &PoolSpec) -> f64 {
+        let decoding = self.holds.iter().filter(|h| h.phase == Phase::Decode);
+        let batch = decoding.count() as u32 + self.foreign_slots;
+        pool.gap_ms(batch.clamp(1, pool.slots)) * self.decode_pace
+    }
+
+    fn observe_decode(&mut self, hold: &Hold) {
+        let observed = (self.tokens - hold.tokens.0) / (hold.tokens.1 - hold.tokens.0).max(1.0);
+        // A cancelled attempt or a short output says nothing about the pace.
+        if OBSERVED_DECODE.contains(&observed) {
+            let pace = self.decode_pace * (1.0 + PACE_WEIGHT * (observed - 1.0));
+            self.decode_pace = pace.clamp(PACE_RANGE.0, PACE_RANGE.1);
+        }
+    }
+
     fn observe(&mut self, now: Millis, tokens: u64, pool: &PoolSpec) {
         let computed = pool.prefill_ms(Tokens(tokens)).max(1.0);
         let observed = (now - self.head_since).0 as f64 / computed;
--- a/crates/place/src/shard.rs
+++ b/crates/place/src/shard.rs
@@ -231,6 +231,7 @@
             first_token: plan.first_token,
             since: plan.prefill_end,
             end: plan.end,
+            tokens: (0.0, 0.0),
             expires: plan.prefill_end + EXPIRY,
             request,
         };
--- /dev/null
+++ b/crates/place/tests/grant_life.rs
@@ -0,0 +1,116 @@
+//! Guards against reservations and engine memory that stay after a request has ended.
+
+mod common;
+
+use bv_place::{Class, Event, Policy};
+use bv_types::{HostId, Incarnation, Millis, Refusal};
+use common::{
+    START, adoption, attempt, cancels, denied, grants, host_dead, patient, proceeds, request,
+    shard, spec, start,
+};
+
+/// Guards against a withdrawn request that keeps its place in the queue.
+#[test]
+fn withdrawn() {
+    let mut shard = shard(spec(1, 1), Policy::Planned);
+    for sequence in 0..4 {
+        start(&mut shard, START, patient(START, sequence, Class::Urgent));
+    }
+    shard.handle(START, Event::Reserve(patient(START, 9, Class::Urgent)));
+    let actions = shard.handle(START, Event::Release(attempt("host-a", 1, 9)));
+    assert_eq!(denied(&actions), [(9, Refusal::CallerGone)]);
+    assert_eq!(shard.queued(), 0);
+}
+
+/// Guards against memory held for a dead host, and against cancels of a live process.
+#[test]
+fn dead_host() {
+    let mut shard = shard(spec(1, 1), Policy::Planned);
+    start(&mut shard, START, request(START, 1, Class::Urgent));
+    let mut newer = request(START, 2, Class::Urgent);
+    newer.attempt = attempt("host-a", 2, 2);
+    start(&mut shard, START, newer);
+    assert!(shard.handle(START, host_dead("host-a", 1)).is_empty());
+    let grace = START + Millis(1_999);
+    assert!(shard.handle(grace, Event::Tick).is_empty());
+    let actions = shard.handle(START + Millis(2_000), Event::Tick);
+    assert_eq!(
+        cancels(&actions),
+        [("p-1".to_owned(), 1), ("d-1".to_owned(), 1)]
+    );
+    assert_eq!(shard.open_grants(), 1);
+}
+
+/// Guards against cancels for a host that was declared dead by mistake.
+#[test]
+fn falsely_dead() {
+    let mut shard = shard(spec(1, 1), Policy::Planned);
+    start(&mut shard, START, request(START, 1, Class::Urgent));
+    shard.handle(START, host_dead("host-a", 1));
+    let event = Event::HostAlive {
+        host: "host-a".parse::<HostId>().unwrap(),
+        incarnation: Incarnation(1),
+    };
+    shard.handle(START + Millis(1_000), event);
+    let actions = shard.handle(START + Millis(5_000), Event::Tick);
+    assert!(cancels(&actions).is_empty(), "{actions:?}");
+}
+
+/// Guards against a prefill result that stays exported when no decode follows.
+#[test]
+fn prefill_without_decode() {
+    let mut shard = shard(spec(1, 1), Policy::Planned);
+    let granted = shard.handle(START, Event::Reserve(request(START, 1, Class::Urgent)));
+    let end = START + grants(&granted)[0].prefill_time;
+    assert!(shard.handle(end + Millis(1_999), Event::Tick).is_empty());
+    let actions = shard.handle(end + Millis(2_000), Event::Tick);
+    assert_eq!(cancels(&actions), [("p-1".to_owned(), 1)]);
+}
+
+/// Guards against grants that outlive the deadline when their release is lost.
+#[test]
+fn lost_release() {
+    let mut shard = shard(spec(1, 1), Policy::Planned);
+    let request = request(START, 1, Class::Urgent);
+    let deadline = request.deadline;
+    start(&mut shard, START, request);
+    assert!(shard.handle(deadline, Event::Tick).is_empty());
+    let actions = shard.handle(deadline + Millis(2_000), Event::Tick);
+    assert_eq!(cancels(&actions).len(), 2);
+    assert_eq!(shard.open_grants(), 0);
+}
+
+/// Guards against a new home that gives adopted slots away.
+#[test]
+fn adopted() {
+    let mut shard = shard(spec(1, 1), Policy::Planned);
+    for sequence in 0..4 {
+        let request = patient(START, sequence, Class::Urgent);
+        shard.handle(START, adoption(request, sequence % 2 == 0));
+    }
+    assert_eq!(shard.open_grants(), 4);
+    let actions = shard.handle(START, Event::Reserve(patient(START, 9, Class::Urgent)));
+    assert!(actions.is_empty(), "{actions:?}");
+    let done = shard.handle(START, Event::PrefillDone(attempt("host-a", 1, 1)));
+    assert_eq!(proceeds(&done), [1]);
+}
+
+/// Guards against a second reservation when a message is repeated.
+#[test]
+fn repeated_messages() {
+    let mut shard = shard(spec(1, 1), Policy::Planned);
+    let request = request(START, 1, Class::Urgent);
+    let first = grants(&shard.handle(START, Event::Reserve(request.clone())));
+    let second = grants(&shard.handle(START, Event::Reserve(request)));
+    assert_eq!(first, second);
+    assert_eq!(shard.open_grants(), 1);
+    let id = attempt("host-a", 1, 1);
+    for _ in 0..2 {
+        let actions = shard.handle(START, Event::PrefillDone(id.clone()));
+        assert_eq!(proceeds(&actions), [1]);
+    }
+    for _ in 0..2 {
+        shard.handle(START, Event::Release(id.clone()));
+    }
+    assert_eq!(shard.open_grants(), 0);
+}
--- /dev/null
+++ b/crates/place/tests/queue_order.rs
@@ -0,0 +1,75 @@
+//! Guards against an unfair or wasteful order of service.
+
+mod common;
+
+use bv_place::{Class, Event, Policy, Request, Shard};
+use bv_types::{Millis, Tokens};
+use common::{START, attempt, grants, patient, shard, spec, start};
+
+/// A shard whose slots are all taken by long urgent requests 0 to 3.
+fn full() -> Shard {
+    let mut shard = shard(spec(1, 1), Policy::Planned);
+    for sequence in 0..4 {
+        let mut request = patient(START, sequence, Class::Urgent);
+        request.max_output = Tokens(400);
+        start(&mut shard, START, request);
+    }
+    shard
+}
+
+fn queue(shard: &mut Shard, request: Request) {
+    let actions = shard.handle(START, Event::Reserve(request));
+    assert!(actions.is_empty(), "{actions:?}");
+}
+
+/// Frees all slots, one at a time, and returns who starts.
+fn served(shard: &mut Shard, now: Millis) -> Vec<u64> {
+    let mut order: Vec<u64> = Vec::new();
+    for held in 0..4 {
+        let mut next = Some(attempt("host-a", 1, held));
+        while let Some(id) = next.take() {
+            for grant in grants(&shard.handle(now, Event::Release(id))) {
+                order.push(grant.attempt.request.sequence);
+                next = Some(grant.attempt);
+            }
+        }
+    }
+    order
+}
+
+/// Guards against urgent work behind waiting work that came first.
+#[test]
+fn urgent_first() {
+    let mut shard = full();
+    queue(&mut shard, patient(START, 10, Class::Waiting));
+    queue(&mut shard, patient(START, 11, Class::Urgent));
+    assert_eq!(served(&mut shard, START), [11, 10]);
+}
+
+/// Guards against a team that fills the queue and delays all others.
+#[test]
+fn fair_by_tokens() {
+    let mut shard = full();
+    for sequence in 10..14 {
+        queue(&mut shard, patient(START, sequence, Class::Waiting));
+    }
+    let mut other = patient(START, 20, Class::Waiting);
+    other.team = "team-b".into();
+    queue(&mut shard, other);
+    assert_eq!(served(&mut shard, START), [10, 20, 11, 12, 13]);
+}
+
+/// Guards against waiting work that misses its deadline behind work with more time.
+#[test]
+fn ageing() {
+    let mut shard = full();
+    let mut large = patient(START, 10, Class::Waiting);
+    large.deadline = START + Millis(60_000);
+    large.first_token_by = large.deadline;
+    queue(&mut shard, large.clone());
+    large.attempt = attempt("host-a", 1, 11);
+    queue(&mut shard, large);
+    queue(&mut shard, patient(START, 12, Class::Waiting));
+    let later = START + Millis(22_000);
+    assert_eq!(served(&mut shard, later), [12, 10, 11]);
+}
--- a/crates/server/src/model/attempt.rs
+++ b/crates/server/src/model/attempt.rs
@@ -198,6 +198,7 @@
 }
 
 pub(super) fn broken(runner: &BackendId, reason: RetryReason) -> Failure {
+    debug!(%runner, %reason, "model: attempt broken");
     Failure::Broken {
         reason,
         runner: runner.clone(),
