Add the membership state machine and its datagrams

Cause: entry hosts have to agree within seconds on which of them are live, and no part of the protocol existed.

Change: bv-member holds a SWIM-style state machine without I/O (probes, suspicion, refutation, rumours, joins by seeds, departure); bv-wire holds its datagrams with a keyed digest.

--- /dev/null
+++ b/crates/member/src/message.rs
@@ -0,0 +1,123 @@
+//! Messages between members.
+
+use std::net::SocketAddr;
+
+use bv_types::HostId;
+
+use crate::{Member, Rumour, SentRumour};
+
+/// Largest encoded message in bytes; a datagram of 1,200 bytes also holds the keyed digest.
+pub const MAX_MESSAGE_BYTES: usize = 1_150;
+
+/// Bytes of a field's tag and of the length of a nested message or text.
+const FIELD_BYTES: usize = 4;
+/// Bytes of the longest varint with its tag.
+const NUMBER_BYTES: usize = 11;
+
+/// One message, sent in one datagram.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Message {
+    /// The sender.
+    pub from: Member,
+    /// The sender's refutation counter.
+    pub counter: u32,
+    /// Number that an acknowledgement repeats.
+    pub seq: u64,
+    /// What the message asks or answers.
+    pub kind: Kind,
+    /// News about members.
+    pub updates: Vec<Update>,
+    /// Rumours; the sender's configuration comes first.
+    pub rumours: Vec<SentRumour>,
+}
+
+/// What a message asks or answers.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Kind {
+    /// Asks for an acknowledgement.
+    Ping,
+    /// Acknowledges a ping of the sender, or of `target` on whose behalf a helper answers.
+    Ack {
+        /// The member that is alive; none for the sender itself.
+        target: Option<HostId>,
+    },
+    /// Asks the receiver to ping `target`.
+    PingReq {
+        /// The member to ping.
+        target: HostId,
+        /// Its address.
+        addr: SocketAddr,
+    },
+    /// Carries news and needs no answer.
+    Gossip,
+    /// The sender's process leaves.
+    Leave,
+}
+
+/// State of a member, in the order of precedence at equal counters.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Status {
+    /// Answers.
+    Alive,
+    /// Did not answer a probe and has not refuted yet.
+    Suspect,
+    /// Did not refute in time.
+    Dead,
+    /// Said that it leaves; final for the incarnation.
+    Left,
+}
+
+/// News about one member.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Update {
+    /// The member.
+    pub member: Member,
+    /// Its refutation counter.
+    pub counter: u32,
+    /// Its state.
+    pub status: Status,
+}
+
+fn member_bytes(member: &Member) -> usize {
+    // Id, incarnation and an address of up to 18 bytes.
+    FIELD_BYTES + member.host.as_str().len() + NUMBER_BYTES + FIELD_BYTES + 18
+}
+
+impl Update {
+    /// Upper bound of the encoded size in bytes.
+    pub fn max_bytes(&self) -> usize {
+        // The counter has 32 bits, hence at most 6 bytes with its tag; the state takes 2.
+        FIELD_BYTES + member_bytes(&self.member) + 8
+    }
+}
+
+impl SentRumour {
+    /// Upper bound of the encoded size in bytes.
+    pub fn max_bytes(&self) -> usize {
+        let content = match &self.rumour {
+            Rumour::Config { .. } => 2 * NUMBER_BYTES + FIELD_BYTES + 16,
+            Rumour::Leaving { backend, .. } => FIELD_BYTES + backend.as_str().len() + NUMBER_BYTES,
+            Rumour::Suspect { .. } => FIELD_BYTES + 16 + NUMBER_BYTES,
+            Rumour::Convicted { .. } => FIELD_BYTES + 16 + NUMBER_BYTES,
+        };
+        2 * FIELD_BYTES + NUMBER_BYTES + content
+    }
+}
+
+impl Message {
+    /// Upper bound of the encoded size in bytes.
+    pub fn max_bytes(&self) -> usize {
+        let kind = match &self.kind {
+            Kind::Ping | Kind::Gossip | Kind::Leave => 2,
+            Kind::Ack { target } => 2 + target.as_ref().map_or(0, target_bytes),
+            Kind::PingReq { target, .. } => 2 + target_bytes(target) + FIELD_BYTES + 18,
+        };
+        let updates: usize = self.updates.iter().map(Update::max_bytes).sum();
+        let rumours: usize = self.rumours.iter().map(SentRumour::max_bytes).sum();
+        member_bytes(&self.from) + 6 + NUMBER_BYTES + kind + updates + rumours
+    }
+}
+
+fn target_bytes(target: &HostId) -> usize {
+    FIELD_BYTES + target.as_str().len()
+}
--- /dev/null
+++ b/crates/member/tests/fault_table.rs
@@ -0,0 +1,221 @@
+//! Views under each kind of fault.
+
+mod common;
+
+use bv_member::{Action, Event, Kind, Membership, Message};
+use bv_types::Millis;
+use common::{Faults, Net, member};
+
+const HOSTS: usize = 8;
+const TICK_MS: u64 = 50;
+/// Time for all views to agree after the start or after the last fault.
+const SETTLE_MS: u64 = 15_000;
+/// Target of the design page.
+const DETECTION_MS: u64 = 8_000;
+
+fn settled(seed: u64) -> Net {
+    let mut net = Net::new(HOSTS, 2, TICK_MS, seed);
+    net.run(SETTLE_MS);
+    assert_eq!(net.wrong_views(), [0; 0], "after the start, seed {seed}");
+    net.log.clear();
+    net
+}
+
+fn quiet() -> Faults {
+    Faults {
+        delay: 1,
+        ..Faults::default()
+    }
+}
+
+/// Guards against removals of live members by faults that a working network has.
+#[test]
+fn mild_faults_remove_nobody() {
+    let table = [
+        (
+            "loss",
+            Faults {
+                loss: 0.1,
+                ..quiet()
+            },
+        ),
+        (
+            "repetition",
+            Faults {
+                repeat: 0.5,
+                ..quiet()
+            },
+        ),
+        (
+            "reordering",
+            Faults {
+                jitter: 250,
+                ..quiet()
+            },
+        ),
+        (
+            "delay",
+            Faults {
+                delay: 200,
+                ..quiet()
+            },
+        ),
+        (
+            "spikes",
+            Faults {
+                spike: 0.05,
+                spike_ms: 2_000,
+                ..quiet()
+            },
+        ),
+        (
+            "one-sided cut",
+            Faults {
+                cuts: vec![(0, 1), (2, 3), (4, 1)],
+                ..quiet()
+            },
+        ),
+    ];
+    for (name, faults) in table {
+        let mut net = settled(1);
+        net.faults = faults;
+        net.run(120_000);
+        for at in 0..HOSTS {
+            assert_eq!(net.removals(at), 0, "{name}: removals of host {at}");
+        }
+        assert_eq!(net.wrong_views(), [0; 0], "{name}");
+    }
+}
+
+/// Guards against a dead member that stays in a view.
+#[test]
+fn killed_member_is_removed() {
+    for seed in 0..50 {
+        let mut net = settled(seed);
+        net.kill(3);
+        net.run(DETECTION_MS);
+        assert_eq!(net.wrong_views(), [0; 0], "seed {seed}");
+    }
+}
+
+/// Guards against a member that stays removed after it wakes.
+#[test]
+fn paused_member_returns() {
+    for (pause_ms, removed) in [(1_500, false), (20_000, true)] {
+        let mut net = settled(2);
+        net.pause(3);
+        net.run(pause_ms);
+        let removals = net.removals(3);
+        assert_eq!(removals > 0, removed, "pause of {pause_ms} ms: {removals}");
+        net.resume(3);
+        net.run(SETTLE_MS);
+        assert_eq!(net.wrong_views(), [0; 0], "pause of {pause_ms} ms");
+        for at in (0..HOSTS).filter(|at| *at != 3) {
+            assert_eq!(net.removals(at), 0, "host {at} removed by the sleeper");
+        }
+        let told = |(_, at, a): &(Millis, usize, Action)| {
+            *at == 3 && matches!(a, Action::DeclaredDead { .. })
+        };
+        assert_eq!(net.log.iter().any(told), removed, "pause of {pause_ms} ms");
+    }
+}
+
+/// Guards against a partition that never heals because both sides forgot each other.
+#[test]
+fn partition_heals() {
+    for (name, left) in [("one host", vec![7]), ("halves", vec![0, 1, 2, 3])] {
+        for seconds in [10, 3_600] {
+            let mut net = settled(3);
+            net.faults.partition(HOSTS, &left);
+            net.run(seconds * 1_000);
+            let views: Vec<usize> = (0..HOSTS).map(|at| net.view(at).len()).collect();
+            let expected: Vec<usize> = (0..HOSTS)
+                .map(|at| match left.contains(&at) {
+                    true => left.len(),
+                    false => HOSTS - left.len(),
+                })
+                .collect();
+            assert_eq!(views, expected, "{name}: sides after {seconds} s");
+            net.faults = quiet();
+            net.run(SETTLE_MS);
+            assert_eq!(net.wrong_views(), [0; 0], "{name}: {seconds} s, healed");
+        }
+    }
+}
+
+/// Guards against a restarted host that is taken for its former process.
+#[test]
+fn restart_replaces() {
+    for down_ms in [0, 300, 30_000] {
+        let mut net = settled(4);
+        net.kill(5);
+        net.run(down_ms);
+        net.restart(5);
+        net.run(SETTLE_MS);
+        assert_eq!(net.wrong_views(), [0; 0], "down for {down_ms} ms");
+        let old = member(5, 1);
+        let new = member(5, 2);
+        for at in (0..HOSTS).filter(|at| *at != 5) {
+            let of = |m: &bv_member::Member| {
+                net.log
+                    .iter()
+                    .filter(|(_, n, a)| {
+                        *n == at
+                            && (*a == Action::Dead(m.clone()) || *a == Action::Joined(m.clone()))
+                    })
+                    .count()
+            };
+            assert_eq!(
+                of(&old),
+                1,
+                "host {at} reports the end of the old process once"
+            );
+            assert_eq!(of(&new), 1, "host {at} reports the new process once");
+        }
+    }
+}
+
+/// Guards against late messages of a replaced process.
+#[test]
+fn stale_incarnation_is_ignored() {
+    let message = |at, incarnation, kind| Message {
+        from: member(at, incarnation),
+        counter: 0,
+        seq: 1,
+        kind,
+        updates: Vec::new(),
+        rumours: Vec::new(),
+    };
+    let mut machine = Membership::new(member(0, 1), vec![], 1, Millis(0));
+    let mut take = |m| machine.handle(Millis(0), Event::Packet(m));
+    take(message(1, 7, Kind::Ping));
+    assert_eq!(take(message(1, 6, Kind::Ping)), []);
+    assert_eq!(take(message(1, 6, Kind::Leave)), []);
+    assert_eq!(machine.alive(), [member(0, 1), member(1, 7)]);
+}
+
+/// Guards against a late message that brings a departed process back.
+#[test]
+fn departure_is_final() {
+    let mut net = settled(5);
+    let late = Message {
+        from: net.nodes[2].member.clone(),
+        counter: 90,
+        seq: 1,
+        kind: Kind::Ping,
+        updates: Vec::new(),
+        rumours: Vec::new(),
+    };
+    net.handle(2, Event::Leave);
+    net.run(500);
+    net.kill(2);
+    net.run(500);
+    assert_eq!(net.wrong_views(), [0; 0], "1 s after the leave");
+    net.handle(4, Event::Packet(late));
+    net.run(SETTLE_MS);
+    assert_eq!(net.wrong_views(), [0; 0], "after a late message");
+    assert_eq!(net.removals(2), 0, "a departure is no death");
+    net.restart(2);
+    net.run(SETTLE_MS);
+    assert_eq!(net.wrong_views(), [0; 0], "after the restart");
+}
--- /dev/null
+++ b/crates/wire/src/checked.rs
@@ -0,0 +1,237 @@
+//! Conversion between datagrams and checked messages.
+
+use std::net::{IpAddr, SocketAddr};
+
+use bv_member::{Kind, Member, Message, Rumour, SentRumour, Status, Update};
+use bv_types::{Fingerprint, HostId, Incarnation, Millis, ParseError, Version};
+
+use crate::datagram::news::{Body, ConfigNews, ConvictedNews, LeavingNews, SuspectNews};
+use crate::{Datagram, DatagramKind, News, Peer, PeerStatus};
+
+/// A datagram has a value that is not allowed.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum DatagramError {
+    /// A required field is missing.
+    #[error("field {0} is missing")]
+    Missing(&'static str),
+    /// An id is not valid.
+    #[error(transparent)]
+    Id(#[from] ParseError),
+    /// An address does not have 6 or 18 bytes.
+    #[error("an address has {0} bytes instead of 6 or 18")]
+    Address(usize),
+    /// A digest does not have 16 bytes.
+    #[error("a digest has {0} bytes instead of 16")]
+    Digest(usize),
+    /// The kind of message is unknown.
+    #[error("message kind {0} is unknown")]
+    Kind(i32),
+    /// The state of a member is unknown.
+    #[error("member state {0} is unknown")]
+    Status(u32),
+}
+
+impl TryFrom<Datagram> for Message {
+    type Error = DatagramError;
+
+    fn try_from(datagram: Datagram) -> Result<Self, DatagramError> {
+        let from = datagram.from.ok_or(DatagramError::Missing("from"))?;
+        let kind = read_kind(datagram.kind, &datagram.target, &datagram.target_addr)?;
+        let updates = datagram.updates.into_iter().map(Update::try_from);
+        // Rumours of a kind that this version does not know decode without a body.
+        let rumours = datagram.rumours.into_iter().filter(|r| r.body.is_some());
+        Ok(Message {
+            from: read_member(&from.host, from.incarnation, &from.addr)?,
+            counter: datagram.counter,
+            seq: datagram.seq,
+            kind,
+            updates: updates.collect::<Result<_, _>>()?,
+            rumours: rumours
+                .map(SentRumour::try_from)
+                .collect::<Result<_, _>>()?,
+        })
+    }
+}
+
+impl TryFrom<PeerStatus> for Update {
+    type Error = DatagramError;
+
+    fn try_from(raw: PeerStatus) -> Result<Self, DatagramError> {
+        let status = match raw.status {
+            0 => Status::Alive,
+            1 => Status::Suspect,
+            2 => Status::Dead,
+            3 => Status::Left,
+            other => return Err(DatagramError::Status(other)),
+        };
+        Ok(Update {
+            member: read_member(&raw.host, raw.incarnation, &raw.addr)?,
+            counter: raw.counter,
+            status,
+        })
+    }
+}
+
+impl TryFrom<News> for SentRumour {
+    type Error = DatagramError;
+
+    fn try_from(news: News) -> Result<Self, DatagramError> {
+        let ttl = Millis(news.ttl_ms);
+        let rumour = match news.body.ok_or(DatagramError::Missing("rumour"))? {
+            Body::Config(raw) => Rumour::Config {
+                version: Version(raw.version),
+                digest: read_digest(&raw.digest)?,
+                age: Millis(raw.age_ms),
+            },
+            Body::Leaving(raw) => Rumour::Leaving {
+                backend: raw.backend.parse()?,
+                incarnation: Incarnation(raw.incarnation),
+            },
+            Body::Suspect(raw) => Rumour::Suspect {
+                fingerprint: read_digest(&raw.fingerprint)?,
+                score: raw.score,
+            },
+            Body::Convicted(raw) => Rumour::Convicted {
+                fingerprint: read_digest(&raw.fingerprint)?,
+                until: ttl,
+            },
+        };
+        Ok(SentRumour { rumour, ttl })
+    }
+}
+
+fn read_kind(kind: i32, target: &str, addr: &[u8]) -> Result<Kind, DatagramError> {
+    let known = DatagramKind::try_from(kind).map_err(|_| DatagramError::Kind(kind))?;
+    Ok(match known {
+        DatagramKind::Ping => Kind::Ping,
+        DatagramKind::Ack if target.is_empty() => Kind::Ack { target: None },
+        DatagramKind::Ack => Kind::Ack {
+            target: Some(target.parse()?),
+        },
+        DatagramKind::PingReq => Kind::PingReq {
+            target: target.parse()?,
+            addr: read_addr(addr)?,
+        },
+        DatagramKind::Gossip => Kind::Gossip,
+        DatagramKind::Leave => Kind::Leave,
+    })
+}
+
+fn read_member(host: &str, incarnation: u64, addr: &[u8]) -> Result<Member, DatagramError> {
+    Ok(Member {
+        host: host.parse()?,
+        incarnation: Incarnation(incarnation),
+        addr: read_addr(addr)?,
+    })
+}
+
+fn read_addr(bytes: &[u8]) -> Result<SocketAddr, DatagramError> {
+    let wrong = DatagramError::Address(bytes.len());
+    let Some((ip, port)) = bytes.split_last_chunk::<2>() else {
+        return Err(wrong);
+    };
+    let ip = match ip.len() {
+        4 => <[u8; 4]>::try_from(ip).map(IpAddr::from),
+        _ => <[u8; 16]>::try_from(ip).map(IpAddr::from),
+    };
+    Ok(SocketAddr::new(
+        ip.map_err(|_| wrong)?,
+        u16::from_be_bytes(*port),
+    ))
+}
+
+fn write_addr(addr: SocketAddr) -> Vec<u8> {
+    let mut bytes = match addr.ip() {
+        IpAddr::V4(ip) => ip.octets().to_vec(),
+        IpAddr::V6(ip) => ip.octets().to_vec(),
+    };
+    bytes.extend(addr.port().to_be_bytes());
+    bytes
+}
+
+fn read_digest(bytes: &[u8]) -> Result<Fingerprint, DatagramError> {
+    <[u8; 16]>::try_from(bytes)
+        .map(Fingerprint)
+        .map_err(|_| DatagramError::Digest(bytes.len()))
+}
+
+impl From<&Message> for Datagram {
+    fn from(message: &Message) -> Self {
+        let (kind, target, target_addr) = write_kind(&message.kind);
+        Datagram {
+            from: Some(Peer {
+                host: message.from.host.to_string(),
+                incarnation: message.from.incarnation.0,
+                addr: write_addr(message.from.addr),
+            }),
+            counter: message.counter,
+            seq: message.seq,
+            kind: kind.into(),
+            target: target.map(HostId::to_string).unwrap_or_default(),
+            target_addr: target_addr.map(write_addr).unwrap_or_default(),
+            updates: message.updates.iter().map(PeerStatus::from).collect(),
+            rumours: message.rumours.iter().map(News::from).collect(),
+        }
+    }
+}
+
+fn write_kind(kind: &Kind) -> (DatagramKind, Option<&HostId>, Option<SocketAddr>) {
+    match kind {
+        Kind::Ping => (DatagramKind::Ping, None, None),
+        Kind::Ack { target } => (DatagramKind::Ack, target.as_ref(), None),
+        Kind::PingReq { target, addr } => (DatagramKind::PingReq, Some(target), Some(*addr)),
+        Kind::Gossip => (DatagramKind::Gossip, None, None),
+        Kind::Leave => (DatagramKind::Leave, None, None),
+    }
+}
+
+impl From<&Update> for PeerStatus {
+    fn from(update: &Update) -> Self {
+        PeerStatus {
+            host: update.member.host.to_string(),
+            incarnation: update.member.incarnation.0,
+            addr: write_addr(update.member.addr),
+            counter: update.counter,
+            status: match update.status {
+                Status::Alive => 0,
+                Status::Suspect => 1,
+                Status::Dead => 2,
+                Status::Left => 3,
+            },
+        }
+    }
+}
+
+impl From<&SentRumour> for News {
+    fn from(sent: &SentRumour) -> Self {
+        let body = match &sent.rumour {
+            Rumour::Config {
+                version,
+                digest,
+                age,
+            } => Body::Config(ConfigNews {
+                version: version.0,
+                digest: digest.0.to_vec(),
+                age_ms: age.0,
+            }),
+            Rumour::Leaving {
+                backend,
+                incarnation,
+            } => Body::Leaving(LeavingNews {
+                backend: backend.to_string(),
+                incarnation: incarnation.0,
+            }),
+            Rumour::Suspect { fingerprint, score } => Body::Suspect(SuspectNews {
+                fingerprint: fingerprint.0.to_vec(),
+                score: *score,
+            }),
+            Rumour::Convicted { fingerprint, .. } => Body::Convicted(ConvictedNews {
+                fingerprint: fingerprint.0.to_vec(),
+            }),
+        };
+        News {
+            ttl_ms: sent.ttl.0,
+            body: Some(body),
+        }
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,7 +1,13 @@
 //! Messages between entry hosts and their framing.
 
+mod checked;
 mod codec;
+mod datagram;
 mod message;
+mod seal;
 
+pub use checked::DatagramError;
 pub use codec::{CodecError, DatagramCodec, FrameCodec, MAX_DATAGRAM_BYTES, MAX_FRAME_BYTES};
+pub use datagram::{Datagram, DatagramKind, News, Peer, PeerStatus, Sealed, news};
 pub use message::{Config, Frame, GetConfig, Hello, Unsupported, frame};
+pub use seal::{SealError, open, seal};
