--- /dev/null
+++ b/crates/ledger/src/commit.rs
@@ -0,0 +1,164 @@
+//! Group commit: the writes of one host in transactions.
+
+use std::collections::VecDeque;
+
+use bv_types::Millis;
+
+use crate::{RowWrite, StoreAnswer, StoredRow, Ticket};
+
+/// Largest number of rows in one transaction.
+pub const MAX_TRANSACTION_ROWS: usize = 100;
+/// Largest total size of the rows of one transaction, in bytes.
+/// The table's published limit is 4 MB; the rest is left for keys and framing.
+pub const MAX_TRANSACTION_BYTES: usize = 3_500_000;
+const MIN_INTERVAL: Millis = Millis(10);
+/// Transactions a second that the table gives to all committers together.
+const TRANSACTIONS_PER_SEC: u64 = 200;
+
+/// Time between the starts of two transactions of one committer.
+///
+/// ```
+/// use bv_ledger::commit_interval;
+/// use bv_types::Millis;
+/// assert_eq!(commit_interval(1), Millis(10));
+/// assert_eq!(commit_interval(8), Millis(40));
+/// assert_eq!(commit_interval(16), Millis(80));
+/// ```
+pub fn commit_interval(committers: usize) -> Millis {
+    let millis = (committers as u64 * 1_000).div_ceil(TRANSACTIONS_PER_SEC);
+    Millis(millis).max(MIN_INTERVAL)
+}
+
+/// Result of one transaction.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum TransactionResult {
+    /// Every write took effect.
+    Committed,
+    /// No write took effect; one entry for each write.
+    Refused(Vec<RowResult>),
+    /// No write took effect and none will.
+    Unavailable,
+    /// The writes may have taken effect or may still do so.
+    Unanswered,
+}
+
+/// Result of one write of a refused transaction.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RowResult {
+    /// The condition of this write held.
+    Held,
+    /// The condition did not hold; the row as it is, or none.
+    Conflict(Option<StoredRow>),
+}
+
+#[derive(Debug)]
+struct Item {
+    ticket: Ticket,
+    write: RowWrite,
+}
+
+/// Batches writes, with one transaction in flight.
+#[derive(Debug)]
+pub struct GroupCommit {
+    interval: Millis,
+    next_at: Millis,
+    queue: VecDeque<Item>,
+    in_flight: Vec<Item>,
+}
+
+impl GroupCommit {
+    /// An empty queue; see [`commit_interval`].
+    pub fn new(interval: Millis) -> Self {
+        GroupCommit {
+            interval,
+            next_at: Millis::ZERO,
+            queue: VecDeque::new(),
+            in_flight: Vec::new(),
+        }
+    }
+
+    /// Changes the time between two transactions.
+    pub fn set_interval(&mut self, interval: Millis) {
+        self.interval = interval;
+    }
+
+    /// Adds a write.
+    pub fn push(&mut self, ticket: Ticket, write: RowWrite) {
+        self.queue.push_back(Item { ticket, write });
+    }
+
+    /// Drops a write that is not in flight. Returns whether it was dropped, in which case it has
+    /// not taken effect and will not.
+    pub fn withdraw(&mut self, ticket: Ticket) -> bool {
+        let position = self.queue.iter().position(|item| item.ticket == ticket);
+        position
+            .and_then(|index| self.queue.remove(index))
+            .is_some()
+    }
+
+    /// Time from which [`GroupCommit::next`] has a transaction; none while one is in flight or
+    /// the queue is empty.
+    pub fn wake_at(&self) -> Option<Millis> {
+        let idle = self.in_flight.is_empty() && !self.queue.is_empty();
+        idle.then_some(self.next_at)
+    }
+
+    /// Starts the next transaction if it is due. Its writes have distinct keys.
+    pub fn next(&mut self, now: Millis) -> Option<Vec<RowWrite>> {
+        if self.wake_at()? > now {
+            return None;
+        }
+        self.next_at = now + self.interval;
+        let mut bytes = 0;
+        let mut rest = VecDeque::new();
+        let mut keys = Vec::new();
+        let mut full = false;
+        for item in self.queue.drain(..) {
+            bytes += item.write.body.len();
+            full |= self.in_flight.len() == MAX_TRANSACTION_ROWS;
+            full |= bytes > MAX_TRANSACTION_BYTES && !self.in_flight.is_empty();
+            let position = keys.binary_search(&item.write.key);
+            match position {
+                Err(index) if !full => {
+                    keys.insert(index, item.write.key.clone());
+                    self.in_flight.push(item);
+                }
+                _ => rest.push_back(item),
+            }
+        }
+        self.queue = rest;
+        Some(self.in_flight.iter().map(|i| i.write.clone()).collect())
+    }
+
+    /// Ends the transaction in flight. Returns the answer for each write whose result is known,
+    /// or none for a write without an answer; writes refused for the sake of others are sent
+    /// again.
+    pub fn finish(&mut self, result: TransactionResult) -> Vec<(Ticket, Option<StoreAnswer>)> {
+        let items = std::mem::take(&mut self.in_flight);
+        let same = |answer: Option<StoreAnswer>| {
+            let tickets = items.iter().map(|item| item.ticket);
+            tickets.map(|ticket| (ticket, answer.clone())).collect()
+        };
+        let rows = match result {
+            TransactionResult::Committed => return same(Some(StoreAnswer::Written)),
+            TransactionResult::Unavailable => return same(Some(StoreAnswer::NotWritten)),
+            TransactionResult::Unanswered => return same(None),
+            // A result that does not match the rows says nothing about any of them.
+            TransactionResult::Refused(rows) if rows.len() != items.len() => return same(None),
+            TransactionResult::Refused(rows) => rows,
+        };
+        let mut answers = Vec::new();
+        let mut again = VecDeque::new();
+        for (item, row) in items.into_iter().zip(rows) {
+            match row {
+                RowResult::Held => again.push_back(item),
+                RowResult::Conflict(row) => {
+                    answers.push((item.ticket, Some(StoreAnswer::Conflict(row))));
+                }
+            }
+        }
+        again.append(&mut self.queue);
+        self.queue = again;
+        answers
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/event.rs
@@ -0,0 +1,173 @@
+//! Events and actions of the ledger.
+
+use bv_types::{HostId, Incarnation, Millis, Refusal, Version};
+use smol_str::SmolStr;
+
+use crate::{Answer, Reply};
+
+/// A call of one caller at this host; the shell chooses increasing numbers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CallId(pub u64);
+
+/// One read or write at the table.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ticket {
+    /// The call that asked for it.
+    pub call: CallId,
+    /// Position among the reads and writes of the call.
+    pub number: u32,
+}
+
+/// What must hold for a write to take effect.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Expect {
+    /// The row does not exist.
+    Absent,
+    /// The row exists with this version.
+    Version(Version),
+}
+
+/// A conditional write of one row.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RowWrite {
+    /// Key of the row.
+    pub key: SmolStr,
+    /// Version after the write.
+    pub version: Version,
+    /// Content as JSON.
+    pub body: String,
+    /// What must hold before the write.
+    pub expect: Expect,
+    /// Time since the Unix epoch after which the table may delete the row.
+    pub expires: Millis,
+}
+
+/// A row as the table returned it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StoredRow {
+    /// Version.
+    pub version: Version,
+    /// Content as JSON.
+    pub body: String,
+}
+
+/// Answer of the table to one read or write.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StoreAnswer {
+    /// The write took effect.
+    Written,
+    /// The condition did not hold; the row as it is, or none.
+    Conflict(Option<StoredRow>),
+    /// The write did not take effect and will not.
+    NotWritten,
+    /// Result of a read.
+    Row(Option<StoredRow>),
+    /// The read failed.
+    ReadFailed,
+}
+
+/// Input of the ledger.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Event {
+    /// A caller sent a non-idempotent call.
+    Arrive {
+        /// The call; higher than all before.
+        call: CallId,
+        /// Key of its row.
+        key: SmolStr,
+        /// Time until which the caller is answered.
+        deadline: Millis,
+        /// How long a resent call is recognised.
+        resend_window: Millis,
+    },
+    /// The table answered.
+    StoreAnswer {
+        /// The read or write.
+        ticket: Ticket,
+        /// The answer.
+        answer: StoreAnswer,
+    },
+    /// The table did not answer a write, which may have taken effect or may still do so.
+    StoreUnanswered {
+        /// The write.
+        ticket: Ticket,
+    },
+    /// No backend server was reached and nothing was sent.
+    DispatchRefused {
+        /// The call.
+        call: CallId,
+        /// Whether another backend server can be tried.
+        retry: bool,
+        /// Reason given to the caller when no other is tried.
+        refusal: Refusal,
+    },
+    /// The call failed after its first byte may have been sent.
+    DispatchFailed {
+        /// The call.
+        call: CallId,
+    },
+    /// The backend server answered.
+    Answered {
+        /// The call.
+        call: CallId,
+        /// Its answer.
+        answer: Answer,
+    },
+    /// The caller closed its connection.
+    CallerGone {
+        /// The call.
+        call: CallId,
+    },
+    /// An entry host process ended; this includes all of its earlier incarnations.
+    HostDead {
+        /// The entry host.
+        host: HostId,
+        /// Its last process that is known to have ended.
+        incarnation: Incarnation,
+    },
+    /// Time passed.
+    Tick,
+}
+
+/// Output of the ledger.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Action {
+    /// Write a row, in a transaction of the host's [`GroupCommit`](crate::GroupCommit).
+    Write {
+        /// Names the write in its answer.
+        ticket: Ticket,
+        /// The write.
+        write: RowWrite,
+    },
+    /// Drop a write if it has not been sent; if so, report [`StoreAnswer::NotWritten`].
+    Withdraw {
+        /// The write.
+        ticket: Ticket,
+    },
+    /// Read a row.
+    Read {
+        /// Names the read in its answer.
+        ticket: Ticket,
+        /// Key of the row.
+        key: SmolStr,
+    },
+    /// Send the call to a backend server if [`Ledger::start`](crate::Ledger::start) allows it.
+    Dispatch {
+        /// The call.
+        call: CallId,
+        /// Number of the attempt, from 0.
+        attempt: u32,
+    },
+    /// Answer the caller; at most once for each call.
+    Reply {
+        /// The call.
+        call: CallId,
+        /// The reply.
+        reply: Reply,
+    },
+    /// The outcome of the call is recorded; its state can be dropped.
+    Closed {
+        /// The call.
+        call: CallId,
+    },
+}
