--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -15,9 +15,14 @@
 mod error;
 mod inventory;
 mod raw;
+mod versions;
 
 pub use error::ConfigError;
 pub use inventory::{
     Class, Device, EngineRole, Identity, Inventory, Model, Pool, Route, Runner, Server, Service,
     Team, Zone,
 };
+pub use versions::{
+    APPLY_LIMIT, Action, Change, Document, Event, KEPT_CHANGES, NotWritten, Notice, Outcome,
+    Readiness, STALE_AFTER, Versions, WriteResult, poll_interval,
+};
--- /dev/null
+++ b/crates/config/src/versions/apply.rs
@@ -0,0 +1,86 @@
+//! An operator's change on its way to the store.
+
+use std::sync::Arc;
+
+use bv_types::{Millis, Version};
+use smol_str::SmolStr;
+
+use super::{Document, KEPT_CHANGES, Outcome};
+
+/// Time after which an undecided change is reported to the operator.
+pub const APPLY_LIMIT: Millis = Millis(10_000);
+/// Pause before the store is asked again.
+const RETRY_PAUSE: Millis = Millis(200);
+
+/// Step of a change.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Step {
+    /// Waits for the row.
+    Reading(u64),
+    /// Waits for the result of the write.
+    Writing(u64),
+    /// Waits to read again.
+    Paused(Millis),
+}
+
+/// A change that has not been decided.
+#[derive(Debug, Clone)]
+pub(super) struct Pending {
+    pub change: SmolStr,
+    pub expected: Version,
+    pub text: Arc<str>,
+    pub step: Step,
+    /// The document as written. It is written again unchanged, so that a late first write and its
+    /// repetition are the same.
+    pub written: Option<Document>,
+    pub until: Millis,
+    /// Whether a write was sent whose effect is not known.
+    pub in_doubt: bool,
+}
+
+/// What the row means for a pending change.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) enum Verdict {
+    /// The outcome is known.
+    Decided(Outcome),
+    /// The row has the expected version: write.
+    Write,
+    /// The row does not decide; read it again later.
+    Again,
+}
+
+impl Pending {
+    pub fn pause(&mut self, now: Millis) {
+        self.step = Step::Paused(now + RETRY_PAUSE);
+    }
+
+    /// Judges a row. `known` is the highest version known to this host.
+    pub fn judge(&self, row: Option<&Document>, known: Version) -> Verdict {
+        if let Some(version) = row.and_then(|row| row.version_of(&self.change)) {
+            return Verdict::Decided(Outcome::Accepted(version));
+        }
+        let stored = row.map_or(Version(0), |row| row.version);
+        if stored > self.expected {
+            // Older change ids than the kept ones cannot show whether the change was accepted.
+            let forgotten = stored.0 - self.expected.0 > KEPT_CHANGES as u64;
+            return Verdict::Decided(match self.in_doubt && forgotten {
+                true => Outcome::Unknown,
+                false => Outcome::Conflict(stored),
+            });
+        }
+        if known > self.expected && !self.in_doubt {
+            return Verdict::Decided(Outcome::Conflict(known));
+        }
+        if stored < known {
+            // The read lags or the store has an older copy, which is repaired first.
+            return Verdict::Again;
+        }
+        if stored == self.expected {
+            return Verdict::Write;
+        }
+        match self.in_doubt {
+            true => Verdict::Again,
+            false => Verdict::Decided(Outcome::Conflict(stored)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/config/src/versions/changes.rs
@@ -0,0 +1,167 @@
+//! Operators' changes: the events that move a [`Pending`] change on.
+
+use std::sync::Arc;
+
+use bv_types::{Millis, Version};
+use smol_str::SmolStr;
+
+use super::apply::{APPLY_LIMIT, Pending, Step, Verdict};
+use super::{Action, Document, NotWritten, Outcome, Versions, WriteResult};
+
+impl Versions {
+    pub(super) fn apply(
+        &mut self,
+        now: Millis,
+        change: SmolStr,
+        expected: Version,
+        text: Arc<str>,
+        out: &mut Vec<Action>,
+    ) {
+        if self.start.is_some() {
+            let outcome = Outcome::NotWritten(NotWritten::Starting);
+            out.push(Action::Reply { change, outcome });
+            return;
+        }
+        if self.pending.iter().any(|pending| pending.change == change) {
+            // The answer to the first request answers the repeated one too.
+            return;
+        }
+        let read = self.new_id();
+        self.pending.push(Pending {
+            change,
+            expected,
+            text,
+            step: Step::Reading(read),
+            written: None,
+            until: now + APPLY_LIMIT,
+            in_doubt: false,
+        });
+        out.push(Action::ReadStore { read });
+    }
+
+    pub(super) fn tick_changes(&mut self, now: Millis, out: &mut Vec<Action>) {
+        let (late, open): (Vec<Pending>, Vec<Pending>) = std::mem::take(&mut self.pending)
+            .into_iter()
+            .partition(|pending| now >= pending.until);
+        self.pending = open;
+        for pending in late {
+            let unwritten = !pending.in_doubt && !matches!(pending.step, Step::Writing(_));
+            let outcome = match unwritten {
+                true => Outcome::NotWritten(NotWritten::StoreUnavailable),
+                false => Outcome::Unknown,
+            };
+            out.push(Action::Reply {
+                change: pending.change,
+                outcome,
+            });
+        }
+        for index in 0..self.pending.len() {
+            if let Step::Paused(until) = self.pending[index].step
+                && now >= until
+            {
+                let read = self.new_id();
+                self.pending[index].step = Step::Reading(read);
+                out.push(Action::ReadStore { read });
+            }
+        }
+    }
+
+    pub(super) fn change_read(
+        &mut self,
+        now: Millis,
+        read: u64,
+        row: Option<&Document>,
+        out: &mut Vec<Action>,
+    ) {
+        let step = Step::Reading(read);
+        if let Some(index) = self.pending.iter().position(|pending| pending.step == step) {
+            self.judge_change(now, index, row, out);
+        }
+    }
+
+    pub(super) fn change_read_failed(&mut self, now: Millis, read: u64) {
+        let step = Step::Reading(read);
+        if let Some(pending) = self.pending.iter_mut().find(|pending| pending.step == step) {
+            pending.pause(now);
+        }
+    }
+
+    pub(super) fn write_ended(
+        &mut self,
+        now: Millis,
+        write: u64,
+        result: WriteResult,
+        out: &mut Vec<Action>,
+    ) {
+        if self.repair == Some(write) {
+            self.repair_ended(now, write, result, out);
+            return;
+        }
+        let step = Step::Writing(write);
+        let Some(index) = self.pending.iter().position(|pending| pending.step == step) else {
+            // The change was reported as unknown in the meantime; the next poll shows the row.
+            return;
+        };
+        match result {
+            WriteResult::Committed => self.committed(now, index, out),
+            WriteResult::Conflict(row) => {
+                self.row_seen(now, write, row.as_ref(), out);
+                self.judge_change(now, index, row.as_ref(), out);
+            }
+            WriteResult::Unavailable => self.pending[index].pause(now),
+            WriteResult::Unanswered => {
+                self.pending[index].in_doubt = true;
+                self.pending[index].pause(now);
+            }
+        }
+    }
+
+    fn committed(&mut self, now: Millis, index: usize, out: &mut Vec<Action>) {
+        let pending = self.pending.remove(index);
+        let Some(document) = pending.written else {
+            return;
+        };
+        let version = document.version;
+        if version > self.version() {
+            self.put_in_force(now, document, Some(Millis::ZERO), out);
+        }
+        out.push(Action::Reply {
+            change: pending.change,
+            outcome: Outcome::Accepted(version),
+        });
+    }
+
+    fn judge_change(
+        &mut self,
+        now: Millis,
+        index: usize,
+        row: Option<&Document>,
+        out: &mut Vec<Action>,
+    ) {
+        let known = self.known_version();
+        match self.pending[index].judge(row, known) {
+            Verdict::Decided(outcome) => {
+                let change = self.pending.remove(index).change;
+                out.push(Action::Reply { change, outcome });
+            }
+            Verdict::Again => self.pending[index].pause(now),
+            Verdict::Write => self.write_change(index, row, out),
+        }
+    }
+
+    fn write_change(&mut self, index: usize, row: Option<&Document>, out: &mut Vec<Action>) {
+        let write = self.new_id();
+        let pending = &mut self.pending[index];
+        let document = match &pending.written {
+            Some(document) => document.clone(),
+            None => Document::after(row, pending.change.clone(), pending.text.clone()),
+        };
+        pending.written = Some(document.clone());
+        pending.step = Step::Writing(write);
+        out.push(Action::WriteStore {
+            write,
+            document,
+            expected: row.map(|row| row.version),
+        });
+    }
+}
--- /dev/null
+++ b/crates/config/src/versions/document.rs
@@ -0,0 +1,85 @@
+//! A numbered configuration document.
+
+use std::sync::Arc;
+
+use bv_types::{Fingerprint, Version};
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+/// Changes before the current one whose ids a document keeps. An operator that asks again about an
+/// unanswered change is told its outcome as long as at most this many changes followed it.
+pub const KEPT_CHANGES: usize = 16;
+
+/// A change that made a version.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Change {
+    /// Version that the change made.
+    pub version: Version,
+    /// Id of the change, chosen by the operator's program.
+    pub change: SmolStr,
+}
+
+/// A configuration document with its version.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Document {
+    /// Version; 1 is the first.
+    pub version: Version,
+    /// Id of the change that made it.
+    pub change: SmolStr,
+    /// The text, in TOML.
+    pub text: Arc<str>,
+    /// Earlier changes, the latest first, at most [`KEPT_CHANGES`].
+    pub earlier: Vec<Change>,
+    digest: Fingerprint,
+}
+
+impl Document {
+    /// A document; its digest covers the version, the change id and the text.
+    pub fn new(
+        version: Version,
+        change: SmolStr,
+        text: Arc<str>,
+        mut earlier: Vec<Change>,
+    ) -> Self {
+        earlier.truncate(KEPT_CHANGES);
+        let number = version.0.to_le_bytes();
+        let parts: [&[u8]; 3] = [&number, change.as_bytes(), text.as_bytes()];
+        Document {
+            version,
+            digest: Fingerprint::digest(parts),
+            change,
+            text,
+            earlier,
+        }
+    }
+
+    /// The document that replaces `base` when `change` puts `text` in force.
+    pub fn after(base: Option<&Document>, change: SmolStr, text: Arc<str>) -> Self {
+        let Some(base) = base else {
+            return Document::new(Version(1), change, text, Vec::new());
+        };
+        let mut earlier = vec![Change {
+            version: base.version,
+            change: base.change.clone(),
+        }];
+        earlier.extend(base.earlier.iter().cloned());
+        Document::new(Version(base.version.0 + 1), change, text, earlier)
+    }
+
+    /// Digest of the version, the change id and the text.
+    pub fn digest(&self) -> Fingerprint {
+        self.digest
+    }
+
+    /// The version that the change with this id made, if it is the latest or among the earlier
+    /// ones.
+    pub fn version_of(&self, change: &str) -> Option<Version> {
+        if self.change == change {
+            return Some(self.version);
+        }
+        self.earlier
+            .iter()
+            .find(|earlier| earlier.change == change)
+            .map(|earlier| earlier.version)
+    }
+}
--- /dev/null
+++ b/crates/config/src/versions/store.rs
@@ -0,0 +1,135 @@
+//! Reads of the store and repairs of an older copy.
+
+use bv_types::{Millis, Version};
+
+use super::start::StoreAnswer;
+use super::{Action, Document, Notice, Versions, WriteResult};
+
+impl Versions {
+    pub(super) fn store_read(
+        &mut self,
+        now: Millis,
+        read: u64,
+        document: Option<Document>,
+        out: &mut Vec<Action>,
+    ) {
+        if self.poll == Some(read) {
+            self.poll = None;
+        }
+        self.store_answered(true, out);
+        if let Some(start) = &mut self.start {
+            start.store = StoreAnswer::Row(document.clone());
+        } else {
+            self.row_seen(now, read, document.as_ref(), out);
+        }
+        self.change_read(now, read, document.as_ref(), out);
+    }
+
+    pub(super) fn read_failed(&mut self, now: Millis, read: u64, out: &mut Vec<Action>) {
+        if self.poll == Some(read) {
+            self.poll = None;
+            self.store_answered(false, out);
+            match &mut self.start {
+                Some(start) => start.store = StoreAnswer::Failed,
+                None => self.ask_fallback_peers(now, out),
+            }
+        }
+        self.change_read_failed(now, read);
+    }
+
+    pub(super) fn store_answered(&mut self, up: bool, out: &mut Vec<Action>) {
+        if self.store_up == up {
+            return;
+        }
+        self.store_up = up;
+        out.push(Action::Notice(match up {
+            true => Notice::StoreBack,
+            false => Notice::StoreLost,
+        }));
+    }
+
+    /// Compares the row with the document in force. `read` is the id of the read or write that
+    /// returned it.
+    pub(super) fn row_seen(
+        &mut self,
+        now: Millis,
+        read: u64,
+        row: Option<&Document>,
+        out: &mut Vec<Action>,
+    ) {
+        let own = self.version();
+        let stored = row.map_or(Version(0), |row| row.version);
+        if stored < own {
+            // A read sent before the current document came into force says nothing about it.
+            if read >= self.current_from_read {
+                self.repair(row, out);
+            }
+            return;
+        }
+        let Some(row) = row else {
+            return;
+        };
+        let same = self
+            .current
+            .as_ref()
+            .is_some_and(|own| own.digest() == row.digest());
+        if same {
+            self.freshness.confirm(now, Millis::ZERO);
+            return;
+        }
+        if stored == own {
+            if read < self.current_from_read {
+                return;
+            }
+            self.notice_diverged(row, out);
+        }
+        self.put_in_force(now, row.clone(), Some(Millis::ZERO), out);
+    }
+
+    pub(super) fn repair(&mut self, row: Option<&Document>, out: &mut Vec<Action>) {
+        let Some(document) = self.current.clone() else {
+            return;
+        };
+        if self.repair.is_some() {
+            return;
+        }
+        let write = self.new_id();
+        self.repair = Some(write);
+        out.push(Action::Notice(Notice::Repair {
+            stored: row.map_or(Version(0), |row| row.version),
+            own: document.version,
+        }));
+        out.push(Action::WriteStore {
+            write,
+            document,
+            expected: row.map(|row| row.version),
+        });
+    }
+
+    pub(super) fn repair_ended(
+        &mut self,
+        now: Millis,
+        write: u64,
+        result: WriteResult,
+        out: &mut Vec<Action>,
+    ) {
+        self.repair = None;
+        match result {
+            WriteResult::Committed if write >= self.current_from_read => {
+                self.freshness.confirm(now, Millis::ZERO);
+            }
+            WriteResult::Conflict(row) => self.row_seen(now, write, row.as_ref(), out),
+            // The next poll shows whether the repair is still needed.
+            WriteResult::Committed | WriteResult::Unavailable | WriteResult::Unanswered => {}
+        }
+    }
+
+    pub(super) fn notice_diverged(&mut self, row: &Document, out: &mut Vec<Action>) {
+        let seen = (row.version, row.digest());
+        if self.diverged.replace(seen) != Some(seen) {
+            out.push(Action::Notice(Notice::Diverged {
+                version: row.version,
+            }));
+        }
+    }
+}
