--- a/crates/config/src/error.rs
+++ b/crates/config/src/error.rs
@@ -51,6 +51,22 @@
         })
     }
 
+    /// Line and column of the fault, both from 1; columns count characters.
+    pub fn position(&self) -> (usize, usize) {
+        let (ConfigError::Syntax { source_text, .. } | ConfigError::Value { source_text, .. }) =
+            self;
+        let text = source_text.inner();
+        let before = text.get(..self.offset()).unwrap_or(text);
+        let line_start = before.rfind('\n').map_or(0, |index| index + 1);
+        let line = before.matches('\n').count() + 1;
+        (line, before[line_start..].chars().count() + 1)
+    }
+
+    /// What to change, if there is advice.
+    pub fn advice(&self) -> Option<String> {
+        miette::Diagnostic::help(self).map(|help| help.to_string())
+    }
+
     /// Byte offset of the fault in the document.
     pub fn offset(&self) -> usize {
         match self {
--- a/crates/config/src/versions/mod.rs
+++ b/crates/config/src/versions/mod.rs
@@ -160,6 +160,7 @@
                 digest,
                 age,
             } => self.advertised(now, peer, version, digest, age, &mut out),
+            Event::Offered(document) => self.offered(now, document, &mut out),
             Event::Peers(peers) => self.set_peers(peers),
             Event::Apply {
                 change,
--- a/crates/config/src/versions/peers.rs
+++ b/crates/config/src/versions/peers.rs
@@ -110,6 +110,12 @@
         }
     }
 
+    pub(super) fn offered(&mut self, now: Millis, document: Document, out: &mut Vec<Action>) {
+        if self.start.is_none() && document.version > self.version() {
+            self.put_in_force(now, document, None, out);
+        }
+    }
+
     pub(super) fn advertised(
         &mut self,
         now: Millis,
--- /dev/null
+++ b/crates/server/src/conf/follow.rs
@@ -0,0 +1,150 @@
+//! Runs reads, writes and questions to peers.
+
+use std::sync::Arc;
+
+use bv_config::{Action, Document, Event, WriteResult};
+use bv_store::{Condition, Refused, Row, StoreError, Transacted, Write};
+use bv_types::{HostId, Millis, Version};
+use bv_wire::GetConfig;
+use bv_wire::frame::Body;
+use tracing::debug;
+
+use super::{CONFIG_KEY, row};
+use crate::Host;
+
+const TICK: Millis = Millis(100);
+const ASK_TIMEOUT: Millis = Millis(2_000);
+
+/// Follows the table service and the peers until the process ends.
+pub(crate) async fn follow(host: Arc<Host>) {
+    let queue = host
+        .conf
+        .queue
+        .lock()
+        .ok()
+        .and_then(|mut queue| queue.take());
+    let Some(mut queue) = queue else {
+        return;
+    };
+    let mut ticks = tokio::time::interval(TICK.duration());
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            Some(action) = queue.recv() => drop(tokio::spawn(run(host.clone(), action))),
+            _ = ticks.tick() => {
+                host.conf.feed(Event::Peers(peers(&host)));
+                host.conf.feed(Event::Tick);
+            }
+        }
+    }
+}
+
+fn peers(host: &Host) -> Vec<HostId> {
+    let alive = host.peers.alive().into_iter().map(|member| member.host);
+    alive
+        .filter(|peer| *peer != host.settings.host_id)
+        .collect()
+}
+
+async fn run(host: Arc<Host>, action: Action) {
+    let event = match action {
+        Action::ReadStore { read } => read_store(&host, read).await,
+        Action::WriteStore {
+            write,
+            document,
+            expected,
+        } => Event::WriteEnded {
+            write,
+            result: write_store(&host, &document, expected).await,
+        },
+        Action::AskPeer(peer) => ask_peer(&host, peer).await,
+        // Handled where the action is returned.
+        Action::InForce(_) | Action::Reply { .. } | Action::Notice(_) => return,
+    };
+    host.conf.feed(event);
+}
+
+async fn read_store(host: &Host, read: u64) -> Event {
+    match host.table.get(CONFIG_KEY).await {
+        Ok(None) => Event::StoreRead {
+            read,
+            document: None,
+        },
+        Ok(Some(row)) => match host.conf.read_row(&row) {
+            Some(document) => Event::StoreRead {
+                read,
+                document: Some(document),
+            },
+            None => Event::ReadFailed { read },
+        },
+        Err(err) => {
+            debug!(%err, "conf: read failed");
+            Event::ReadFailed { read }
+        }
+    }
+}
+
+async fn write_store(host: &Host, document: &Document, expected: Option<Version>) -> WriteResult {
+    let write = Write {
+        row: row::to_row(document),
+        condition: match expected {
+            Some(version) => Condition::Version(version),
+            None => Condition::Absent,
+        },
+        expires: None,
+    };
+    match host.table.transact(&[write]).await {
+        Ok(Transacted::Committed) => WriteResult::Committed,
+        Ok(Transacted::Refused(refused)) => match refused.into_iter().next() {
+            Some(Refused::Conflict(row)) => conflict(host, row),
+            Some(Refused::Innocent) | None => WriteResult::Unavailable,
+        },
+        Err(err @ StoreError::Unavailable { .. }) => {
+            debug!(%err, "conf: write failed");
+            WriteResult::Unavailable
+        }
+        Err(err @ StoreError::Unanswered { .. }) => {
+            debug!(%err, "conf: write unanswered");
+            WriteResult::Unanswered
+        }
+    }
+}
+
+fn conflict(host: &Host, row: Option<Row>) -> WriteResult {
+    let Some(row) = row else {
+        return WriteResult::Conflict(None);
+    };
+    match host.conf.read_row(&row) {
+        Some(document) => WriteResult::Conflict(Some(document)),
+        // The row is not readable; the write did not take effect.
+        None => WriteResult::Unavailable,
+    }
+}
+
+async fn ask_peer(host: &Host, peer: HostId) -> Event {
+    let asked = Body::GetConfig(GetConfig {});
+    let config = match host.peers.call(&peer, asked, ASK_TIMEOUT).await {
+        Ok(Body::Config(config)) => config,
+        Ok(_) => return Event::PeerFailed { peer },
+        Err(err) => {
+            debug!(%err, "conf: asking a peer failed");
+            return Event::PeerFailed { peer };
+        }
+    };
+    let age = config.age_ms.map(Millis);
+    match row::from_wire(config) {
+        None => Event::PeerAnswer {
+            peer,
+            document: None,
+            age,
+        },
+        Some(document) => match host.conf.usable(document) {
+            None => Event::PeerFailed { peer },
+            document => Event::PeerAnswer {
+                peer,
+                document,
+                age,
+            },
+        },
+    }
+}
--- /dev/null
+++ b/crates/server/src/conf/mod.rs
@@ -0,0 +1,269 @@
+//! Shell of the configuration: runs the actions of [`Versions`].
+
+mod follow;
+mod row;
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use bv_config::{Action, Document, Event, Inventory, Notice, Outcome, Readiness, Versions};
+use bv_store::Row;
+use bv_types::{Clock, Fingerprint, HostId, Millis, Version};
+use bv_wire::Config;
+use smol_str::SmolStr;
+use tokio::sync::{mpsc, oneshot, watch};
+use tracing::{info, warn};
+
+use crate::counters;
+
+pub(crate) use follow::follow;
+pub(crate) use row::ConfigRow;
+
+/// Key of the configuration row.
+pub(crate) const CONFIG_KEY: &str = "config/current";
+/// Largest row of the table, in bytes.
+pub(crate) const MAX_ROW_BYTES: usize = 400_000;
+/// Room for the ids of earlier changes in the row, in bytes: 16 entries of at most 120 bytes.
+pub(crate) const KEPT_ROW_BYTES: usize = 2_000;
+
+/// A configuration in force.
+#[derive(Debug, Clone)]
+pub(crate) struct InForce {
+    pub version: Version,
+    pub row: Arc<ConfigRow>,
+    pub inventory: Arc<Inventory>,
+}
+
+/// What a host tells others about its configuration.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Advert {
+    /// Version in force.
+    pub version: Version,
+    /// Digest of the document.
+    pub digest: Fingerprint,
+    /// Time since it was confirmed by the store; `None` if never.
+    pub age: Option<Millis>,
+}
+
+/// The configuration in force and the state that leads to it.
+#[derive(Debug)]
+pub(crate) struct Conf {
+    in_force: watch::Sender<Option<InForce>>,
+    clock: Clock,
+    state: Mutex<State>,
+    actions: mpsc::UnboundedSender<Action>,
+    /// Taken by [`follow`].
+    queue: Mutex<Option<mpsc::UnboundedReceiver<Action>>>,
+}
+
+#[derive(Debug)]
+struct State {
+    versions: Versions,
+    /// Operators that wait for the outcome of a change.
+    waiting: Vec<(SmolStr, oneshot::Sender<Outcome>)>,
+    checked: Option<Checked>,
+    /// Version of the last row that was not readable, which is logged once.
+    malformed: Option<Version>,
+}
+
+/// The last document that was parsed, so that each poll does not parse it again.
+#[derive(Debug)]
+struct Checked {
+    digest: Fingerprint,
+    inventory: Option<Arc<Inventory>>,
+}
+
+impl Conf {
+    /// A host without a configuration; `seeded` if other entry hosts are known.
+    pub fn new(clock: Clock, seeded: bool) -> Self {
+        let (actions, queue) = mpsc::unbounded_channel();
+        Conf {
+            in_force: watch::Sender::new(None),
+            clock,
+            state: Mutex::new(State {
+                versions: Versions::new(seeded),
+                waiting: Vec::new(),
+                checked: None,
+                malformed: None,
+            }),
+            actions,
+            queue: Mutex::new(Some(queue)),
+        }
+    }
+
+    /// The configuration in force.
+    pub fn current(&self) -> Option<InForce> {
+        self.in_force.borrow().clone()
+    }
+
+    /// Puts a row in force unless its version is not higher than the current one. A starting host
+    /// ignores it, because it hears the store and its peers first.
+    pub fn offer(&self, row: &Row) {
+        if let Some(document) = self.read_row(row) {
+            self.feed(Event::Offered(document));
+        }
+    }
+
+    /// What this host tells others in its messages; `None` without a configuration.
+    pub fn advert(&self) -> Option<Advert> {
+        let state = self.lock();
+        let document = state.versions.current()?;
+        Some(Advert {
+            version: document.version,
+            digest: document.digest(),
+            age: state.versions.age(self.clock.now()),
+        })
+    }
+
+    #[allow(dead_code, reason = "called with the rumours of membership messages")]
+    /// Notes what a peer told in its messages; a newer version is fetched from it.
+    pub fn advertised(&self, peer: HostId, advert: Advert) {
+        self.feed(Event::Advertised {
+            peer,
+            version: advert.version,
+            digest: advert.digest,
+            age: advert.age,
+        });
+    }
+
+    /// The answer to a peer that asks for the configuration.
+    pub fn answer(&self) -> Config {
+        let state = self.lock();
+        let age = state.versions.age(self.clock.now());
+        match state.versions.current() {
+            Some(document) => row::to_wire(document, age.map(|age| age.0)),
+            None => Config::default(),
+        }
+    }
+
+    /// Whether this host should receive work.
+    pub fn readiness(&self) -> Readiness {
+        self.lock().versions.readiness(self.clock.now())
+    }
+
+    /// Time since the configuration was confirmed, and whether it is stale.
+    pub fn freshness(&self) -> (Option<Millis>, bool) {
+        let now = self.clock.now();
+        let state = self.lock();
+        (state.versions.age(now), state.versions.is_stale(now))
+    }
+
+    /// Replaces the configuration if `expected` is current; `text` must be a valid document.
+    pub async fn apply(&self, change: SmolStr, expected: Version, text: Arc<str>) -> Outcome {
+        let (tx, rx) = oneshot::channel();
+        self.lock().waiting.push((change.clone(), tx));
+        self.feed(Event::Apply {
+            change,
+            expected,
+            text,
+        });
+        rx.await.unwrap_or(Outcome::Unknown)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Processes an event; documents in it must be usable.
+    fn feed(&self, event: Event) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        for action in state.versions.handle(now, event) {
+            match action {
+                Action::InForce(document) => self.put_in_force(&mut state, &document),
+                Action::Reply { change, outcome } => reply(&mut state, &change, outcome),
+                Action::Notice(notice) => tell(notice),
+                // The receiver lives as long as the process.
+                other => drop(self.actions.send(other)),
+            }
+        }
+        counters::config_stale(state.versions.is_stale(now));
+    }
+
+    fn put_in_force(&self, state: &mut State, document: &Document) {
+        let Some(inventory) = state.check(document) else {
+            return;
+        };
+        self.in_force.send_replace(Some(InForce {
+            version: document.version,
+            row: Arc::new(ConfigRow::from_document(document)),
+            inventory,
+        }));
+        counters::config_version(document.version.0);
+        info!(version = %document.version, change = %document.change, "conf: in force");
+    }
+
+    /// The document in a row if it can be put in force.
+    fn read_row(&self, row: &Row) -> Option<Document> {
+        match row::from_row(row) {
+            Ok(document) => self.usable(document),
+            Err(err) => {
+                let mut state = self.lock();
+                if state.malformed.replace(row.version) != Some(row.version) {
+                    counters::config_refused();
+                    warn!(version = %row.version, %err, "conf: the row is malformed");
+                }
+                None
+            }
+        }
+    }
+
+    /// The document if it can be put in force.
+    fn usable(&self, document: Document) -> Option<Document> {
+        let usable = self.lock().check(&document).is_some();
+        usable.then_some(document)
+    }
+}
+
+impl State {
+    fn check(&mut self, document: &Document) -> Option<Arc<Inventory>> {
+        let digest = document.digest();
+        if let Some(checked) = &self.checked
+            && checked.digest == digest
+        {
+            return checked.inventory.clone();
+        }
+        let inventory = match Inventory::parse(&document.text) {
+            Ok(inventory) => Some(Arc::new(inventory)),
+            Err(err) => {
+                counters::config_refused();
+                let (line, column) = err.position();
+                warn!(version = %document.version, line, column, %err, "conf: the document is refused");
+                None
+            }
+        };
+        self.checked = Some(Checked {
+            digest,
+            inventory: inventory.clone(),
+        });
+        inventory
+    }
+}
+
+fn reply(state: &mut State, change: &str, outcome: Outcome) {
+    info!(change, ?outcome, "conf: change decided");
+    let waiting = std::mem::take(&mut state.waiting);
+    for (waiting_for, tx) in waiting {
+        match waiting_for == change {
+            // An operator that has gone asks again with the same change id.
+            true => drop(tx.send(outcome)),
+            false => state.waiting.push((waiting_for, tx)),
+        }
+    }
+}
+
+fn tell(notice: Notice) {
+    match notice {
+        Notice::StoreLost => warn!("conf: the table service does not answer"),
+        Notice::StoreBack => info!("conf: the table service answers again"),
+        Notice::Stale => warn!("conf: the configuration is not confirmed"),
+        Notice::Fresh => info!("conf: the configuration is confirmed"),
+        Notice::Repair { stored, own } => {
+            counters::config_repaired();
+            warn!(%stored, %own, "conf: writing the newer version back to the table service");
+        }
+        Notice::Diverged { version } => {
+            counters::config_diverged();
+            warn!(%version, "conf: two documents have the same version; the store's is used");
+        }
+    }
+}
--- a/crates/server/src/counters.rs
+++ b/crates/server/src/counters.rs
@@ -1,7 +1,7 @@
 //! Metrics of the entry host.
 
 use bv_types::{Refusal, RetryReason};
-use metrics::{counter, describe_counter, gauge};
+use metrics::{counter, describe_counter, describe_gauge, gauge};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 
 const REFUSED: &str = "burdockvale_refused_total";
@@ -9,6 +9,11 @@
 const UNKNOWN: &str = "burdockvale_outcome_unknown_total";
 const DROPPED: &str = "burdockvale_answers_dropped_total";
 const CONFIG_VERSION: &str = "burdockvale_config_version";
+const CONFIG_STALE: &str = "burdockvale_config_stale";
+const CONFIG_REPAIRS: &str = "burdockvale_config_repairs_total";
+const CONFIG_DIVERGED: &str = "burdockvale_config_diverged_total";
+const OPERATOR_REFUSED: &str = "burdockvale_operator_refused_total";
+const CONFIG_REFUSED: &str = "burdockvale_config_refused_total";
 
 /// Installs the recorder, with every refusal and retry reason at 0.
 pub(crate) fn install() -> PrometheusHandle {
@@ -20,6 +25,30 @@
     describe_counter!(RETRIES, "Attempts and messages repeated, by reason.");
     describe_counter!(UNKNOWN, "Requests whose outcome is unknown, by reason.");
     describe_counter!(DROPPED, "Answers dropped as late or crossed, by reason.");
+    describe_gauge!(CONFIG_VERSION, "Version of the configuration in force.");
+    describe_gauge!(CONFIG_STALE, "1 while the configuration is not confirmed.");
+    describe_counter!(
+        CONFIG_REPAIRS,
+        "Older copies in the store that were written over."
+    );
+    describe_counter!(
+        CONFIG_DIVERGED,
+        "Documents with equal version and different content."
+    );
+    describe_counter!(CONFIG_REFUSED, "Configuration rows that cannot be read.");
+    describe_counter!(
+        OPERATOR_REFUSED,
+        "Operators' requests without the right key."
+    );
+    for name in [
+        CONFIG_REPAIRS,
+        CONFIG_DIVERGED,
+        CONFIG_REFUSED,
+        OPERATOR_REFUSED,
+    ] {
+        counter!(name).absolute(0);
+    }
+    config_stale(true);
     for reason in Refusal::ALL {
         counter!(REFUSED, "reason" => reason.code()).absolute(0);
     }
@@ -48,3 +77,23 @@
 pub(crate) fn config_version(version: u64) {
     gauge!(CONFIG_VERSION).set(version as f64);
 }
+
+pub(crate) fn config_stale(stale: bool) {
+    gauge!(CONFIG_STALE).set(f64::from(u8::from(stale)));
+}
+
+pub(crate) fn config_repaired() {
+    counter!(CONFIG_REPAIRS).increment(1);
+}
+
+pub(crate) fn config_diverged() {
+    counter!(CONFIG_DIVERGED).increment(1);
+}
+
+pub(crate) fn config_refused() {
+    counter!(CONFIG_REFUSED).increment(1);
+}
+
+pub(crate) fn operator_refused() {
+    counter!(OPERATOR_REFUSED).increment(1);
+}
--- a/crates/server/src/host.rs
+++ b/crates/server/src/host.rs
@@ -12,6 +12,7 @@
 
 use crate::conf::Conf;
 use crate::engine::EngineClient;
+use crate::leaving::LeavingMarks;
 use crate::peers::Peers;
 use crate::shutdown::Shutdown;
 use crate::{Settings, callers, conf, counters, operate, peers};
@@ -47,6 +48,7 @@
     pub(crate) incarnation: Incarnation,
     pub(crate) table: Arc<dyn Table>,
     pub(crate) conf: Conf,
+    pub(crate) leaving: LeavingMarks,
     pub(crate) engines: EngineClient,
     pub(crate) peers: Peers,
     pub(crate) shutdown: Shutdown,
@@ -68,7 +70,8 @@
             peers: Peers::new(&settings, incarnation),
             incarnation,
             table: Arc::new(table),
-            conf: Conf::default(),
+            conf: Conf::new(clock.clone(), !settings.seeds.is_empty()),
+            leaving: LeavingMarks::default(),
             engines: EngineClient::new(settings.bind_ip),
             shutdown: Shutdown::default(),
             sequence: AtomicU64::new(0),
--- a/crates/server/src/peers/answer.rs
+++ b/crates/server/src/peers/answer.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 
 use bv_types::{HostId, Incarnation};
+use bv_wire::Unsupported;
 use bv_wire::frame::Body;
-use bv_wire::{Config, Unsupported};
 
 use crate::Host;
 
@@ -16,20 +16,9 @@
     body: Body,
 ) -> Body {
     match body {
-        Body::GetConfig(_) => Body::Config(config(host)),
+        Body::GetConfig(_) => Body::Config(host.conf.answer()),
         Body::Hello(_) | Body::Config(_) | Body::Unsupported(_) => {
             Body::Unsupported(Unsupported {})
         }
     }
 }
-
-fn config(host: &Host) -> Config {
-    let Some(current) = host.conf.current() else {
-        return Config::default();
-    };
-    Config {
-        version: current.version.0,
-        change: current.row.change,
-        document: current.row.document,
-    }
-}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -4,4 +4,4 @@
 mod message;
 
 pub use codec::{CodecError, DatagramCodec, FrameCodec, MAX_DATAGRAM_BYTES, MAX_FRAME_BYTES};
-pub use message::{Config, Frame, GetConfig, Hello, Unsupported, frame};
+pub use message::{Config, ConfigChange, Frame, GetConfig, Hello, Unsupported, frame};
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -61,6 +61,23 @@
     /// The document.
     #[prost(string, tag = "3")]
     pub document: String,
+    /// Milliseconds since the sender's document was confirmed by the store; none if never.
+    #[prost(uint64, optional, tag = "4")]
+    pub age_ms: Option<u64>,
+    /// Earlier changes, the latest first.
+    #[prost(message, repeated, tag = "5")]
+    pub earlier: Vec<ConfigChange>,
+}
+
+/// A change that made a version of the configuration.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ConfigChange {
+    /// Version that the change made.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    /// Id of the change.
+    #[prost(string, tag = "2")]
+    pub change: String,
 }
 
 /// The content of a call is not known.
