--- a/crates/member/src/event.rs
+++ b/crates/member/src/event.rs
@@ -6,7 +6,7 @@
 
 use crate::{Member, Message, Rumour};
 
-/// Input of [`Membership`].
+/// Input of [`Membership`](crate::Membership).
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Event {
     /// A message arrived.
@@ -19,7 +19,7 @@
     AddRumour(Rumour),
 }
 
-/// Output of [`Membership`], to be carried out in order.
+/// Output of [`Membership`](crate::Membership), to be carried out in order.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Action {
     /// Send a message to an address.
