Run non-idempotent calls at most once

Cause: non-idempotent calls were always refused, an idempotent call whose connection broke could be told "not run", and retries had no budget. The plain service stand-in can delay its answers.

--- a/crates/lab/src/stand_in/service.rs
+++ b/crates/lab/src/stand_in/service.rs
@@ -1,6 +1,8 @@
 //! Plain service that counts how often each key ran.
 
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use axum::extract::{Request, State};
 use axum::http::Method;
@@ -15,6 +17,8 @@
 pub struct PlainService {
     /// Runs by key, sorted by key.
     runs: Mutex<Vec<(String, u64)>>,
+    /// Time between a run and its answer, in milliseconds.
+    answer_delay: AtomicU64,
 }
 
 impl PlainService {
@@ -24,6 +28,12 @@
         let _ = axum::serve(listener, router).await;
     }
 
+    /// Sets the time between a run and its answer.
+    pub fn set_answer_delay(&self, delay: Duration) {
+        self.answer_delay
+            .store(delay.as_millis() as u64, Ordering::Relaxed);
+    }
+
     /// Runs beyond the first, over all keys.
     pub fn double_runs(&self) -> u64 {
         let runs = self.runs.lock().unwrap_or_else(|err| err.into_inner());
@@ -59,5 +69,7 @@
     let call: Value = serde_json::from_slice(&body).unwrap_or_default();
     let key = call["key"].as_str().unwrap_or_default().to_owned();
     service.record(&key);
+    let delay = service.answer_delay.load(Ordering::Relaxed);
+    tokio::time::sleep(Duration::from_millis(delay)).await;
     axum::Json(json!({"key": key, "done": true})).into_response()
 }
--- /dev/null
+++ b/crates/lab/tests/plain/mod.rs
@@ -0,0 +1,138 @@
+//! Entry host processes with one plain service, and callers of it.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bv_lab::{Deployment, HostProcess, HostSpec};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{Request, StatusCode};
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+use serde_json::{Value, json};
+
+/// Longer than every deadline of the routes.
+const CALL_LIMIT: Duration = Duration::from_secs(20);
+
+pub const INVENTORY: &str = r#"
+name = "plain"
+zone_delay_ms = 1.0
+zone_price_ms = 1
+client_delay_ms = 1.0
+
+[[zone]]
+id = "zone-a"
+region = "region"
+
+[[service]]
+id = "booking"
+
+[[server]]
+id = "booking-1"
+service = "booking"
+zone = "zone-a"
+addr = "127.0.0.1:8200"
+
+[[server]]
+id = "booking-2"
+service = "booking"
+zone = "zone-a"
+addr = "127.0.0.1:8201"
+
+[[route]]
+id = "reserve"
+service = "booking"
+method = "POST"
+path = "/booking/reserve"
+class = "urgent"
+idempotent = false
+identity = "json:key"
+resend_window_s = 600
+deadline_ms = 3000
+
+[[route]]
+id = "refund"
+service = "booking"
+method = "POST"
+path = "/booking/refund"
+class = "urgent"
+idempotent = false
+identity = "digest"
+resend_window_s = 600
+deadline_ms = 3000
+
+[[route]]
+id = "seats"
+service = "booking"
+method = "GET"
+path = "/booking/"
+class = "urgent"
+idempotent = true
+deadline_ms = 1500
+"#;
+
+/// An answer as a caller sees it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Seen {
+    pub status: StatusCode,
+    pub outcome: Option<String>,
+    pub body: Value,
+}
+
+impl Seen {
+    pub fn is_answer(&self, key: &str) -> bool {
+        self.status == StatusCode::OK && self.body == json!({"key": key, "done": true})
+    }
+
+    pub fn is_not_run(&self) -> bool {
+        self.outcome.as_deref() == Some("not-run") && self.body["error"]["code"] == "not_run"
+    }
+
+    pub fn is_unknown(&self) -> bool {
+        self.status == StatusCode::GATEWAY_TIMEOUT
+            && self.outcome.as_deref() == Some("unknown")
+            && self.body["error"]["code"] == "outcome_unknown"
+    }
+}
+
+pub async fn start(hosts: usize) -> (Deployment, Vec<HostProcess>) {
+    let deployment = Deployment::start(INVENTORY).await.unwrap();
+    let mut running = Vec::new();
+    for index in 0..hosts {
+        let spec = HostSpec::new(index, &deployment, "planned").await.unwrap();
+        running.push(HostProcess::start(spec).unwrap());
+    }
+    for host in &running {
+        host.wait_ready().await.unwrap();
+    }
+    (deployment, running)
+}
+
+/// Sends a reservation through a host.
+pub async fn reserve(host: SocketAddr, key: &str) -> Seen {
+    let body = json!({"key": key}).to_string();
+    send(host, "POST", "/booking/reserve", body).await
+}
+
+pub async fn send(host: SocketAddr, method: &str, path: &str, body: String) -> Seen {
+    let client = Client::builder(TokioExecutor::new()).build_http::<Full<Bytes>>();
+    let req = Request::builder()
+        .method(method)
+        .uri(format!("http://{host}{path}"))
+        .body(Full::new(Bytes::from(body)))
+        .unwrap();
+    let exchange = async {
+        let answer = client.request(req).await.unwrap();
+        let status = answer.status();
+        let outcome = answer.headers().get("x-burdockvale-outcome");
+        let outcome = outcome.map(|value| value.to_str().unwrap().to_owned());
+        let body = answer.into_body().collect().await.unwrap().to_bytes();
+        let body = serde_json::from_slice(&body).unwrap_or(Value::Null);
+        Seen {
+            status,
+            outcome,
+            body,
+        }
+    };
+    tokio::time::timeout(CALL_LIMIT, exchange).await.unwrap()
+}
--- a/crates/ledger/src/call/mod.rs
+++ b/crates/ledger/src/call/mod.rs
@@ -190,12 +190,12 @@
     }
 
     pub fn caller_gone(&mut self, cx: &mut Cx<'_>) {
-        self.replied = true;
         match self.phase {
             Phase::Claiming | Phase::Confirmed { .. } => self.abandon(cx, Refusal::CallerGone),
-            Phase::Polling { .. } => self.close(cx),
+            Phase::Polling { .. } => self.give_up(cx, UnknownReason::InProgress),
             Phase::Running { .. } | Phase::Settling(_) | Phase::Closed => {}
         }
+        self.replied = true;
     }
 
     pub fn hosts_changed(&mut self, cx: &mut Cx<'_>) {
--- /dev/null
+++ b/crates/ledger/tests/world/mod.rs
@@ -0,0 +1,426 @@
+//! A world of entry hosts, a table and a backend server that counts runs, with seeded faults.
+
+mod host;
+mod table;
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+use bv_ledger::{
+    Action, Answer, CallId, Event, Reply, RowState, RowWrite, StoreAnswer, Ticket,
+    TransactionResult,
+};
+use bv_types::{Incarnation, Millis, Refusal};
+use fastrand::Rng;
+
+pub use host::{Host, Told};
+pub use table::ModelTable;
+
+/// Longest time after which a write without an answer still takes effect.
+const LATE_WRITE: u64 = 30_000;
+const MAX_DEADLINE: u64 = 20_000;
+
+/// What happens at a time.
+#[derive(Debug)]
+pub enum Step {
+    Arrive {
+        key: usize,
+    },
+    Tick,
+    /// A transaction reaches the table; its host may have ended since.
+    Apply {
+        writes: Vec<RowWrite>,
+        answer_at: Option<Millis>,
+    },
+    Finished {
+        result: TransactionResult,
+    },
+    Read {
+        ticket: Ticket,
+        key: String,
+    },
+    Store {
+        ticket: Ticket,
+        answer: StoreAnswer,
+    },
+    Dispatch {
+        call: CallId,
+        attempt: u32,
+    },
+    Run {
+        key: usize,
+    },
+    Outcome {
+        event: Event,
+    },
+    CallerGone {
+        call: CallId,
+    },
+    HostDead {
+        host: usize,
+        incarnation: Incarnation,
+    },
+    Crash,
+    Pause {
+        until: Millis,
+    },
+}
+
+/// A step of one process of a host, or of the table on its behalf.
+#[derive(Debug)]
+pub struct Scheduled {
+    host: usize,
+    incarnation: Incarnation,
+    step: Step,
+}
+
+pub struct World {
+    pub now: Millis,
+    pub rng: Rng,
+    /// Chance of a fault at each opportunity.
+    pub fault_rate: f64,
+    /// Shortest time that a caller waits, in milliseconds.
+    pub least_deadline: u64,
+    pub table: ModelTable,
+    pub hosts: Vec<Host>,
+    /// Runs by key, counted at the backend server.
+    pub runs: Vec<u32>,
+    queue: BinaryHeap<Reverse<(Millis, u64, usize)>>,
+    steps: Vec<Option<Scheduled>>,
+}
+
+pub fn key_name(key: usize) -> String {
+    format!("call/booking/{key}")
+}
+
+fn key_index(name: &str) -> usize {
+    name.rsplit('/').next().unwrap().parse().unwrap()
+}
+
+pub fn answer_of(key: usize) -> Answer {
+    Answer {
+        status: 200,
+        headers: vec![],
+        body: format!("answer {key}").into_bytes(),
+    }
+}
+
+impl World {
+    pub fn new(seed: u64, hosts: usize, keys: usize) -> Self {
+        let mut rng = Rng::with_seed(seed);
+        let now = Millis(1_000_000);
+        let fault_rate = [0.0, 0.1, 0.3, 0.6][rng.usize(..4)];
+        World {
+            now,
+            fault_rate,
+            least_deadline: 500,
+            table: ModelTable::default(),
+            hosts: (0..hosts)
+                .map(|index| Host::new(index, now, rng.u64(..)))
+                .collect(),
+            runs: vec![0; keys],
+            queue: BinaryHeap::new(),
+            steps: Vec::new(),
+            rng,
+        }
+    }
+
+    pub fn schedule(&mut self, at: Millis, host: usize, step: Step) {
+        let incarnation = self.hosts[host].incarnation;
+        self.queue
+            .push(Reverse((at, self.steps.len() as u64, self.steps.len())));
+        self.steps.push(Some(Scheduled {
+            host,
+            incarnation,
+            step,
+        }));
+    }
+
+    /// Runs until nothing is left to happen.
+    pub fn run(&mut self) {
+        while let Some(Reverse((at, _, index))) = self.queue.pop() {
+            assert!(
+                self.steps.len() < 100_000,
+                "the world does not come to rest"
+            );
+            self.now = self.now.max(at);
+            let scheduled = self.steps[index].take().unwrap();
+            self.perform(scheduled);
+        }
+    }
+
+    fn after(&mut self, least: u64, most: u64) -> Millis {
+        self.now + Millis(self.rng.u64(least..=most))
+    }
+
+    fn fault(&mut self) -> bool {
+        self.rng.f64() < self.fault_rate
+    }
+
+    fn perform(&mut self, scheduled: Scheduled) {
+        let Scheduled {
+            host,
+            incarnation,
+            step,
+        } = scheduled;
+        match step {
+            Step::Apply { writes, answer_at } => {
+                let result = self.table.transact(&writes);
+                if let Some(at) = answer_at
+                    && self.hosts[host].incarnation == incarnation
+                {
+                    self.schedule(at, host, Step::Finished { result });
+                }
+                return;
+            }
+            Step::Run { key } => {
+                self.runs[key] += 1;
+                assert!(self.runs[key] <= 1, "key {key} ran twice");
+                return;
+            }
+            Step::Arrive { .. } | Step::Crash | Step::Pause { .. } => {}
+            _ if self.hosts[host].incarnation != incarnation => return,
+            _ => {}
+        }
+        let paused_until = self.hosts[host].paused_until;
+        if paused_until > self.now {
+            return self.schedule(paused_until, host, step);
+        }
+        self.perform_at_host(host, step);
+        self.send_transaction(host);
+        self.schedule_tick(host);
+    }
+
+    fn perform_at_host(&mut self, host: usize, step: Step) {
+        match step {
+            Step::Arrive { key } => self.arrive(host, key),
+            Step::Tick => {
+                self.hosts[host].tick_at = None;
+                self.event(host, Event::Tick);
+            }
+            Step::Finished { result } => {
+                for (ticket, answer) in self.hosts[host].commit.finish(result) {
+                    self.event(
+                        host,
+                        match answer {
+                            Some(answer) => Event::StoreAnswer { ticket, answer },
+                            None => Event::StoreUnanswered { ticket },
+                        },
+                    );
+                }
+            }
+            Step::Read { ticket, key } => {
+                let row = self.table.get(&key);
+                let answer = match self.fault() {
+                    true => StoreAnswer::ReadFailed,
+                    false => StoreAnswer::Row(row),
+                };
+                let at = self.after(1, 20);
+                self.schedule(at, host, Step::Store { ticket, answer });
+            }
+            Step::Store { ticket, answer } => {
+                self.event(host, Event::StoreAnswer { ticket, answer });
+            }
+            Step::Dispatch { call, attempt } => self.dispatch(host, call, attempt),
+            Step::Outcome { event } => self.event(host, event),
+            Step::CallerGone { call } => {
+                self.hosts[host].calls[call.0 as usize].gone = true;
+                self.event(host, Event::CallerGone { call });
+            }
+            Step::HostDead {
+                host: dead,
+                incarnation,
+            } => {
+                let id = self.hosts[dead].id.clone();
+                self.event(
+                    host,
+                    Event::HostDead {
+                        host: id,
+                        incarnation,
+                    },
+                );
+            }
+            Step::Crash => self.crash(host),
+            Step::Pause { until } => self.hosts[host].paused_until = until,
+            Step::Apply { .. } | Step::Run { .. } => unreachable!("performed outside of hosts"),
+        }
+    }
+
+    fn arrive(&mut self, host: usize, key: usize) {
+        let deadline = self.now + Millis(self.rng.u64(self.least_deadline..=MAX_DEADLINE));
+        let call = self.hosts[host].open_call(key, self.now, deadline);
+        if self.rng.f64() < self.fault_rate / 4.0 {
+            let at = self.after(0, 3_000);
+            self.schedule(at, host, Step::CallerGone { call });
+        }
+        self.event(
+            host,
+            Event::Arrive {
+                call,
+                key: key_name(key).into(),
+                deadline,
+                resend_window: Millis::from_secs(600),
+            },
+        );
+    }
+
+    fn event(&mut self, host: usize, event: Event) {
+        let actions = self.hosts[host].ledger.handle(self.now, event);
+        for action in actions {
+            self.act(host, action);
+        }
+    }
+
+    fn act(&mut self, host: usize, action: Action) {
+        match action {
+            Action::Write { ticket, write } => self.hosts[host].commit.push(ticket, write),
+            Action::Withdraw { ticket } => {
+                if self.hosts[host].commit.withdraw(ticket) {
+                    let answer = StoreAnswer::NotWritten;
+                    self.event(host, Event::StoreAnswer { ticket, answer });
+                }
+            }
+            Action::Read { ticket, key } => {
+                let at = self.after(1, 20);
+                let key = key.to_string();
+                self.schedule(at, host, Step::Read { ticket, key });
+            }
+            Action::Dispatch { call, attempt } => {
+                let at = self.after(0, 2);
+                self.schedule(at, host, Step::Dispatch { call, attempt });
+            }
+            Action::Reply { call, reply } => {
+                let now = self.now;
+                self.hosts[host].told(call, now, reply);
+            }
+            Action::Closed { .. } => {}
+        }
+    }
+
+    fn dispatch(&mut self, host: usize, call: CallId, attempt: u32) {
+        if self.fault() && self.rng.bool() {
+            let until = self.after(1, 15_000);
+            // The host is paused between the claim and its dispatch.
+            self.hosts[host].paused_until = until;
+            return self.schedule(until, host, Step::Dispatch { call, attempt });
+        }
+        if !self.hosts[host].ledger.start(self.now, call, attempt) {
+            return self.event(host, Event::Tick);
+        }
+        let key = self.hosts[host].key_of(call);
+        if self.fault() && self.rng.bool() {
+            let event = Event::DispatchRefused {
+                call,
+                retry: self.rng.bool(),
+                refusal: Refusal::ConnectRefused,
+            };
+            let at = self.after(1, 500);
+            return self.schedule(at, host, Step::Outcome { event });
+        }
+        self.hosts[host].sent(call);
+        let run_at = self.after(1, 3_000);
+        let lost = self.fault();
+        if !lost || self.rng.bool() {
+            self.schedule(run_at, host, Step::Run { key });
+        }
+        let event = match lost {
+            true => Event::DispatchFailed { call },
+            false => Event::Answered {
+                call,
+                answer: answer_of(key),
+            },
+        };
+        self.schedule(run_at + Millis(1), host, Step::Outcome { event });
+    }
+
+    fn send_transaction(&mut self, host: usize) {
+        let Some(writes) = self.hosts[host].commit.next(self.now) else {
+            return;
+        };
+        let unanswered = TransactionResult::Unanswered;
+        let timeout = self.now + Millis(1_000);
+        if !self.fault() {
+            let at = self.after(1, 30);
+            let answer_at = Some(at + Millis(self.rng.u64(1..=30)));
+            return self.schedule(at, host, Step::Apply { writes, answer_at });
+        }
+        match self.rng.u8(..4) {
+            0 => {
+                let result = TransactionResult::Unavailable;
+                let at = self.after(1, 100);
+                self.schedule(at, host, Step::Finished { result });
+            }
+            1 => {
+                let at = self.after(1, 100);
+                self.schedule(
+                    at,
+                    host,
+                    Step::Apply {
+                        writes,
+                        answer_at: None,
+                    },
+                );
+                self.schedule(timeout, host, Step::Finished { result: unanswered });
+            }
+            2 => {
+                let at = self.after(1, LATE_WRITE);
+                self.schedule(
+                    at,
+                    host,
+                    Step::Apply {
+                        writes,
+                        answer_at: None,
+                    },
+                );
+                self.schedule(timeout, host, Step::Finished { result: unanswered });
+            }
+            _ => self.schedule(timeout, host, Step::Finished { result: unanswered }),
+        }
+    }
+
+    fn schedule_tick(&mut self, host: usize) {
+        let state = &mut self.hosts[host];
+        let wakes = [state.ledger.wake_at(), state.commit.wake_at()];
+        let Some(at) = wakes.into_iter().flatten().min() else {
+            return;
+        };
+        let at = at.max(self.now + Millis(1));
+        if state.tick_at.is_none_or(|tick| tick > at) {
+            state.tick_at = Some(at);
+            self.schedule(at, host, Step::Tick);
+        }
+    }
+
+    /// Ends a process and starts an empty one under the same host id.
+    fn crash(&mut self, host: usize) {
+        let ended = self.hosts[host].incarnation;
+        let seed = self.rng.u64(..);
+        self.hosts[host].restart(self.now, seed);
+        for other in 0..self.hosts.len() {
+            let at = self.after(0, 10_000);
+            self.schedule(
+                at,
+                other,
+                Step::HostDead {
+                    host,
+                    incarnation: ended,
+                },
+            );
+        }
+    }
+
+    /// State of the row of a key.
+    pub fn row_state(&self, key: usize) -> Option<RowState> {
+        self.table.body(&key_name(key)).map(|body| body.state)
+    }
+
+    /// All that callers were told, with the host and call.
+    pub fn all_told(&self) -> impl Iterator<Item = &Told> {
+        self.hosts.iter().flat_map(|host| host.calls.iter())
+    }
+}
+
+/// Whether a reply claims that the call did not run.
+pub fn is_not_run(reply: &Reply) -> bool {
+    matches!(reply, Reply::NotRun { .. })
+}
--- a/crates/server/src/counters.rs
+++ b/crates/server/src/counters.rs
@@ -8,6 +8,8 @@
 const RETRIES: &str = "burdockvale_retries_total";
 const UNKNOWN: &str = "burdockvale_outcome_unknown_total";
 const DROPPED: &str = "burdockvale_answers_dropped_total";
+const TRANSACTIONS: &str = "burdockvale_transactions_total";
+const TRANSACTION_ROWS: &str = "burdockvale_transaction_rows_total";
 const CONFIG_VERSION: &str = "burdockvale_config_version";
 
 /// Installs the recorder, with every refusal and retry reason at 0.
@@ -20,6 +22,8 @@
     describe_counter!(RETRIES, "Attempts and messages repeated, by reason.");
     describe_counter!(UNKNOWN, "Requests whose outcome is unknown, by reason.");
     describe_counter!(DROPPED, "Answers dropped as late or crossed, by reason.");
+    describe_counter!(TRANSACTIONS, "Transactions sent by the ledger.");
+    describe_counter!(TRANSACTION_ROWS, "Rows in the ledger's transactions.");
     for reason in Refusal::ALL {
         counter!(REFUSED, "reason" => reason.code()).absolute(0);
     }
@@ -45,6 +49,11 @@
     counter!(DROPPED, "reason" => reason).increment(1);
 }
 
+pub(crate) fn transaction(rows: usize) {
+    counter!(TRANSACTIONS).increment(1);
+    counter!(TRANSACTION_ROWS).increment(rows as u64);
+}
+
 pub(crate) fn config_version(version: u64) {
     gauge!(CONFIG_VERSION).set(version as f64);
 }
--- a/crates/server/src/engine.rs
+++ b/crates/server/src/engine.rs
@@ -84,6 +84,20 @@
         }
     }
 
+    /// A client that opens a connection for each call.
+    pub fn without_reuse(bind_ip: Option<IpAddr>) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_local_address(bind_ip);
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        EngineClient {
+            client: Client::builder(TokioExecutor::new())
+                .retry_canceled_requests(false)
+                .pool_max_idle_per_host(0)
+                .build(connector),
+        }
+    }
+
     async fn send(
         &self,
         step: &'static str,
--- a/crates/server/src/host.rs
+++ b/crates/server/src/host.rs
@@ -5,13 +5,15 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use bv_store::{HttpTable, Table, TableSettings};
-use bv_types::{Clock, Incarnation, RequestId};
+use bv_types::{BackendId, Clock, HostId, Incarnation, RequestId};
 use miette::Diagnostic;
 use tokio::net::TcpListener;
 use tracing::info;
 
+use crate::claims::{self, Claims};
 use crate::conf::Conf;
 use crate::engine::EngineClient;
+use crate::servers::Servers;
 use crate::shutdown::Shutdown;
 use crate::{Settings, callers, conf, counters, operate};
 
@@ -47,6 +49,8 @@
     pub(crate) table: Arc<dyn Table>,
     pub(crate) conf: Conf,
     pub(crate) engines: EngineClient,
+    pub(crate) servers: Arc<Servers>,
+    pub(crate) claims: Claims,
     pub(crate) shutdown: Shutdown,
     sequence: AtomicU64,
 }
@@ -61,8 +65,16 @@
             timeout: settings.store_timeout_ms,
             bind_ip: settings.bind_ip,
         });
+        let incarnation = Incarnation(clock.now().0);
+        let seed = match settings.random_seed {
+            0 => fastrand::u64(..),
+            seed => seed,
+        };
+        let client = EngineClient::without_reuse(settings.bind_ip);
         Host {
-            incarnation: Incarnation(clock.now().0),
+            incarnation,
+            servers: Arc::new(Servers::new(seed)),
+            claims: Claims::new(settings.host_id.clone(), incarnation, seed, client),
             table: Arc::new(table),
             conf: Conf::default(),
             engines: EngineClient::new(settings.bind_ip),
@@ -73,6 +85,31 @@
         }
     }
 
+    /// Reports that a process of an entry host ended, with all earlier processes of that host.
+    pub fn host_dead(self: &Arc<Self>, host: HostId, incarnation: Incarnation) {
+        claims::handle(self, bv_ledger::Event::HostDead { host, incarnation });
+    }
+
+    /// Sets the number of entry hosts that write to the table.
+    pub fn set_committers(&self, hosts: usize) {
+        self.claims.set_committers(hosts);
+    }
+
+    /// Replaces the list of leaving backend servers, which get no new work.
+    pub fn set_leaving(&self, servers: Vec<BackendId>) {
+        self.servers.set_leaving(servers);
+    }
+
+    /// Whether a backend server is leaving.
+    pub fn is_leaving(&self, server: &BackendId) -> bool {
+        self.servers.is_leaving(server)
+    }
+
+    /// Waits until the outcomes of all open calls are recorded or the drain limit has passed.
+    pub async fn flush(&self) {
+        self.claims.flush(self.settings.drain_limit_ms).await;
+    }
+
     /// A new id for a caller's request.
     pub(crate) fn next_request(&self) -> RequestId {
         RequestId {
@@ -99,11 +136,13 @@
         "host: started"
     );
     tokio::spawn(conf::follow(host.clone()));
+    tokio::spawn(claims::drive(host.clone()));
     tokio::spawn(operate::serve(host.clone(), operator_listener, metrics));
     let serving = tokio::spawn(callers::serve(host.clone(), caller_listener));
     host.shutdown.on_signal(&host.settings).await?;
     // The listener task ends once every connection has finished or the drain limit has passed.
     let _ = serving.await;
+    host.flush().await;
     info!("host: stopped");
     Ok(())
 }
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -1,14 +1,19 @@
 //! The entry host daemon as a library.
 
 mod answer;
+mod body;
 mod callers;
+mod claims;
 mod conf;
 mod counters;
+mod dispatch;
 mod engine;
 mod host;
 mod model;
 mod operate;
 mod plain;
+mod rows;
+mod servers;
 mod settings;
 mod shutdown;
 
--- a/crates/server/src/plain.rs
+++ b/crates/server/src/plain.rs
@@ -2,48 +2,138 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 
-use axum::body::{Body, to_bytes};
+use axum::body::Body;
 use axum::extract::{Request, State};
 use axum::response::Response;
-use bv_config::{Inventory, Route, Server};
+use bv_config::{Identity, Inventory, Route};
+use bv_ledger::{IdentityRule, Reply, ResentCall, row_key};
+use bv_retry::Outcome;
 use bv_types::{Refusal, RetryReason};
 use bytes::Bytes;
+use hyper::StatusCode;
 use hyper::http::request::Parts;
+use smol_str::SmolStr;
 
+use crate::answer::OUTCOME_HEADER;
+pub(crate) use crate::body::MAX_BODY_BYTES;
 use crate::callers::PeerAddr;
-use crate::engine::{CallError, EngineClient};
-use crate::{Host, answer, counters};
+use crate::claims::Work;
+use crate::engine::CallError;
+use crate::servers::Choice;
+use crate::{Host, answer, body, claims, counters, dispatch};
 
-/// Largest body of a request, in bytes.
-pub(crate) const MAX_BODY_BYTES: usize = 4 << 20;
 const FORWARDED_FOR: &str = "x-forwarded-for";
-static NEXT_SERVER: AtomicUsize = AtomicUsize::new(0);
+
+/// Why a call has no answer of a backend server.
+enum Failure {
+    NotRun(Refusal),
+    Unknown(&'static str),
+}
+
+impl From<Refusal> for Failure {
+    fn from(refusal: Refusal) -> Self {
+        Failure::NotRun(refusal)
+    }
+}
 
 /// Answers a call of a plain service.
 pub(crate) async fn call(State(host): State<Arc<Host>>, req: Request) -> Response {
-    let Some(current) = host.conf.current() else {
-        return answer::not_run(Refusal::NotConfigured);
-    };
+    match route_call(host, req).await {
+        Ok(mut response) => {
+            // Only the router itself names an outcome; see `answer`.
+            response.headers_mut().remove(OUTCOME_HEADER);
+            response
+        }
+        Err(Failure::NotRun(refusal)) => answer::not_run(refusal),
+        Err(Failure::Unknown(reason)) => answer::unknown(reason),
+    }
+}
+
+async fn route_call(host: Arc<Host>, req: Request) -> Result<Response, Failure> {
+    let current = host.conf.current().ok_or(Refusal::NotConfigured)?;
+    let inventory = current.inventory;
     let (mut parts, body) = req.into_parts();
-    if let Some(PeerAddr(addr)) = parts.extensions.remove::<PeerAddr>() {
+    let peer = parts.extensions.remove::<PeerAddr>();
+    let device = device_of(&inventory, &parts, peer);
+    if let Some(PeerAddr(addr)) = peer {
         forwarded_for(&mut parts, addr);
     }
-    let inventory = current.inventory;
-    let Some(route) = inventory.route(parts.method.as_str(), parts.uri.path()) else {
-        return answer::not_run(Refusal::NoRoute);
-    };
-    let Ok(body) = to_bytes(body, MAX_BODY_BYTES).await else {
-        return answer::not_run(Refusal::BodyTooLarge);
+    let route = inventory
+        .route(parts.method.as_str(), parts.uri.path())
+        .ok_or(Refusal::NoRoute)?;
+    let body = body::read(body).await?;
+    if route.idempotent {
+        let run = run_idempotent(&host, &inventory, route, &parts, body);
+        return tokio::time::timeout(route.deadline.duration(), run)
+            .await
+            .unwrap_or(Err(Failure::Unknown("deadline")));
+    }
+    let key = key_of(route, &device, &parts, &body)?;
+    let work = Work {
+        service: route.service.clone(),
+        deadline: host.clock.now() + route.deadline,
+        resend_window: route.resend_window,
+        inventory: inventory.clone(),
+        parts,
+        body,
     };
-    if !route.idempotent {
-        return answer::not_run(Refusal::StoreUnavailable);
+    match claims::run(&host, key, work).await {
+        Some(Reply::Answer(stored)) => {
+            dispatch::from_stored(stored).ok_or(Failure::Unknown("answer_malformed"))
+        }
+        Some(Reply::NotRun { refusal }) => Err(Failure::NotRun(refusal)),
+        Some(Reply::Unknown { reason }) => Err(Failure::Unknown(reason.code())),
+        None => Err(Failure::Unknown("no_reply")),
+    }
+}
+
+/// Identity of the device: the first address in the balancer's header, else the peer's address.
+fn device_of(inventory: &Inventory, parts: &Parts, peer: Option<PeerAddr>) -> SmolStr {
+    let header = inventory.device_header.as_deref();
+    let named = header
+        .and_then(|name| parts.headers.get(name))
+        .and_then(|value| value.to_str().ok())
+        .and_then(|value| value.split(',').next())
+        .map(str::trim)
+        .filter(|value| !value.is_empty());
+    match (named, peer) {
+        (Some(named), _) => SmolStr::new(named),
+        (None, Some(PeerAddr(addr))) => SmolStr::new(addr.ip().to_string()),
+        (None, None) => SmolStr::default(),
     }
-    let run = run_idempotent(&host.engines, &inventory, route, &parts, body);
-    tokio::time::timeout(route.deadline.duration(), run)
-        .await
-        .unwrap_or_else(|_| answer::unknown("deadline"))
+}
+
+/// Key of the row of a non-idempotent call.
+fn key_of(route: &Route, device: &str, parts: &Parts, body: &Bytes) -> Result<SmolStr, Refusal> {
+    let mut header = None;
+    let mut json = None;
+    let rule = match &route.identity {
+        Identity::Header(name) => {
+            header = parts.headers.get(name.as_str()).map(|v| v.as_bytes());
+            IdentityRule::Header(name)
+        }
+        Identity::Json(path) => {
+            json = match body::parse_json(body) {
+                Ok(value) => Some(value),
+                Err(Refusal::NestedTooDeeply) => return Err(Refusal::NestedTooDeeply),
+                // The backend server judges the body; the call is identified by its digest.
+                Err(_) => None,
+            };
+            IdentityRule::Json(path)
+        }
+        Identity::Digest => IdentityRule::Digest,
+    };
+    let call = ResentCall {
+        route: route.id.as_str(),
+        device,
+        method: parts.method.as_str(),
+        path: parts.uri.path_and_query().map_or("/", |p| p.as_str()),
+        header,
+        json: json.as_ref(),
+        body,
+    };
+    Ok(row_key(&route.service, rule, call))
 }
 
 /// Appends the caller's address for the backend server, as the balancer does.
@@ -61,22 +151,72 @@
     }
 }
 
+/// Runs a call that may run more than once, with retries at other servers.
 async fn run_idempotent(
-    client: &EngineClient,
+    host: &Arc<Host>,
     inventory: &Inventory,
     route: &Route,
     parts: &Parts,
     body: Bytes,
-) -> Response {
-    let servers: Vec<&Server> = inventory.servers_of(&route.service).collect();
-    let start = NEXT_SERVER.fetch_add(1, Ordering::Relaxed);
-    for offset in 0..servers.len() {
-        let server = servers[(start + offset) % servers.len()];
-        match client.forward(server.addr, parts, body.clone()).await {
-            Ok(answer) => return answer.map(Body::from),
-            Err(CallError::Refused { .. }) => counters::retried(RetryReason::ConnectRefused),
-            Err(_) => counters::retried(RetryReason::ConnectionLost),
-        }
+) -> Result<Response, Failure> {
+    let service = &route.service;
+    host.servers.first_attempt(host.clock.now(), service);
+    let mut tried = Vec::new();
+    // What the caller gets if there is no further attempt.
+    let mut last = Err(Failure::NotRun(Refusal::NoBackend));
+    loop {
+        let choice = Choice {
+            inventory,
+            service,
+            zone: &host.settings.zone,
+            tried: &tried,
+        };
+        let Some(server) = host.servers.choose(host.clock.now(), choice) else {
+            return last;
+        };
+        let result = host.engines.forward(server.addr, parts, body.clone()).await;
+        let now = host.clock.now();
+        let reason = match result {
+            Ok(answer) if is_retried(answer.status()) => {
+                server.record(now, Outcome::Failed);
+                last = Ok(answer.map(Body::from));
+                RetryReason::ServerError
+            }
+            Ok(answer) => {
+                server.record(now, dispatch::outcome_of(answer.status()));
+                return Ok(answer.map(Body::from));
+            }
+            Err(CallError::Refused { .. }) => {
+                server.record(now, Outcome::ConnectFailed);
+                if matches!(last, Err(Failure::NotRun(_))) {
+                    last = Err(Failure::NotRun(Refusal::ConnectRefused));
+                }
+                RetryReason::ConnectRefused
+            }
+            Err(_) => {
+                server.record(now, Outcome::Failed);
+                last = Err(Failure::Unknown("connection_lost"));
+                RetryReason::ConnectionLost
+            }
+        };
+        tried.push(server.id.clone());
+        drop(server);
+        let retry = tried.len() as u32 - 1;
+        let Some(delay) = host.servers.take_retry(now, service, retry) else {
+            return last.map_err(|failure| match failure {
+                Failure::NotRun(_) => Failure::NotRun(Refusal::RetryBudget),
+                unknown => unknown,
+            });
+        };
+        counters::retried(reason);
+        tokio::time::sleep(delay.duration()).await;
     }
-    answer::not_run(Refusal::NoBackend)
+}
+
+/// Statuses with which a server or a proxy in front of it says that another may succeed.
+fn is_retried(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::BAD_GATEWAY | StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT
+    )
 }
--- /dev/null
+++ b/crates/server/src/rows.rs
@@ -0,0 +1,75 @@
+//! The ledger's reads and writes at the table service.
+
+use bv_ledger::{Expect, RowResult, RowWrite, StoreAnswer, StoredRow, TransactionResult};
+use bv_store::{Condition, Refused, Row, StoreError, Table, Transacted, Write};
+use bv_types::RetryReason;
+use tracing::debug;
+
+use crate::counters;
+
+/// Reads one row.
+pub(crate) async fn read(table: &dyn Table, key: &str) -> StoreAnswer {
+    match table.get(key).await {
+        Ok(row) => StoreAnswer::Row(row.map(stored)),
+        Err(err) => {
+            failed(&err);
+            StoreAnswer::ReadFailed
+        }
+    }
+}
+
+/// Writes rows in one transaction.
+pub(crate) async fn transact(table: &dyn Table, rows: &[RowWrite]) -> TransactionResult {
+    let writes: Vec<Write> = rows.iter().map(write).collect();
+    counters::transaction(writes.len());
+    match table.transact(&writes).await {
+        Ok(Transacted::Committed) => TransactionResult::Committed,
+        Ok(Transacted::Refused(rows)) => {
+            TransactionResult::Refused(rows.into_iter().map(refused).collect())
+        }
+        Err(err) => {
+            failed(&err);
+            match err {
+                StoreError::Unavailable { .. } => TransactionResult::Unavailable,
+                StoreError::Unanswered { .. } => TransactionResult::Unanswered,
+            }
+        }
+    }
+}
+
+fn failed(err: &StoreError) {
+    debug!(%err, "ledger: the table service failed");
+    counters::retried(match err {
+        StoreError::Unavailable { .. } => RetryReason::StoreUnavailable,
+        StoreError::Unanswered { .. } => RetryReason::StoreUnanswered,
+    });
+}
+
+fn write(row: &RowWrite) -> Write {
+    Write {
+        row: Row {
+            key: row.key.clone(),
+            version: row.version,
+            body: row.body.clone(),
+        },
+        condition: match row.expect {
+            Expect::Absent => Condition::Absent,
+            Expect::Version(version) => Condition::Version(version),
+        },
+        expires: Some(row.expires),
+    }
+}
+
+fn refused(row: Refused) -> RowResult {
+    match row {
+        Refused::Innocent => RowResult::Held,
+        Refused::Conflict(row) => RowResult::Conflict(row.map(stored)),
+    }
+}
+
+fn stored(row: Row) -> StoredRow {
+    StoredRow {
+        version: row.version,
+        body: row.body,
+    }
+}
--- /dev/null
+++ b/crates/server/src/servers.rs
@@ -0,0 +1,194 @@
+//! Choice among the servers of a plain service.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+
+use bv_config::Inventory;
+use bv_retry::{Backoff, Budget, Ejection, Outcome};
+use bv_types::{BackendId, Millis, ServiceId, ZoneId};
+use fastrand::Rng;
+use tracing::info;
+
+/// Load and health of servers as this host sees them.
+#[derive(Debug)]
+pub(crate) struct Servers(Mutex<State>);
+
+#[derive(Debug)]
+struct State {
+    rng: Rng,
+    backoff: Backoff,
+    /// Sorted by service.
+    groups: Vec<(ServiceId, Group)>,
+    /// Calls in progress, sorted by server.
+    in_flight: Vec<(BackendId, usize)>,
+    /// Sorted.
+    leaving: Vec<BackendId>,
+}
+
+#[derive(Debug)]
+struct Group {
+    ejection: Ejection,
+    budget: Budget,
+}
+
+/// What a server is chosen for.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Choice<'a> {
+    pub inventory: &'a Inventory,
+    pub service: &'a ServiceId,
+    /// Zone of this host.
+    pub zone: &'a ZoneId,
+    /// Servers that have failed this call.
+    pub tried: &'a [BackendId],
+}
+
+/// A chosen server; counts as a call in progress until dropped.
+#[derive(Debug)]
+pub(crate) struct Chosen {
+    pub id: BackendId,
+    pub addr: SocketAddr,
+    service: ServiceId,
+    servers: Arc<Servers>,
+}
+
+impl Servers {
+    pub fn new(seed: u64) -> Self {
+        Servers(Mutex::new(State {
+            rng: Rng::with_seed(seed),
+            backoff: Backoff::new(seed),
+            groups: Vec::new(),
+            in_flight: Vec::new(),
+            leaving: Vec::new(),
+        }))
+    }
+
+    /// Chooses a server: same zone first, then the fewest calls in progress.
+    pub fn choose(self: &Arc<Self>, now: Millis, choice: Choice<'_>) -> Option<Chosen> {
+        let mut state = self.lock();
+        let (id, addr) = state.choose(now, choice)?;
+        state.count(&id, |count| count + 1);
+        drop(state);
+        Some(Chosen {
+            id,
+            addr,
+            service: choice.service.clone(),
+            servers: self.clone(),
+        })
+    }
+
+    /// Counts the first attempt of a call for the retry budget.
+    pub fn first_attempt(&self, now: Millis, service: &ServiceId) {
+        self.lock().group(now, service).budget.first_attempt(now);
+    }
+
+    /// Delay before a retry, or none if the retry budget is spent.
+    pub fn take_retry(&self, now: Millis, service: &ServiceId, retry: u32) -> Option<Millis> {
+        let mut state = self.lock();
+        let granted = state.group(now, service).budget.take(now);
+        granted.then(|| state.backoff.delay(retry))
+    }
+
+    /// Whether a backend server is leaving and gets no new work.
+    pub fn is_leaving(&self, id: &BackendId) -> bool {
+        self.lock().is_leaving(id)
+    }
+
+    /// Replaces the list of leaving backend servers.
+    pub fn set_leaving(&self, mut leaving: Vec<BackendId>) {
+        leaving.sort();
+        self.lock().leaving = leaving;
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.0.lock().unwrap_or_else(|err| err.into_inner())
+    }
+}
+
+impl Chosen {
+    /// Records the result of the call.
+    pub fn record(&self, now: Millis, outcome: Outcome) {
+        let mut state = self.servers.lock();
+        let group = state.group(now, &self.service);
+        if group.ejection.record(now, &self.id, outcome) {
+            info!(server = %self.id, "plain: server ejected");
+        }
+    }
+}
+
+impl Drop for Chosen {
+    fn drop(&mut self) {
+        let mut state = self.servers.lock();
+        state.count(&self.id, |count| count.saturating_sub(1));
+    }
+}
+
+impl State {
+    fn choose(&mut self, now: Millis, choice: Choice<'_>) -> Option<(BackendId, SocketAddr)> {
+        let all: Vec<_> = choice.inventory.servers_of(choice.service).collect();
+        let ids: Vec<BackendId> = all.iter().map(|server| server.id.clone()).collect();
+        self.group(now, choice.service).ejection.set_servers(&ids);
+        let mut healthy = Vec::new();
+        let mut admitted = Vec::new();
+        let mut usable = Vec::new();
+        for server in all {
+            if choice.tried.contains(&server.id) || self.is_leaving(&server.id) {
+                continue;
+            }
+            let draw = self.rng.f64();
+            let weight = self
+                .group(now, choice.service)
+                .ejection
+                .weight(now, &server.id);
+            usable.push(server);
+            if weight > 0.0 {
+                healthy.push(server);
+            }
+            if draw < weight {
+                admitted.push(server);
+            }
+        }
+        // Ejected servers are used when there is no other from the start, but not for retries.
+        let candidates = match (admitted.is_empty(), healthy.is_empty()) {
+            (false, _) => admitted,
+            (true, false) => healthy,
+            (true, true) if choice.tried.is_empty() => usable,
+            (true, true) => return None,
+        };
+        let best = candidates.into_iter().min_by_key(|server| {
+            let remote = server.zone != *choice.zone;
+            (remote, self.in_flight_of(&server.id), self.rng.u32(..))
+        })?;
+        Some((best.id.clone(), best.addr))
+    }
+
+    fn is_leaving(&self, id: &BackendId) -> bool {
+        self.leaving.binary_search(id).is_ok()
+    }
+
+    fn in_flight_of(&self, id: &BackendId) -> usize {
+        let found = self.in_flight.binary_search_by(|(known, _)| known.cmp(id));
+        found.map_or(0, |index| self.in_flight[index].1)
+    }
+
+    fn count(&mut self, id: &BackendId, change: impl FnOnce(usize) -> usize) {
+        match self.in_flight.binary_search_by(|(known, _)| known.cmp(id)) {
+            Ok(index) => self.in_flight[index].1 = change(self.in_flight[index].1),
+            Err(index) => self.in_flight.insert(index, (id.clone(), change(0))),
+        }
+    }
+
+    fn group(&mut self, now: Millis, service: &ServiceId) -> &mut Group {
+        let found = self
+            .groups
+            .binary_search_by(|(known, _)| known.cmp(service));
+        let index = found.unwrap_or_else(|index| {
+            let group = Group {
+                ejection: Ejection::default(),
+                budget: Budget::new(now),
+            };
+            self.groups.insert(index, (service.clone(), group));
+            index
+        });
+        &mut self.groups[index].1
+    }
+}
