Test the ledger's contract and the strength of its oracle

Cause: the ledger had only the seeded cases, and these did not notice a call sent past dispatch_by. Change: tables of fault cases for claims, dispatch, group commit and identity; the oracle checks the claim at each dispatch. A claim that is read back counts from the time in its row.

--- a/crates/ledger/src/call/examine.rs
+++ b/crates/ledger/src/call/examine.rs
@@ -3,7 +3,7 @@
 use bv_types::{Millis, Refusal, Version};
 
 use super::{Call, Cx, Io, MIN_RETRY, Next, Phase};
-use crate::{Expect, Reply, RowBody, RowState, StoredRow, UnknownReason};
+use crate::{DISPATCH_LIMIT, Expect, Reply, RowBody, RowState, StoredRow, UnknownReason};
 
 /// Longest pause between reads of a row that another attempt has claimed.
 const MAX_POLL: Millis = Millis(1_000);
@@ -29,6 +29,7 @@
     fn examine_claim(&mut self, cx: &mut Cx<'_>, version: Version, body: RowBody) {
         let own = body.nonce == self.arrival.nonce;
         if own && body.state == RowState::Claimed {
+            self.dispatch_by = body.time + DISPATCH_LIMIT;
             return self.confirmed(cx, version);
         }
         // The row exists in another version than the claim expected, unless a read found it
--- /dev/null
+++ b/crates/ledger/tests/group_commit.rs
@@ -0,0 +1,158 @@
+//! Contract of the group commit.
+
+use bv_ledger::{
+    CallId, Expect, GroupCommit, MAX_TRANSACTION_BYTES, MAX_TRANSACTION_ROWS, RowResult, RowWrite,
+    StoreAnswer, Ticket, TransactionResult, commit_interval,
+};
+use bv_types::{Millis, Version};
+
+fn ticket(call: u64) -> Ticket {
+    Ticket {
+        call: CallId(call),
+        number: 1,
+    }
+}
+
+fn write(key: &str, size: usize) -> RowWrite {
+    RowWrite {
+        key: key.into(),
+        version: Version(1),
+        body: "x".repeat(size),
+        expect: Expect::Absent,
+        expires: Millis(1),
+    }
+}
+
+fn queue(keys: &[&str]) -> GroupCommit {
+    let mut commit = GroupCommit::new(Millis(40));
+    for (index, key) in keys.iter().enumerate() {
+        commit.push(ticket(index as u64), write(key, 1));
+    }
+    commit
+}
+
+fn keys(writes: Option<Vec<RowWrite>>) -> Vec<String> {
+    let writes = writes.unwrap_or_default();
+    writes.iter().map(|write| write.key.to_string()).collect()
+}
+
+/// Guards against a second transaction in flight and against one before the interval has passed.
+#[test]
+fn one_in_flight() {
+    let mut commit = queue(&["a"]);
+    assert_eq!(keys(commit.next(Millis(100))), ["a"]);
+    commit.push(ticket(7), write("b", 1));
+    assert_eq!(commit.wake_at(), None);
+    assert_eq!(commit.next(Millis(500)), None);
+    commit.finish(TransactionResult::Committed);
+    assert_eq!(commit.wake_at(), Some(Millis(140)));
+    assert_eq!(commit.next(Millis(139)), None);
+    assert_eq!(keys(commit.next(Millis(140))), ["b"]);
+    commit.finish(TransactionResult::Committed);
+    assert_eq!(commit.wake_at(), None);
+}
+
+/// Guards against transactions that the table refuses for their size or for a repeated key.
+#[test]
+fn limits() {
+    let mut commit = GroupCommit::new(Millis(40));
+    for call in 0..250 {
+        commit.push(ticket(call), write(&format!("key-{call}"), 1));
+    }
+    let mut sizes = Vec::new();
+    for turn in 0..3 {
+        sizes.push(commit.next(Millis(turn * 40)).unwrap().len());
+        commit.finish(TransactionResult::Committed);
+    }
+    assert_eq!(sizes, [MAX_TRANSACTION_ROWS, MAX_TRANSACTION_ROWS, 50]);
+
+    let mut commit = GroupCommit::new(Millis(40));
+    for call in 0..3 {
+        let body = MAX_TRANSACTION_BYTES / 2;
+        commit.push(ticket(call), write(&format!("key-{call}"), body));
+    }
+    assert_eq!(commit.next(Millis(0)).unwrap().len(), 2);
+
+    let mut commit = queue(&["a", "b", "a", "a"]);
+    for (turn, expected) in [vec!["a", "b"], vec!["a"], vec!["a"]]
+        .into_iter()
+        .enumerate()
+    {
+        assert_eq!(keys(commit.next(Millis(turn as u64 * 40))), expected);
+        commit.finish(TransactionResult::Committed);
+    }
+}
+
+/// Guards against an answer for a write that has none, and against a lost or repeated write.
+#[test]
+fn results() {
+    let conflict = || RowResult::Conflict(None);
+    let conflicted = Some(StoreAnswer::Conflict(None));
+    let cases = [
+        (
+            TransactionResult::Committed,
+            vec![Some(StoreAnswer::Written); 3],
+            vec![],
+        ),
+        (
+            TransactionResult::Unavailable,
+            vec![Some(StoreAnswer::NotWritten); 3],
+            vec![],
+        ),
+        (TransactionResult::Unanswered, vec![None; 3], vec![]),
+        (
+            TransactionResult::Refused(vec![RowResult::Held, conflict(), RowResult::Held]),
+            vec![conflicted.clone()],
+            vec!["a", "c"],
+        ),
+        (
+            TransactionResult::Refused(vec![conflict(), conflict(), conflict()]),
+            vec![conflicted; 3],
+            vec![],
+        ),
+        (
+            TransactionResult::Refused(vec![RowResult::Held, RowResult::Held, RowResult::Held]),
+            vec![],
+            vec!["a", "b", "c"],
+        ),
+        (
+            TransactionResult::Refused(vec![conflict()]),
+            vec![None; 3],
+            vec![],
+        ),
+    ];
+    for (result, expected, again) in cases {
+        let mut commit = queue(&["a", "b", "c"]);
+        commit.next(Millis(0)).unwrap();
+        let name = format!("{result:?}");
+        let answers: Vec<_> = commit.finish(result).into_iter().map(|(_, a)| a).collect();
+        assert_eq!(answers, expected, "{name}");
+        assert_eq!(keys(commit.next(Millis(40))), again, "{name}");
+    }
+}
+
+/// Guards against a withdrawn write that is sent, and against withdrawing one in flight.
+#[test]
+fn withdrawn_write() {
+    let mut commit = queue(&["a", "b"]);
+    assert!(commit.withdraw(ticket(0)));
+    assert!(!commit.withdraw(ticket(0)));
+    assert_eq!(keys(commit.next(Millis(0))), ["b"]);
+    assert!(!commit.withdraw(ticket(1)));
+    assert_eq!(
+        commit.finish(TransactionResult::Unanswered),
+        [(ticket(1), None)]
+    );
+}
+
+/// Guards against more transactions a second than the table gives to all committers.
+#[test]
+fn interval_rule() {
+    for (committers, interval) in [(0, 10), (1, 10), (2, 10), (6, 30), (8, 40), (16, 80)] {
+        assert_eq!(
+            commit_interval(committers),
+            Millis(interval),
+            "{committers} committers"
+        );
+    }
+}
--- /dev/null
+++ b/crates/ledger/tests/steps/mod.rs
@@ -0,0 +1,235 @@
+//! Scripts of one call: inputs at given times and the outputs that must follow.
+
+use bv_ledger::{
+    Action, Answer, CallId, Event, Expect, Ledger, MAX_STORED_BYTES, Reply, RowBody, RowState,
+    RowWrite, StoreAnswer, StoredRow, Ticket, UnknownReason,
+};
+use bv_types::{HostId, Incarnation, Millis, Refusal, Version};
+
+pub const START: u64 = 1_000_000;
+/// Deadline of the call, from its arrival.
+pub const DEADLINE: u64 = 5_000;
+const CALL: CallId = CallId(4);
+const OTHER_VERSION: Version = Version(50);
+const WINDOW: Millis = Millis::from_secs(600);
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Row {
+    Missing,
+    /// The row of this attempt, as last claimed, with a state.
+    Own(RowState),
+    Other(RowState),
+    /// Done by another attempt, without an answer.
+    OtherLarge,
+    OtherExpired(RowState),
+    Malformed,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum In {
+    Arrive,
+    Written,
+    Conflict(Row),
+    NotWritten,
+    Unanswered,
+    Read(Row),
+    ReadFailed,
+    /// The check before dispatch, and whether it allows it.
+    Start(u32, bool),
+    Refused {
+        retry: bool,
+    },
+    Failed,
+    Answered,
+    AnsweredLarge,
+    Gone,
+    /// The other attempt's host ended.
+    OtherDead,
+    Tick,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Out {
+    /// A claim on a missing row, or on the row in this version.
+    Claim(Option<u64>),
+    /// A write of the last state, and whether the row must be missing.
+    Settle(RowState, Option<u64>),
+    Read,
+    Withdraw,
+    Dispatch(u32),
+    Answer,
+    NotRun(Refusal),
+    Unknown(UnknownReason),
+    Closed,
+}
+
+/// Milliseconds after the arrival, an input and the outputs that must follow.
+pub type Step<'a> = (u64, In, &'a [Out]);
+
+pub struct Script {
+    ledger: Ledger,
+    ticket: Ticket,
+    claim: Option<RowWrite>,
+}
+
+impl Script {
+    pub fn new() -> Self {
+        let host: HostId = "host-a".parse().unwrap();
+        Script {
+            ledger: Ledger::new(host, Incarnation(9), 3),
+            ticket: Ticket {
+                call: CALL,
+                number: 0,
+            },
+            claim: None,
+        }
+    }
+
+    /// Checks every step of a script, at milliseconds after the arrival.
+    pub fn check(name: &str, steps: &[Step<'_>]) {
+        let mut script = Script::new();
+        for (index, (at, input, expected)) in steps.iter().enumerate() {
+            let got = script.step(Millis(START + at), *input);
+            assert_eq!(got, *expected, "{name}, step {index} at {at} ms: {input:?}");
+        }
+    }
+
+    pub fn open(&self) -> usize {
+        self.ledger.open()
+    }
+
+    pub fn step(&mut self, now: Millis, input: In) -> Vec<Out> {
+        if let In::Start(attempt, allowed) = input {
+            assert_eq!(
+                self.ledger.start(now, CALL, attempt),
+                allowed,
+                "start at {now}"
+            );
+            return Vec::new();
+        }
+        let event = self.event(now, input);
+        let actions = self.ledger.handle(now, event);
+        actions.into_iter().map(|action| self.out(action)).collect()
+    }
+
+    fn event(&self, now: Millis, input: In) -> Event {
+        let ticket = self.ticket;
+        let store = |answer| Event::StoreAnswer { ticket, answer };
+        match input {
+            In::Arrive => Event::Arrive {
+                call: CALL,
+                key: "call/booking/1".into(),
+                deadline: Millis(START + DEADLINE),
+                resend_window: WINDOW,
+            },
+            In::Written => store(StoreAnswer::Written),
+            In::Conflict(row) => store(StoreAnswer::Conflict(self.row(now, row))),
+            In::NotWritten => store(StoreAnswer::NotWritten),
+            In::Unanswered => Event::StoreUnanswered { ticket },
+            In::Read(row) => store(StoreAnswer::Row(self.row(now, row))),
+            In::ReadFailed => store(StoreAnswer::ReadFailed),
+            In::Refused { retry } => Event::DispatchRefused {
+                call: CALL,
+                retry,
+                refusal: Refusal::ConnectRefused,
+            },
+            In::Failed => Event::DispatchFailed { call: CALL },
+            In::Answered => Event::Answered {
+                call: CALL,
+                answer: answer(10),
+            },
+            In::AnsweredLarge => {
+                let answer = answer(MAX_STORED_BYTES + 1);
+                Event::Answered { call: CALL, answer }
+            }
+            In::Gone => Event::CallerGone { call: CALL },
+            In::OtherDead => Event::HostDead {
+                host: "host-b".parse().unwrap(),
+                incarnation: Incarnation(7),
+            },
+            In::Tick => Event::Tick,
+            In::Start(..) => unreachable!("not an event"),
+        }
+    }
+
+    fn row(&self, now: Millis, row: Row) -> Option<StoredRow> {
+        let other = |state, expires, answer| {
+            let body = RowBody {
+                state,
+                host: "host-b".parse().unwrap(),
+                incarnation: Incarnation(7),
+                nonce: "other".into(),
+                attempt: 0,
+                time: now - Millis(1),
+                expires,
+                answer,
+            };
+            Some(StoredRow {
+                version: OTHER_VERSION,
+                body: body.to_json(),
+            })
+        };
+        let live = now + WINDOW;
+        match row {
+            Row::Missing => None,
+            Row::Own(state) => {
+                let claim = self.claim.as_ref().unwrap();
+                let mut body = RowBody::parse(&claim.body).unwrap();
+                body.state = state;
+                Some(StoredRow {
+                    version: claim.version,
+                    body: body.to_json(),
+                })
+            }
+            Row::Other(state @ RowState::Done) => other(state, live, Some(answer(10))),
+            Row::Other(state) => other(state, live, None),
+            Row::OtherLarge => other(RowState::Done, live, None),
+            Row::OtherExpired(state) => other(state, now, None),
+            Row::Malformed => Some(StoredRow {
+                version: OTHER_VERSION,
+                body: "{".to_owned(),
+            }),
+        }
+    }
+
+    fn out(&mut self, action: Action) -> Out {
+        match action {
+            Action::Write { ticket, write } => {
+                self.ticket = ticket;
+                let body = RowBody::parse(&write.body).unwrap();
+                let expect = match write.expect {
+                    Expect::Absent => None,
+                    Expect::Version(version) => Some(version.0),
+                };
+                if body.state != RowState::Claimed {
+                    return Out::Settle(body.state, expect);
+                }
+                self.claim = Some(write);
+                Out::Claim(expect)
+            }
+            Action::Withdraw { ticket } => {
+                assert_eq!(ticket, self.ticket, "another write is withdrawn");
+                Out::Withdraw
+            }
+            Action::Read { ticket, .. } => {
+                self.ticket = ticket;
+                Out::Read
+            }
+            Action::Dispatch { attempt, .. } => Out::Dispatch(attempt),
+            Action::Reply { reply, .. } => match reply {
+                Reply::Answer(_) => Out::Answer,
+                Reply::NotRun { refusal } => Out::NotRun(refusal),
+                Reply::Unknown { reason } => Out::Unknown(reason),
+            },
+            Action::Closed { .. } => Out::Closed,
+        }
+    }
+}
+
+fn answer(size: usize) -> Answer {
+    Answer {
+        status: 200,
+        headers: Vec::new(),
+        body: vec![b'x'; size],
+    }
+}
--- a/crates/ledger/tests/world/mod.rs
+++ b/crates/ledger/tests/world/mod.rs
@@ -7,7 +7,7 @@
 use std::collections::BinaryHeap;
 
 use bv_ledger::{
-    Action, Answer, CallId, Event, Reply, RowState, RowWrite, StoreAnswer, Ticket,
+    Action, Answer, CallId, DISPATCH_LIMIT, Event, Reply, RowState, RowWrite, StoreAnswer, Ticket,
     TransactionResult,
 };
 use bv_types::{Incarnation, Millis, Refusal};
@@ -317,6 +317,7 @@
             let at = self.after(1, 500);
             return self.schedule(at, host, Step::Outcome { event });
         }
+        self.check_claim(host, call, key);
         self.hosts[host].sent(call);
         let run_at = self.after(1, 3_000);
         let lost = self.fault();
@@ -333,6 +334,24 @@
         self.schedule(run_at + Millis(1), host, Step::Outcome { event });
     }
 
+    /// A call is sent only under its own fresh claim and before its deadline.
+    fn check_claim(&self, host: usize, call: CallId, key: usize) {
+        let body = self.table.body(&key_name(key)).expect("sent without a row");
+        let host = &self.hosts[host];
+        assert_eq!(
+            body.state,
+            RowState::Claimed,
+            "{call:?} is sent without a claim"
+        );
+        assert_eq!((&body.host, body.incarnation), (&host.id, host.incarnation));
+        assert!(
+            self.now < body.time + DISPATCH_LIMIT,
+            "{call:?} is sent long after its claim"
+        );
+        let deadline = host.calls[call.0 as usize].deadline;
+        assert!(self.now < deadline, "{call:?} is sent after its deadline");
+    }
+
     fn send_transaction(&mut self, host: usize) {
         let Some(writes) = self.hosts[host].commit.next(self.now) else {
             return;
