--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -1,9 +1,12 @@
 //! The entry host daemon as a library.
 
 mod answer;
+mod body;
 mod callers;
+mod claims;
 mod conf;
 mod counters;
+mod dispatch;
 mod engine;
 mod host;
 mod leaving;
@@ -11,6 +14,8 @@
 mod operate;
 mod peers;
 mod plain;
+mod rows;
+mod servers;
 mod settings;
 mod shutdown;
 
