Run the membership over UDP and stop hosts by phases

Cause: the view of live hosts was the seeds that answered, the configuration did not spread between hosts, and a stopping host told nobody.

Change: peers/gossip.rs drives the state machine over UDP; a higher version in a rumour fetches the configuration from that peer at once. bv-drain holds leaving marks and the phases of a shutdown, which shutdown.rs follows. Connections that the system accepted before the listener closes are served, and answers during the lame duck phase close HTTP/1 connections. /v1/members shows the view.

--- a/crates/lab/src/hosts.rs
+++ b/crates/lab/src/hosts.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -109,6 +109,11 @@
         self.child.id()
     }
 
+    /// Exit status, once the process has ended.
+    pub fn exit_status(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().ok().flatten()
+    }
+
     /// Waits until the host is ready.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/lab/tests/common/mod.rs
@@ -0,0 +1,87 @@
+//! Entry host processes and their views.
+
+// Each test program uses a part of this module.
+#![allow(dead_code)]
+
+use std::time::{Duration, Instant};
+
+use bv_lab::{Deployment, HostProcess, HostSpec, OPERATOR_KEY};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty};
+use hyper::Request;
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::Value;
+
+pub const INVENTORY: &str = include_str!("../../../../examples/start-up.toml");
+const POLL: Duration = Duration::from_millis(50);
+
+/// Starts entry hosts that have the first two for seeds, and waits until all see all.
+pub async fn start_hosts(deployment: &Deployment, count: usize) -> Vec<HostProcess> {
+    let mut specs = Vec::new();
+    for index in 0..count {
+        let spec = HostSpec::new(index, deployment, "planned").await.unwrap();
+        specs.push(spec);
+    }
+    let seeds: Vec<_> = specs.iter().take(2).map(|s| s.peer_addr).collect();
+    let mut hosts = Vec::new();
+    for mut spec in specs {
+        spec.seeds = seeds.clone();
+        hosts.push(HostProcess::start(spec).unwrap());
+    }
+    for host in &hosts {
+        host.wait_ready().await.unwrap();
+    }
+    let all: Vec<usize> = (0..count).collect();
+    for host in &hosts {
+        wait_view(host, &all, Duration::from_secs(10)).await;
+    }
+    hosts
+}
+
+pub fn send_signal(host: &HostProcess, signal: Signal) {
+    let pid = Pid::from_raw(i32::try_from(host.pid()).unwrap()).unwrap();
+    kill_process(pid, signal).unwrap();
+}
+
+/// Answer of the operators' listener of a host; `Null` if there is none.
+pub async fn ask(host: &HostProcess, path: &str) -> Value {
+    let client = Client::builder(TokioExecutor::new()).build_http::<Empty<Bytes>>();
+    let req = Request::get(format!("http://{}{path}", host.spec.operator_addr))
+        .header("authorization", format!("Bearer {OPERATOR_KEY}"))
+        .body(Empty::new())
+        .unwrap();
+    let answer = async {
+        let body = client.request(req).await.ok()?.into_body();
+        let bytes = body.collect().await.ok()?.to_bytes();
+        serde_json::from_slice(&bytes).ok()
+    };
+    let answer = tokio::time::timeout(Duration::from_secs(1), answer).await;
+    answer.ok().flatten().unwrap_or_default()
+}
+
+/// Members in the view of a host.
+pub async fn members(host: &HostProcess) -> Vec<Value> {
+    let view = ask(host, "/v1/members").await;
+    view["members"].as_array().cloned().unwrap_or_default()
+}
+
+/// Waits until a host sees exactly the hosts with these positions; returns the time it took.
+pub async fn wait_view(host: &HostProcess, expected: &[usize], limit: Duration) -> Duration {
+    let expected: Vec<String> = expected.iter().map(|at| format!("host-{at}")).collect();
+    let start = Instant::now();
+    loop {
+        let seen = members(host).await;
+        let ids: Vec<&str> = seen.iter().filter_map(|m| m["host"].as_str()).collect();
+        if ids == expected {
+            return start.elapsed();
+        }
+        assert!(
+            start.elapsed() < limit,
+            "{} sees {ids:?} instead of {expected:?} after {limit:?}",
+            host.spec.id
+        );
+        tokio::time::sleep(POLL).await;
+    }
+}
--- a/crates/server/src/callers.rs
+++ b/crates/server/src/callers.rs
@@ -1,5 +1,6 @@
 //! Callers' listener.
 
+use std::convert::Infallible;
 use std::error::Error;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -9,7 +10,10 @@
 use axum::body::Body;
 use axum::routing::post;
 use bv_types::Refusal;
+use futures_util::FutureExt;
+use hyper::Version;
 use hyper::body::Incoming;
+use hyper::header::{self, HeaderValue};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
 use hyper_util::server::graceful::GracefulShutdown;
@@ -18,7 +22,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tower::ServiceExt;
-use tracing::{debug, info, warn};
+use tracing::{debug, warn};
 
 use crate::{Host, counters, model, plain};
 
@@ -35,6 +39,9 @@
 const USER_TIMEOUT: Duration = Duration::from_secs(10);
 /// Pause after a failed accept, such as when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Time for the first bytes of connections accepted last. A connection without any is closed by the
+/// graceful shutdown even if a request is on its way.
+const FIRST_BYTES: Duration = Duration::from_millis(250);
 const BUSY_ANSWER: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\n\
     x-burdockvale-outcome: not-run\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
 
@@ -64,19 +71,29 @@
             }
         };
         match permits.clone().try_acquire_owned() {
-            Ok(permit) => connect(&router, &graceful, stream, addr, permit),
+            Ok(permit) => connect(&host, &router, &graceful, stream, addr, permit),
             Err(_) => refuse(stream),
         }
     }
+    accept_waiting(&listener, |stream, addr| {
+        if let Ok(permit) = permits.clone().try_acquire_owned() {
+            connect(&host, &router, &graceful, stream, addr, permit);
+        }
+    });
     drop(listener);
-    let limit = host.settings.drain_limit_ms.duration();
-    match tokio::time::timeout(limit, graceful.shutdown()).await {
-        Ok(()) => info!("callers: all requests finished"),
-        Err(_) => warn!("callers: the drain limit passed with requests in progress"),
+    tokio::time::sleep(FIRST_BYTES).await;
+    graceful.shutdown().await;
+}
+
+/// Takes connections that the system has already accepted; closing the listener resets the rest.
+fn accept_waiting(listener: &TcpListener, mut take: impl FnMut(TcpStream, SocketAddr)) {
+    while let Some(Ok((stream, addr))) = listener.accept().now_or_never() {
+        take(stream, addr);
     }
 }
 
 fn connect(
+    host: &Arc<Host>,
     router: &Router,
     graceful: &GracefulShutdown,
     stream: TcpStream,
@@ -87,9 +104,20 @@
         debug!(%err, "callers: socket options failed");
     }
     let router = router.clone();
+    let lame_duck = host.shutdown.lame_duck.clone();
     let service = hyper::service::service_fn(move |mut req: hyper::Request<Incoming>| {
         req.extensions_mut().insert(PeerAddr(addr));
-        router.clone().oneshot(req.map(Body::new))
+        let answered = router.clone().oneshot(req.map(Body::new));
+        let lame_duck = lame_duck.clone();
+        async move {
+            let mut answer = answered.await?;
+            if lame_duck.is_cancelled() && answer.version() < Version::HTTP_2 {
+                // The caller opens its next connection at another host.
+                let close = HeaderValue::from_static("close");
+                answer.headers_mut().insert(header::CONNECTION, close);
+            }
+            Ok::<_, Infallible>(answer)
+        }
     });
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder
--- a/crates/server/src/conf.rs
+++ b/crates/server/src/conf.rs
@@ -48,6 +48,11 @@
         self.0.borrow().clone()
     }
 
+    /// Version of the configuration in force.
+    pub fn version(&self) -> Option<Version> {
+        self.0.borrow().as_ref().map(|current| current.version)
+    }
+
     /// Puts a row in force unless its version is not higher than the current one.
     pub fn offer(&self, row: &Row) {
         let Some(next) = read_row(row) else {
--- a/crates/server/src/counters.rs
+++ b/crates/server/src/counters.rs
@@ -8,6 +8,9 @@
 const RETRIES: &str = "burdockvale_retries_total";
 const UNKNOWN: &str = "burdockvale_outcome_unknown_total";
 const DROPPED: &str = "burdockvale_answers_dropped_total";
+const MEMBERS: &str = "burdockvale_members";
+const MEMBER_EVENTS: &str = "burdockvale_member_events_total";
+const DATAGRAMS_DROPPED: &str = "burdockvale_datagrams_dropped_total";
 const CONFIG_VERSION: &str = "burdockvale_config_version";
 
 /// Installs the recorder, with every refusal and retry reason at 0.
@@ -48,3 +51,15 @@
 pub(crate) fn config_version(version: u64) {
     gauge!(CONFIG_VERSION).set(version as f64);
 }
+
+pub(crate) fn members(count: usize) {
+    gauge!(MEMBERS).set(count as f64);
+}
+
+pub(crate) fn member_event(kind: &'static str) {
+    counter!(MEMBER_EVENTS, "kind" => kind).increment(1);
+}
+
+pub(crate) fn datagram_dropped(reason: &'static str) {
+    counter!(DATAGRAMS_DROPPED, "reason" => reason).increment(1);
+}
--- a/crates/server/src/host.rs
+++ b/crates/server/src/host.rs
@@ -7,14 +7,15 @@
 use bv_store::{HttpTable, Table, TableSettings};
 use bv_types::{Clock, Incarnation, RequestId};
 use miette::Diagnostic;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UdpSocket};
 use tracing::info;
 
 use crate::conf::Conf;
 use crate::engine::EngineClient;
+use crate::leaving::Leaving;
 use crate::peers::Peers;
 use crate::shutdown::Shutdown;
-use crate::{Settings, callers, conf, counters, operate, peers};
+use crate::{Settings, callers, conf, counters, leaving, operate, peers, shutdown};
 
 /// Failure to start.
 #[derive(Debug, thiserror::Error, Diagnostic)]
@@ -49,6 +50,7 @@
     pub(crate) conf: Conf,
     pub(crate) engines: EngineClient,
     pub(crate) peers: Peers,
+    pub(crate) leaving: Leaving,
     pub(crate) shutdown: Shutdown,
     sequence: AtomicU64,
 }
@@ -66,6 +68,7 @@
         let incarnation = Incarnation(clock.now().0);
         Host {
             peers: Peers::new(&settings, incarnation),
+            leaving: Leaving::default(),
             incarnation,
             table: Arc::new(table),
             conf: Conf::default(),
@@ -96,6 +99,7 @@
     let caller_listener = listen("callers", settings.caller_addr).await?;
     let operator_listener = listen("operators", settings.operator_addr).await?;
     let peer_listener = listen("peers", settings.peer_addr).await?;
+    let peer_socket = listen_udp("peers", settings.peer_addr).await?;
     let host = Arc::new(Host::new(settings));
     host.peers.attach(&host);
     info!(
@@ -105,13 +109,12 @@
         "host: started"
     );
     tokio::spawn(peers::serve(host.clone(), peer_listener));
-    tokio::spawn(peers::follow_seeds(host.clone()));
+    tokio::spawn(leaving::follow(host.clone()));
+    tokio::spawn(peers::follow(host.clone(), peer_socket));
     tokio::spawn(conf::follow(host.clone()));
     tokio::spawn(operate::serve(host.clone(), operator_listener, metrics));
     let serving = tokio::spawn(callers::serve(host.clone(), caller_listener));
-    host.shutdown.on_signal(&host.settings).await?;
-    // The listener task ends once every connection has finished or the drain limit has passed.
-    let _ = serving.await;
+    shutdown::run(&host, serving).await?;
     info!("host: stopped");
     Ok(())
 }
@@ -121,3 +124,9 @@
         .await
         .map_err(|source| HostError::Listen { peer, addr, source })
 }
+
+async fn listen_udp(peer: &'static str, addr: SocketAddr) -> Result<UdpSocket, HostError> {
+    UdpSocket::bind(addr)
+        .await
+        .map_err(|source| HostError::Listen { peer, addr, source })
+}
--- /dev/null
+++ b/crates/server/src/leaving.rs
@@ -0,0 +1,74 @@
+//! Leaving marks of backend servers, from all sources.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use bv_drain::{LeavingMark, LeavingMarks};
+use bv_member::Rumour;
+use bv_types::{BackendId, Incarnation};
+use tokio::sync::broadcast::error::RecvError;
+use tracing::{info, warn};
+
+use crate::Host;
+use crate::peers::PeerEvent;
+
+/// Marks shared by the parts of the host.
+#[derive(Debug, Default)]
+pub(crate) struct Leaving(Mutex<LeavingMarks>);
+
+impl Leaving {
+    /// The marks.
+    pub fn lock(&self) -> MutexGuard<'_, LeavingMarks> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Host {
+    /// Marks a process of a backend server as leaving and tells the other entry hosts.
+    pub fn mark_leaving(&self, backend: &BackendId, incarnation: Incarnation) {
+        if self.leaving.lock().mark(backend, incarnation) {
+            self.spread_leaving(LeavingMark {
+                backend: backend.clone(),
+                incarnation,
+            });
+        }
+    }
+
+    /// Marks the process of a backend server that was seen last, for sources that know no
+    /// incarnations, and tells the other entry hosts.
+    pub fn mark_current_leaving(&self, backend: &BackendId) {
+        let mark = self.leaving.lock().mark_current(backend);
+        if let Some(mark) = mark {
+            self.spread_leaving(mark);
+        }
+    }
+
+    fn spread_leaving(&self, mark: LeavingMark) {
+        info!(backend = %mark.backend, incarnation = %mark.incarnation, "drain: leaving");
+        self.peers.add_rumour(Rumour::Leaving {
+            backend: mark.backend,
+            incarnation: mark.incarnation,
+        });
+    }
+}
+
+/// Takes over marks from rumours until the process ends.
+pub(crate) async fn follow(host: Arc<Host>) {
+    let mut events = host.peers.subscribe();
+    loop {
+        match events.recv().await {
+            Ok(PeerEvent::Rumour {
+                rumour:
+                    Rumour::Leaving {
+                        backend,
+                        incarnation,
+                    },
+                ..
+            }) => {
+                host.leaving.lock().mark(&backend, incarnation);
+            }
+            Ok(_) => {}
+            Err(RecvError::Lagged(missed)) => warn!(missed, "drain: peer events missed"),
+            Err(RecvError::Closed) => return,
+        }
+    }
+}
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -6,6 +6,7 @@
 mod counters;
 mod engine;
 mod host;
+mod leaving;
 mod model;
 mod operate;
 mod peers;
--- a/crates/server/src/operate.rs
+++ b/crates/server/src/operate.rs
@@ -13,7 +13,7 @@
 use tokio::net::TcpListener;
 use tracing::warn;
 
-use crate::Host;
+use crate::{Host, peers};
 
 /// Serves the operators' listener until the process ends.
 pub(crate) async fn serve(host: Arc<Host>, listener: TcpListener, metrics: PrometheusHandle) {
@@ -23,6 +23,7 @@
             get(move || std::future::ready(metrics.render())),
         )
         .route("/v1/config", get(show_config))
+        .route("/v1/members", get(peers::show))
         .layer(middleware::from_fn_with_state(host.clone(), check_key));
     let router = Router::new()
         .route("/healthz", get(|| std::future::ready("ok\n")))
--- /dev/null
+++ b/crates/server/src/peers/gossip.rs
@@ -0,0 +1,188 @@
+//! Membership over UDP.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bv_member::{Action, Event, Membership, Message, Rumour};
+use bv_types::{Fingerprint, Incarnation, Millis, Version};
+use bv_wire::{DatagramCodec, Sealed};
+use futures_util::{SinkExt, StreamExt};
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+use tokio::time::MissedTickBehavior;
+use tokio_util::udp::UdpFramed;
+use tracing::{debug, info, warn};
+
+use super::{PeerEvent, config};
+use crate::{Host, counters};
+
+const TICK: Duration = Duration::from_millis(50);
+
+/// Digest of a configuration document in rumours.
+pub(crate) fn config_digest(document: &str) -> Fingerprint {
+    Fingerprint::digest([document.as_bytes()])
+}
+
+/// Takes part in the membership until the process ends.
+pub(crate) async fn follow(host: Arc<Host>, socket: UdpSocket) {
+    let Some(events) = host.peers.take_events() else {
+        return;
+    };
+    let this = host.peers.this.clone();
+    if this.addr.ip().is_unspecified() {
+        warn!(addr = %this.addr, "peers: others cannot reach this host; set --peer-advertise");
+    }
+    let seeds = host.settings.seeds.clone();
+    let machine = Membership::new(this, seeds, random_seed(&host), host.clock.now());
+    let gossip = Gossip {
+        framed: UdpFramed::new(socket, DatagramCodec::default()),
+        machine,
+        advertised: None,
+        superseded: false,
+        host,
+    };
+    gossip.run(events).await;
+}
+
+fn random_seed(host: &Host) -> u64 {
+    let chosen = match host.settings.random_seed {
+        0 => host.incarnation.0,
+        seed => seed,
+    };
+    let id = host.settings.host_id.as_str().as_bytes();
+    let digest = Fingerprint::digest([&chosen.to_le_bytes()[..], id]);
+    u64::from_le_bytes(digest.0[..8].try_into().unwrap_or_default())
+}
+
+struct Gossip {
+    framed: UdpFramed<DatagramCodec<Sealed>>,
+    machine: Membership,
+    /// Version of the configuration in this host's messages.
+    advertised: Option<Version>,
+    /// A newer process with this host's id has been reported.
+    superseded: bool,
+    host: Arc<Host>,
+}
+
+impl Gossip {
+    async fn run(mut self, mut events: mpsc::UnboundedReceiver<Event>) {
+        let mut tick = tokio::time::interval(TICK);
+        tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            let event = tokio::select! {
+                _ = tick.tick() => Some(Event::Tick),
+                event = events.recv() => event,
+                received = self.framed.next() => self.open(received),
+            };
+            self.advertise_config().await;
+            if let Some(event) = event {
+                self.handle(event).await;
+            }
+        }
+    }
+
+    /// The message of a datagram; invalid ones are dropped and counted.
+    fn open<E: fmt::Display>(
+        &self,
+        received: Option<Result<(Sealed, SocketAddr), E>>,
+    ) -> Option<Event> {
+        let (sealed, from) = match received? {
+            Ok(received) => received,
+            Err(err) => {
+                counters::datagram_dropped("malformed");
+                debug!(%err, "peers: datagram dropped");
+                return None;
+            }
+        };
+        let key = self.host.settings.cluster_key.expose().as_bytes();
+        match bv_wire::open(key, &sealed) {
+            Ok(message) => Some(Event::Packet(message)),
+            Err(err) => {
+                counters::datagram_dropped(err.reason());
+                debug!(%from, %err, "peers: datagram dropped");
+                None
+            }
+        }
+    }
+
+    /// Advertises the configuration in force once it has changed. Its age is that of a
+    /// configuration never confirmed; whoever reads the store adds a rumour with the real age.
+    async fn advertise_config(&mut self) {
+        let version = self.host.conf.version();
+        if version == self.advertised {
+            return;
+        }
+        self.advertised = version;
+        if let Some(current) = self.host.conf.current() {
+            let rumour = Rumour::Config {
+                version: current.version,
+                digest: config_digest(&current.row.document),
+                age: Millis::MAX,
+            };
+            self.handle(Event::AddRumour(rumour)).await;
+        }
+    }
+
+    async fn handle(&mut self, event: Event) {
+        let now = self.host.clock.now();
+        for action in self.machine.handle(now, event) {
+            match action {
+                Action::Send { to, message } => self.send(to, &message).await,
+                Action::Joined(member) => {
+                    info!(host = %member.host, incarnation = %member.incarnation, "peers: joined");
+                    self.announce("joined", PeerEvent::Joined(member));
+                }
+                Action::Suspected(member) => {
+                    debug!(host = %member.host, "peers: suspected");
+                    counters::member_event("suspected");
+                }
+                Action::Dead(member) => {
+                    info!(host = %member.host, incarnation = %member.incarnation, "peers: dead");
+                    self.host.peers.disconnect(&member);
+                    self.announce("dead", PeerEvent::Dead(member));
+                }
+                Action::Left(member) => {
+                    info!(host = %member.host, incarnation = %member.incarnation, "peers: left");
+                    self.announce("left", PeerEvent::Left(member));
+                }
+                Action::Rumour { from, rumour } => {
+                    if let Rumour::Config { version, .. } = rumour {
+                        config::fetch_newer(&self.host, &from, version);
+                    }
+                    self.host.peers.announce(PeerEvent::Rumour { from, rumour });
+                }
+                Action::DeclaredDead { by } => {
+                    warn!(%by, "peers: this host had been declared dead");
+                    self.announce("declared_dead", PeerEvent::DeclaredDead { by });
+                }
+                Action::Superseded { by } => self.on_superseded(by),
+            }
+        }
+    }
+
+    /// Updates the view first, so that receivers of the event find it.
+    fn announce(&self, kind: &'static str, event: PeerEvent) {
+        counters::member_event(kind);
+        let view = self.machine.alive();
+        counters::members(view.len());
+        self.host.peers.set_view(view);
+        self.host.peers.announce(event);
+    }
+
+    fn on_superseded(&mut self, by: Incarnation) {
+        if !self.superseded {
+            warn!(incarnation = %by, "peers: a newer process has the id of this host");
+        }
+        self.superseded = true;
+    }
+
+    async fn send(&mut self, to: SocketAddr, message: &Message) {
+        let key = self.host.settings.cluster_key.expose().as_bytes();
+        let sealed = bv_wire::seal(key, message);
+        if let Err(err) = self.framed.send((sealed, to)).await {
+            debug!(%to, %err, "peers: sending a datagram failed");
+        }
+    }
+}
--- a/crates/server/src/peers/link.rs
+++ b/crates/server/src/peers/link.rs
@@ -51,7 +51,8 @@
     frames: mpsc::Sender<Frame>,
     next_id: Arc<AtomicU64>,
     pending: Arc<Pending>,
-    _closes_reader: Arc<DropGuard>,
+    closing: CancellationToken,
+    _closes_last: Arc<DropGuard>,
 }
 
 impl Link {
@@ -92,10 +93,16 @@
             frames,
             next_id: Arc::new(AtomicU64::new(HELLO_ID + 1)),
             pending,
-            _closes_reader: Arc::new(closing.drop_guard()),
+            _closes_last: Arc::new(closing.clone().drop_guard()),
+            closing,
         }
     }
 
+    /// Closes the connection for all its calls.
+    pub fn close(&self) {
+        self.closing.cancel();
+    }
+
     /// Whether the connection still carries calls.
     pub fn is_open(&self) -> bool {
         !self.frames.is_closed() && lock(&self.pending).is_some()
--- a/crates/server/src/peers/mod.rs
+++ b/crates/server/src/peers/mod.rs
@@ -3,25 +3,35 @@
 mod answer;
 mod config;
 mod error;
+mod event;
+mod gossip;
 mod link;
 mod listener;
+mod show;
 
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex, OnceLock, PoisonError, RwLock, Weak};
 
-use bv_member::Member;
+use bv_member::{Event, Member, Rumour};
 use bv_types::{HostId, Incarnation, Millis};
 use bv_wire::frame::Body;
-use tracing::debug;
+use tokio::sync::{broadcast, mpsc};
 
 use crate::{Host, Settings};
 
 pub(crate) use answer::answer;
 pub(crate) use error::{PeerCause, PeerError, PeerStep};
+pub(crate) use event::PeerEvent;
+pub(crate) use gossip::follow;
 pub(crate) use link::Link;
 pub(crate) use listener::serve;
+pub(crate) use show::show;
 
-const SEED_POLL: Millis = Millis(1_000);
+/// Events that a slow receiver may lag behind before it loses the oldest.
+const EVENTS_HELD: usize = 1_024;
+/// Time in which the departure is announced to others.
+const LEAVE_TIME: Millis = Millis(500);
 
 /// A connection that is opened by the first call to its peer.
 #[derive(Default)]
@@ -33,6 +43,12 @@
     host: OnceLock<Weak<Host>>,
     view: RwLock<Vec<Member>>,
     slots: Mutex<Vec<(HostId, Arc<Slot>)>>,
+    /// Input of the membership, with its receiver until the membership starts.
+    input: mpsc::UnboundedSender<Event>,
+    pending_input: Mutex<Option<mpsc::UnboundedReceiver<Event>>>,
+    events: broadcast::Sender<PeerEvent>,
+    /// A fetch of the configuration is in progress.
+    fetching: AtomicBool,
 }
 
 impl Peers {
@@ -43,7 +59,12 @@
             incarnation,
             addr: advertised(settings),
         };
+        let (input, pending_input) = mpsc::unbounded_channel();
         Peers {
+            input,
+            pending_input: Mutex::new(Some(pending_input)),
+            events: broadcast::Sender::new(EVENTS_HELD),
+            fetching: AtomicBool::new(false),
             view: RwLock::new(vec![this.clone()]),
             this,
             host: OnceLock::new(),
@@ -145,17 +166,50 @@
         }
     }
 
-    fn add(&self, member: Member) {
-        let mut view = self.view.write().unwrap_or_else(PoisonError::into_inner);
-        match view.binary_search_by(|m| m.host.cmp(&member.host)) {
-            Ok(at) => view[at] = member,
-            Err(at) => view.insert(at, member),
-        }
+    /// Events of members and rumours from now on.
+    pub fn subscribe(&self) -> broadcast::Receiver<PeerEvent> {
+        self.events.subscribe()
+    }
+
+    /// Spreads a rumour of this host.
+    pub fn add_rumour(&self, rumour: Rumour) {
+        // The membership runs until the process ends, so the rumour reaches it.
+        let _ = self.input.send(Event::AddRumour(rumour));
+    }
+
+    /// Announces that this host leaves.
+    pub async fn leave(&self) {
+        let _ = self.input.send(Event::Leave);
+        tokio::time::sleep(LEAVE_TIME.duration()).await;
+    }
+
+    fn take_events(&self) -> Option<mpsc::UnboundedReceiver<Event>> {
+        self.pending_input
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .take()
+    }
+
+    fn announce(&self, event: PeerEvent) {
+        // Sending fails only if nobody has subscribed.
+        let _ = self.events.send(event);
+    }
+
+    fn set_view(&self, view: Vec<Member>) {
+        *self.view.write().unwrap_or_else(PoisonError::into_inner) = view;
     }
 
-    fn remove(&self, peer: &HostId) {
-        let mut view = self.view.write().unwrap_or_else(PoisonError::into_inner);
-        view.retain(|m| m.host != *peer);
+    /// Closes the connection to a dead process, so that calls to it fail at once.
+    fn disconnect(&self, member: &Member) {
+        let slot = self.slot(&member.host);
+        // A locked slot is being opened; opening checks the incarnation again.
+        if let Ok(mut open) = slot.0.try_lock()
+            && let Some(link) = &*open
+            && link.peer.incarnation <= member.incarnation
+        {
+            link.close();
+            *open = None;
+        }
     }
 }
 
@@ -169,36 +223,3 @@
     }
     addr
 }
-
-/// Adds seeds that answer a hello and removes those whose connection closed.
-pub(crate) async fn follow_seeds(host: Arc<Host>) {
-    let mut links: Vec<(SocketAddr, Option<Link>)> =
-        host.settings.seeds.iter().map(|s| (*s, None)).collect();
-    loop {
-        for (addr, link) in &mut links {
-            if link.as_ref().is_some_and(Link::is_open) {
-                continue;
-            }
-            if let Some(closed) = link.take() {
-                host.peers.remove(&closed.peer.host);
-            }
-            let mut step = PeerStep::Connect;
-            let open = Link::open(&host.settings, host.incarnation, *addr, &mut step);
-            match tokio::time::timeout(SEED_POLL.duration(), open).await {
-                Ok(Ok(opened)) if opened.peer.host != host.settings.host_id => {
-                    host.peers.add(Member {
-                        host: opened.peer.host.clone(),
-                        incarnation: opened.peer.incarnation,
-                        addr: *addr,
-                    });
-                    *link = Some(opened);
-                }
-                Ok(Ok(_)) => {}
-                Ok(Err(cause)) => debug!(%addr, %step, %cause, "peers: seed does not answer"),
-                Err(_) => debug!(%addr, %step, "peers: seed does not answer in time"),
-            }
-        }
-        config::fetch_first(&host).await;
-        tokio::time::sleep(SEED_POLL.duration()).await;
-    }
-}
--- a/crates/wire/src/seal.rs
+++ b/crates/wire/src/seal.rs
@@ -27,6 +27,17 @@
     Content(#[from] DatagramError),
 }
 
+impl SealError {
+    /// The reason in metrics.
+    pub fn reason(&self) -> &'static str {
+        match self {
+            SealError::Digest => "digest",
+            SealError::Malformed(_) => "malformed",
+            SealError::Content(_) => "content",
+        }
+    }
+}
+
 /// Encodes a message with the digest for this key.
 pub fn seal(key: &[u8], message: &Message) -> Sealed {
     let content = Datagram::from(message).encode_to_vec();
