Test that a stopping host cuts no stream and no arrival

Cause: the streams of the first test ended before the listener closed.

Calls on new connections arrive throughout the shutdown.

--- a/crates/lab/tests/graceful_stop.rs
+++ b/crates/lab/tests/graceful_stop.rs
@@ -2,9 +2,10 @@
 
 mod common;
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use bv_lab::Deployment;
+use bv_lab::{Deployment, HostProcess};
 use bytes::Bytes;
 use common::{INVENTORY, send_signal, start_hosts, wait_view};
 use http_body_util::{BodyExt, Full};
@@ -17,10 +18,15 @@
 use tokio::net::TcpStream;
 
 const STREAMS: usize = 8;
+/// Long enough to outlast the lame duck phase of 5 s.
+const STREAM_TOKENS: u64 = 600;
+/// The listener is closed by then.
+const CLOSED_AFTER: Duration = Duration::from_millis(6_500);
+const ARRIVALS: usize = 8;
 const EXIT_LIMIT: Duration = Duration::from_secs(60);
 
 /// A streamed call; returns its whole text, or what went wrong.
-async fn stream(addr: std::net::SocketAddr, model: String, tokens: u64) -> Result<String, String> {
+async fn stream(addr: SocketAddr, model: String, tokens: u64) -> Result<String, String> {
     let client = Client::builder(TokioExecutor::new()).build_http::<Full<Bytes>>();
     let body = json!({
         "model": model,
@@ -47,12 +53,16 @@
 /// departure that others take for a death.
 #[tokio::test(flavor = "multi_thread")]
 async fn streams_finish() {
-    let deployment = Deployment::start(INVENTORY).await.unwrap();
+    let text = INVENTORY.replace(
+        "max_output_tokens = 300",
+        &format!("max_output_tokens = {STREAM_TOKENS}"),
+    );
+    let deployment = Deployment::start(&text).await.unwrap();
     let mut hosts = start_hosts(&deployment, 3).await;
     let addr = hosts[2].spec.caller_addr;
     let model = deployment.inventory.models[0].clone();
     let calls: Vec<_> = (0..STREAMS)
-        .map(|_| tokio::spawn(stream(addr, model.id.to_string(), model.max_output.0)))
+        .map(|_| tokio::spawn(stream(addr, model.id.to_string(), STREAM_TOKENS)))
         .collect();
     // An idle keep-alive connection and one that never sends anything.
     let mut idle = TcpStream::connect(addr).await.unwrap();
@@ -68,6 +78,10 @@
     tokio::time::sleep(Duration::from_millis(300)).await;
     let late = stream(addr, model.id.to_string(), 4).await;
     assert!(late.is_ok(), "call during the lame duck phase: {late:?}");
+    tokio::time::sleep_until((stopped + CLOSED_AFTER).into()).await;
+    let finished = calls.iter().filter(|call| call.is_finished()).count();
+    assert_eq!(finished, 0, "streams outlast the listener");
+    assert!(TcpStream::connect(addr).await.is_err(), "listener is open");
     for call in calls {
         let outcome = call.await.unwrap();
         assert!(outcome.is_ok(), "stream cut: {outcome:?}");
@@ -75,8 +89,16 @@
     let closed = idle.read(&mut buf).await.unwrap();
     assert_eq!(closed, 0, "the idle connection is closed without an error");
     assert_eq!(silent.read(&mut buf).await.unwrap(), 0);
+    wait_exit(&mut hosts[2], stopped).await;
+    // A death would take at least the suspicion time of 4 s to notice.
+    for host in &hosts[..2] {
+        wait_view(host, &[0, 1], Duration::from_secs(2)).await;
+    }
+}
+
+async fn wait_exit(host: &mut HostProcess, stopped: Instant) {
     let status = loop {
-        if let Some(status) = hosts[2].exit_status() {
+        if let Some(status) = host.exit_status() {
             break status;
         }
         assert!(stopped.elapsed() < EXIT_LIMIT, "the process does not end");
@@ -84,8 +106,43 @@
     };
     println!("exit after {:?}", stopped.elapsed());
     assert!(status.success(), "{status}");
-    // A death would take at least the suspicion time of 4 s to notice.
-    for host in &hosts[..2] {
-        wait_view(host, &[0, 1], Duration::from_secs(2)).await;
+}
+
+/// Opens connections with one call each until one is refused; returns how many were answered.
+async fn arrive(addr: SocketAddr) -> Result<usize, String> {
+    let mut answered = 0;
+    loop {
+        let Ok(mut conn) = TcpStream::connect(addr).await else {
+            return Ok(answered);
+        };
+        let req = b"GET /no-such-route HTTP/1.1\r\nhost: lab\r\n\r\n";
+        let mut buf = [0; 4_096];
+        let exchange = async {
+            conn.write_all(req).await?;
+            conn.read(&mut buf).await
+        };
+        match exchange.await {
+            Ok(0) => return Err(format!("closed without an answer after {answered}")),
+            Ok(_) => answered += 1,
+            Err(err) => return Err(format!("{err} after {answered}")),
+        }
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+}
+
+/// Guards against connections that are accepted while the listener closes and get no answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn arrivals_are_answered() {
+    let deployment = Deployment::start(INVENTORY).await.unwrap();
+    let mut hosts = start_hosts(&deployment, 2).await;
+    let addr = hosts[1].spec.caller_addr;
+    let arrivals: Vec<_> = (0..ARRIVALS).map(|_| tokio::spawn(arrive(addr))).collect();
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let stopped = Instant::now();
+    send_signal(&hosts[1], Signal::TERM);
+    for arrival in arrivals {
+        let outcome = arrival.await.unwrap();
+        assert!(outcome.as_ref().is_ok_and(|n| *n > 0), "{outcome:?}");
     }
+    wait_exit(&mut hosts[1], stopped).await;
 }
