--- a/crates/server/src/counters.rs
+++ b/crates/server/src/counters.rs
@@ -10,6 +10,9 @@
 const DROPPED: &str = "burdockvale_answers_dropped_total";
 const TRANSACTIONS: &str = "burdockvale_transactions_total";
 const TRANSACTION_ROWS: &str = "burdockvale_transaction_rows_total";
+const MEMBERS: &str = "burdockvale_members";
+const MEMBER_EVENTS: &str = "burdockvale_member_events_total";
+const DATAGRAMS_DROPPED: &str = "burdockvale_datagrams_dropped_total";
 const CONFIG_VERSION: &str = "burdockvale_config_version";
 const CONFIG_STALE: &str = "burdockvale_config_stale";
 const CONFIG_REPAIRS: &str = "burdockvale_config_repairs_total";
@@ -106,3 +109,15 @@
 pub(crate) fn operator_refused() {
     counter!(OPERATOR_REFUSED).increment(1);
 }
+
+pub(crate) fn members(count: usize) {
+    gauge!(MEMBERS).set(count as f64);
+}
+
+pub(crate) fn member_event(kind: &'static str) {
+    counter!(MEMBER_EVENTS, "kind" => kind).increment(1);
+}
+
+pub(crate) fn datagram_dropped(reason: &'static str) {
+    counter!(DATAGRAMS_DROPPED, "reason" => reason).increment(1);
+}
--- a/crates/server/src/leaving.rs
+++ b/crates/server/src/leaving.rs
@@ -1,41 +1,84 @@
-//! Marks of backend servers that are about to leave.
+//! Leaving marks of backend servers, from all sources.
 
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use bv_drain::{LeavingMark, LeavingMarks};
+use bv_member::Rumour;
 use bv_types::{BackendId, Incarnation};
-use tracing::info;
-
-/// A backend server that must receive no new work.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) struct LeavingMark {
-    /// The backend server.
-    pub backend: BackendId,
-    /// Process that leaves; `None` while it is not known, which marks any.
-    pub incarnation: Option<Incarnation>,
-}
+use tokio::sync::broadcast::error::RecvError;
+use tracing::{info, warn};
+
+use crate::Host;
+use crate::peers::PeerEvent;
 
-/// The leaving marks known to this host, sorted by backend server.
+/// Marks shared by the parts of the host.
 #[derive(Debug, Default)]
-pub(crate) struct LeavingMarks(Mutex<Vec<LeavingMark>>);
-
-impl LeavingMarks {
-    /// Sets a mark; returns whether it was not set before.
-    pub fn mark_leaving(&self, mark: LeavingMark) -> bool {
-        let mut marks = self.lock();
-        let Err(index) = marks.binary_search(&mark) else {
-            return false;
-        };
-        info!(backend = %mark.backend, "leaving: marked");
-        marks.insert(index, mark);
-        true
+pub(crate) struct Leaving(Mutex<LeavingMarks>);
+
+impl Leaving {
+    /// The marks.
+    pub fn lock(&self) -> MutexGuard<'_, LeavingMarks> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
+}
 
-    /// The marks, sorted.
-    pub fn marks(&self) -> Vec<LeavingMark> {
-        self.lock().clone()
+impl Host {
+    /// Marks a process of a backend server as leaving and tells the other entry hosts.
+    pub fn mark_leaving(&self, backend: &BackendId, incarnation: Incarnation) {
+        if self.leaving.lock().mark(backend, incarnation) {
+            self.spread_leaving(LeavingMark {
+                backend: backend.clone(),
+                incarnation,
+            });
+        }
     }
 
-    fn lock(&self) -> MutexGuard<'_, Vec<LeavingMark>> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Marks the process of a backend server that was seen last, for sources that know no
+    /// incarnations, and tells the other entry hosts; true if it was not known.
+    pub fn mark_current_leaving(&self, backend: &BackendId) -> bool {
+        let mark = self.leaving.lock().mark_current(backend);
+        let is_new = mark.is_some();
+        if let Some(mark) = mark {
+            self.spread_leaving(mark);
+        }
+        is_new
+    }
+
+    /// Passes the marks on to the choice of servers of plain services.
+    fn apply_leaving(&self) {
+        let marks = self.leaving.lock().leaving();
+        self.set_leaving(marks.into_iter().map(|mark| mark.backend).collect());
+    }
+
+    fn spread_leaving(&self, mark: LeavingMark) {
+        self.apply_leaving();
+        info!(backend = %mark.backend, incarnation = %mark.incarnation, "drain: leaving");
+        self.peers.add_rumour(Rumour::Leaving {
+            backend: mark.backend,
+            incarnation: mark.incarnation,
+        });
+    }
+}
+
+/// Takes over marks from rumours until the process ends.
+pub(crate) async fn follow(host: Arc<Host>) {
+    let mut events = host.peers.subscribe();
+    loop {
+        match events.recv().await {
+            Ok(PeerEvent::Rumour {
+                rumour:
+                    Rumour::Leaving {
+                        backend,
+                        incarnation,
+                    },
+                ..
+            }) => {
+                host.leaving.lock().mark(&backend, incarnation);
+                host.apply_leaving();
+            }
+            Ok(_) => {}
+            Err(RecvError::Lagged(missed)) => warn!(missed, "drain: peer events missed"),
+            Err(RecvError::Closed) => return,
+        }
     }
 }
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -10,6 +10,7 @@
 mod engine;
 mod host;
 mod leaving;
+mod members;
 mod model;
 mod operate;
 mod peers;
