--- a/crates/server/src/counters.rs
+++ b/crates/server/src/counters.rs
@@ -13,6 +13,8 @@
 const MEMBERS: &str = "burdockvale_members";
 const MEMBER_EVENTS: &str = "burdockvale_member_events_total";
 const DATAGRAMS_DROPPED: &str = "burdockvale_datagrams_dropped_total";
+const BLIND: &str = "burdockvale_blind_placement_total";
+const CRASHED: &str = "burdockvale_engine_crashes_total";
 const CONFIG_VERSION: &str = "burdockvale_config_version";
 const CONFIG_STALE: &str = "burdockvale_config_stale";
 const CONFIG_REPAIRS: &str = "burdockvale_config_repairs_total";
@@ -56,6 +58,13 @@
     config_stale(true);
     describe_counter!(TRANSACTIONS, "Transactions sent by the ledger.");
     describe_counter!(TRANSACTION_ROWS, "Rows in the ledger's transactions.");
+    describe_counter!(BLIND, "Model calls placed without a home.");
+    describe_counter!(
+        CRASHED,
+        "Connections lost to runners with attempts in flight."
+    );
+    counter!(BLIND).absolute(0);
+    counter!(CRASHED).absolute(0);
     for reason in Refusal::ALL {
         counter!(REFUSED, "reason" => reason.code()).absolute(0);
     }
@@ -86,6 +95,14 @@
     counter!(TRANSACTION_ROWS).increment(rows as u64);
 }
 
+pub(crate) fn blind_placement() {
+    counter!(BLIND).increment(1);
+}
+
+pub(crate) fn engine_crashed() {
+    counter!(CRASHED).increment(1);
+}
+
 pub(crate) fn config_version(version: u64) {
     gauge!(CONFIG_VERSION).set(version as f64);
 }
--- a/crates/server/src/host.rs
+++ b/crates/server/src/host.rs
@@ -14,10 +14,14 @@
 use crate::conf::Conf;
 use crate::engine::EngineClient;
 use crate::leaving::Leaving;
+use crate::model::RetryBudget;
 use crate::peers::Peers;
+use crate::placement::Placement;
 use crate::servers::Servers;
 use crate::shutdown::Shutdown;
-use crate::{Settings, callers, conf, counters, leaving, members, operate, peers, shutdown};
+use crate::{
+    Settings, callers, conf, counters, leaving, members, operate, peers, placement, shutdown,
+};
 
 /// Failure to start.
 #[derive(Debug, thiserror::Error, Diagnostic)]
@@ -55,6 +59,8 @@
     pub(crate) servers: Arc<Servers>,
     pub(crate) claims: Claims,
     pub(crate) leaving: Leaving,
+    pub(crate) placement: Placement,
+    pub(crate) retries: RetryBudget,
     pub(crate) shutdown: Shutdown,
     sequence: AtomicU64,
 }
@@ -78,6 +84,8 @@
         Host {
             peers: Peers::new(&settings, incarnation),
             leaving: Leaving::default(),
+            placement: Placement::new(&settings.policy),
+            retries: RetryBudget::default(),
             incarnation,
             servers: Arc::new(Servers::new(seed)),
             claims: Claims::new(settings.host_id.clone(), incarnation, seed, client),
@@ -150,6 +158,7 @@
     tokio::spawn(peers::follow(host.clone(), peer_socket));
     tokio::spawn(conf::follow(host.clone()));
     tokio::spawn(claims::drive(host.clone()));
+    tokio::spawn(placement::follow(host.clone()));
     tokio::spawn(operate::serve(host.clone(), operator_listener, metrics));
     let serving = tokio::spawn(callers::serve(host.clone(), caller_listener));
     shutdown::run(&host, serving).await?;
