Test configuration versions against an oracle

Cause: Versions had no tests; the fuzz found two faults in it.

Fixed: a lagging read or a row below the expected version told an operator of a conflict although its change had been accepted.

--- a/crates/config/src/versions/apply.rs
+++ b/crates/config/src/versions/apply.rs
@@ -9,6 +9,8 @@
 
 /// Time after which an undecided change is reported to the operator.
 pub const APPLY_LIMIT: Millis = Millis(10_000);
+/// Time for which a row below the expected version is read again.
+pub(super) const BEHIND_LIMIT: Millis = Millis(2_000);
 /// Pause before the store is asked again.
 const RETRY_PAUSE: Millis = Millis(200);
 
@@ -34,6 +36,8 @@
     /// repetition are the same.
     pub written: Option<Document>,
     pub until: Millis,
+    /// Time until which a row below the expected version is taken for a lagging read.
+    pub behind_until: Millis,
     /// Whether a write was sent whose effect is not known.
     pub in_doubt: bool,
 }
@@ -54,31 +58,39 @@
         self.step = Step::Paused(now + RETRY_PAUSE);
     }
 
-    /// Judges a row. `known` is the highest version known to this host.
-    pub fn judge(&self, row: Option<&Document>, known: Version) -> Verdict {
-        if let Some(version) = row.and_then(|row| row.version_of(&self.change)) {
+    /// Judges a row. `own` is the document in force at this host and `known` the highest version
+    /// known to be in force anywhere.
+    pub fn judge(
+        &self,
+        now: Millis,
+        row: Option<&Document>,
+        own: Option<&Document>,
+        known: Version,
+    ) -> Verdict {
+        let stored = row.map_or(Version(0), |row| row.version);
+        // Both were accepted by the store, and the newer one shows more of the past.
+        let newest = own.filter(|own| own.version > stored).or(row);
+        if let Some(version) = newest.and_then(|newest| newest.version_of(&self.change)) {
             return Verdict::Decided(Outcome::Accepted(version));
         }
-        let stored = row.map_or(Version(0), |row| row.version);
-        if stored > self.expected {
+        let reached = newest.map_or(Version(0), |newest| newest.version);
+        if reached > self.expected {
             // Older change ids than the kept ones cannot show whether the change was accepted.
-            let forgotten = stored.0 - self.expected.0 > KEPT_CHANGES as u64;
+            let forgotten = reached.0 - self.expected.0 > KEPT_CHANGES as u64;
             return Verdict::Decided(match self.in_doubt && forgotten {
                 true => Outcome::Unknown,
-                false => Outcome::Conflict(stored),
+                false => Outcome::Conflict(reached),
             });
         }
-        if known > self.expected && !self.in_doubt {
-            return Verdict::Decided(Outcome::Conflict(known));
-        }
         if stored < known {
-            // The read lags or the store has an older copy, which is repaired first.
+            // A newer document is on its way here, the read lags, or the store has an older copy,
+            // which is repaired first.
             return Verdict::Again;
         }
         if stored == self.expected {
             return Verdict::Write;
         }
-        match self.in_doubt {
+        match self.in_doubt || now < self.behind_until {
             true => Verdict::Again,
             false => Verdict::Decided(Outcome::Conflict(stored)),
         }
--- a/crates/config/src/versions/changes.rs
+++ b/crates/config/src/versions/changes.rs
@@ -5,7 +5,7 @@
 use bv_types::{Millis, Version};
 use smol_str::SmolStr;
 
-use super::apply::{APPLY_LIMIT, Pending, Step, Verdict};
+use super::apply::{APPLY_LIMIT, BEHIND_LIMIT, Pending, Step, Verdict};
 use super::{Action, Document, NotWritten, Outcome, Versions, WriteResult};
 
 impl Versions {
@@ -34,6 +34,7 @@
             step: Step::Reading(read),
             written: None,
             until: now + APPLY_LIMIT,
+            behind_until: now + BEHIND_LIMIT,
             in_doubt: false,
         });
         out.push(Action::ReadStore { read });
@@ -139,7 +140,8 @@
         out: &mut Vec<Action>,
     ) {
         let known = self.known_version();
-        match self.pending[index].judge(row, known) {
+        let own = self.current.as_ref();
+        match self.pending[index].judge(now, row, own, known) {
             Verdict::Decided(outcome) => {
                 let change = self.pending.remove(index).change;
                 out.push(Action::Reply { change, outcome });
--- /dev/null
+++ b/crates/config/tests/model/mod.rs
@@ -0,0 +1,7 @@
+//! Simulated table, network, hosts and operators around `Versions`, with a simple oracle.
+
+mod check;
+mod table;
+mod world;
+
+pub use world::{Faults, Tally, World};
