Add the operators' program

Change: one file a command; apply checks the document, compares and swaps, repeats an unanswered attempt with the same change id and waits for all hosts; import turns an asset register in CSV into an inventory and maps each fault of the inventory to the line and column of its cell. Exit codes 0 to 5.

--- /dev/null
+++ b/crates/cli/src/error.rs
@@ -0,0 +1,201 @@
+//! Errors of the commands and their exit codes.
+
+use std::path::PathBuf;
+
+use bv_config::ConfigError;
+use miette::{Diagnostic, NamedSource, SourceSpan};
+use serde_json::{Value, json};
+
+const FAILURE: u8 = 1;
+pub(crate) const USAGE: u8 = 2;
+const INVALID: u8 = 3;
+const CONFLICT: u8 = 4;
+const UNDECIDED: u8 = 5;
+
+/// Why a command did not succeed.
+#[derive(Debug, thiserror::Error, Diagnostic)]
+#[non_exhaustive]
+pub enum CliError {
+    /// A flag or variable is missing or not allowed.
+    #[error("{what}")]
+    #[diagnostic(code(cli::usage))]
+    Usage {
+        /// What is wrong.
+        what: String,
+        /// What to give.
+        #[help]
+        help: String,
+    },
+    /// A file cannot be read.
+    #[error("reading {path}: {source}", path = path.display())]
+    #[diagnostic(code(cli::read))]
+    Read {
+        /// The file.
+        path: PathBuf,
+        /// The system's error.
+        source: std::io::Error,
+    },
+    /// A file cannot be written.
+    #[error("writing {path}: {source}", path = path.display())]
+    #[diagnostic(code(cli::write))]
+    Write {
+        /// The file.
+        path: PathBuf,
+        /// The system's error.
+        source: std::io::Error,
+    },
+    /// The runtime cannot be started.
+    #[error("starting the runtime: {0}")]
+    #[diagnostic(code(cli::runtime))]
+    Runtime(std::io::Error),
+    /// The document is not valid.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Document(#[from] Box<ConfigError>),
+    /// An entry host found a fault that this program did not find.
+    #[error("entry host {host} refuses the document: line {line}, column {column}: {message}")]
+    #[diagnostic(
+        code(cli::refused_document),
+        help("the entry host runs another version of burdockvale; check with the same version")
+    )]
+    RefusedDocument {
+        /// The entry host.
+        host: String,
+        /// What is wrong.
+        message: String,
+        /// Line, from 1.
+        line: u64,
+        /// Column, from 1.
+        column: u64,
+    },
+    /// The asset register is not valid.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Register(#[from] Box<RegisterError>),
+    /// Another version is current.
+    #[error("version {current} is current, not {expected}; the change was not made")]
+    #[diagnostic(
+        code(cli::conflict),
+        help("look at the current document with `burdockvale show`, merge it and apply again")
+    )]
+    Conflict {
+        /// Version that the change was to replace.
+        expected: u64,
+        /// Current version.
+        current: u64,
+    },
+    /// It is not known whether the change was made.
+    #[error("the outcome of change {change} is unknown: {detail}")]
+    #[diagnostic(
+        code(cli::outcome_unknown),
+        help(
+            "ask again with `--change {change} --expect {expected}`; the change is made only once"
+        )
+    )]
+    OutcomeUnknown {
+        /// Id of the change.
+        change: String,
+        /// Version that the change was to replace.
+        expected: u64,
+        /// What the entry hosts answered.
+        detail: String,
+    },
+    /// The change is accepted, but some entry hosts did not confirm it in time.
+    #[error("version {version} is accepted, but not confirmed by: {}", missing.join("; "))]
+    #[diagnostic(
+        code(cli::not_everywhere),
+        help("these entry hosts follow once they reach the table service or a peer; see `status`")
+    )]
+    NotEverywhere {
+        /// The accepted version.
+        version: u64,
+        /// Entry hosts with what they reported.
+        missing: Vec<String>,
+    },
+    /// No entry host carried out the request.
+    #[error("no entry host did this: {}", details.join("; "))]
+    #[diagnostic(
+        code(cli::no_host),
+        help("check --hosts and BURDOCKVALE_OPERATOR_KEY, or try again later")
+    )]
+    NoHost {
+        /// What each entry host answered.
+        details: Vec<String>,
+    },
+}
+
+/// A fault in an asset register, with its place.
+#[derive(Debug, thiserror::Error, Diagnostic)]
+#[error("{message}")]
+#[diagnostic(code(cli::register))]
+pub struct RegisterError {
+    /// What is wrong.
+    pub message: String,
+    /// The register.
+    #[source_code]
+    pub source_text: NamedSource<String>,
+    /// Where the fault is.
+    #[label("here")]
+    pub at: SourceSpan,
+    /// What to change.
+    #[help]
+    pub help: Option<String>,
+}
+
+impl CliError {
+    /// Exit code of the program.
+    pub fn exit_code(&self) -> u8 {
+        match self {
+            CliError::Usage { .. } => USAGE,
+            CliError::Document(_) | CliError::RefusedDocument { .. } | CliError::Register(_) => {
+                INVALID
+            }
+            CliError::Conflict { .. } => CONFLICT,
+            CliError::OutcomeUnknown { .. } | CliError::NotEverywhere { .. } => UNDECIDED,
+            CliError::Read { .. }
+            | CliError::Write { .. }
+            | CliError::Runtime(_)
+            | CliError::NoHost { .. } => FAILURE,
+        }
+    }
+
+    /// Line and column of the fault, both from 1.
+    pub fn place(&self) -> Option<(usize, usize)> {
+        match self {
+            CliError::Document(err) => Some(err.position()),
+            CliError::RefusedDocument { line, column, .. } => {
+                Some((usize::try_from(*line).ok()?, usize::try_from(*column).ok()?))
+            }
+            CliError::Register(err) => Some(place(err.source_text.inner(), err.at.offset())),
+            _ => None,
+        }
+    }
+
+    pub(crate) fn add_details(&self, error: &mut Value) {
+        match self {
+            CliError::Conflict { expected, current } => {
+                error["expected"] = json!(expected);
+                error["current"] = json!(current);
+            }
+            CliError::OutcomeUnknown {
+                change, expected, ..
+            } => {
+                error["change"] = json!(change);
+                error["expected"] = json!(expected);
+            }
+            CliError::NotEverywhere { version, missing } => {
+                error["version"] = json!(version);
+                error["missing"] = json!(missing);
+            }
+            _ => {}
+        }
+    }
+}
+
+/// Line and column of a byte offset, both from 1.
+fn place(text: &str, offset: usize) -> (usize, usize) {
+    let before = text.get(..offset).unwrap_or(text);
+    let line_start = before.rfind('\n').map_or(0, |index| index + 1);
+    let line = before.matches('\n').count() + 1;
+    (line, before[line_start..].chars().count() + 1)
+}
--- a/crates/config/src/error.rs
+++ b/crates/config/src/error.rs
@@ -51,6 +51,16 @@
         })
     }
 
+    /// The same fault in a document with this name, such as a file's path.
+    #[must_use]
+    pub fn named(mut self: Box<Self>, name: &str) -> Box<Self> {
+        let (ConfigError::Syntax { source_text, .. } | ConfigError::Value { source_text, .. }) =
+            &mut *self;
+        let text = source_text.inner().clone();
+        *source_text = NamedSource::new(name, text);
+        self
+    }
+
     /// Line and column of the fault, both from 1; columns count characters.
     pub fn position(&self) -> (usize, usize) {
         let (ConfigError::Syntax { source_text, .. } | ConfigError::Value { source_text, .. }) =
