Run faults against entry hosts and watch them from outside

Cause: the lab could only offer load; none of the promises about hosts that die, pause or drain, and none about configuration, could be measured.

A cut while a host drains does not count if the engine itself broke the stream.

--- a/crates/lab/src/commands/mod.rs
+++ b/crates/lab/src/commands/mod.rs
@@ -4,8 +4,9 @@
 
 use std::process::ExitCode;
 
-use argh::FromArgs;
+use argh::{EarlyExit, FromArgs};
 
+use crate::faults::FAULT_NOTE;
 pub use run::Run;
 
 /// Stand-ins, bounded load and measurement for burdockvale.
@@ -22,6 +23,19 @@
 }
 
 impl Lab {
+    /// Parses the arguments after the program's name; the help of `run` ends with the faults.
+    ///
+    /// # Errors
+    /// Returns the help text, or what is wrong with the arguments.
+    pub fn parse(args: &[&str]) -> Result<Self, EarlyExit> {
+        Lab::from_args(&["burdockvale-lab"], args).map_err(|mut exit| {
+            if exit.status.is_ok() && args.first() == Some(&"run") {
+                exit.output = format!("{}\n\n{FAULT_NOTE}\n", exit.output.trim_end());
+            }
+            exit
+        })
+    }
+
     /// Runs the chosen command.
     ///
     /// # Errors
--- a/crates/lab/src/deployment.rs
+++ b/crates/lab/src/deployment.rs
@@ -96,6 +96,13 @@
                 _ => {}
             }
         }
+        // A stream that its engine broke is cut by the router at any time, also while draining.
+        let broken = |nonce: &&String| self.engines.iter().any(|engine| engine.broke(nonce));
+        let cut = offered
+            .cut_while_draining
+            .iter()
+            .filter(|nonce| !broken(nonce));
+        report.cut_by_shutdown = cut.count() as u64;
         let rates = self.table.rates();
         report.store_reads_per_s = rates.reads;
         report.store_writes_per_s = rates.writes;
--- a/crates/lab/src/load/caller.rs
+++ b/crates/lab/src/load/caller.rs
@@ -47,8 +47,8 @@
     pub outcome: Outcome,
     /// Attempts sent before the last one.
     pub resends: u32,
-    /// Attempts cut by a host that was draining.
-    pub cut_by_shutdown: u64,
+    /// Whether an attempt was cut by a host that was draining.
+    pub cut_while_draining: bool,
 }
 
 /// One caller with one call.
@@ -74,7 +74,7 @@
             stay: self.stay,
             outcome: Outcome::Lost,
             resends: 0,
-            cut_by_shutdown: 0,
+            cut_while_draining: false,
         };
         match self.stay {
             Stay::ToTheEnd => self.stay_to_the_end(&mut record).await,
@@ -92,7 +92,7 @@
             record.outcome = self.attempt(&mut host, record.resends, start).await;
             let cut = record.outcome == Outcome::Cut;
             if cut && (draining || self.balancer.draining(host)) {
-                record.cut_by_shutdown += 1;
+                record.cut_while_draining = true;
             }
             if !self.sends_again(record, start) {
                 return;
--- a/crates/lab/src/load/mod.rs
+++ b/crates/lab/src/load/mod.rs
@@ -99,6 +99,8 @@
     pub report: Report,
     /// Key and attempt of non-idempotent calls whose last word was "not run".
     pub not_run: Vec<(String, u32)>,
+    /// Nonces of requests cut by a host that was draining.
+    pub cut_while_draining: Vec<String>,
 }
 
 impl Load {
@@ -201,7 +203,9 @@
         }
         report.requests += 1;
         report.resends += u64::from(record.resends);
-        report.cut_by_shutdown += record.cut_by_shutdown;
+        if record.cut_while_draining {
+            self.cut_while_draining.push(record.nonce.clone());
+        }
         let before_deadline = is_before_deadline(&record);
         if record.call.is_urgent_lookup() {
             report.urgent += 1;
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -20,6 +20,13 @@
         }
     }
 
+    /// Adds all counts of another tally.
+    pub fn merge(&mut self, other: &Tally) {
+        for (name, count) in &other.0 {
+            self.add(name, *count);
+        }
+    }
+
     /// The count of a name.
     pub fn get(&self, name: &str) -> u64 {
         self.0
@@ -90,7 +97,7 @@
     pub config_late: u64,
     /// Longest time until every running entry host reported an accepted configuration.
     pub config_in_force_ms: u64,
-    /// Operator races in which both changes or none were accepted.
+    /// Operator races in which both changes of the same version were accepted.
     pub operator_races_broken: u64,
     /// Attempts started at a leaving backend server more than 3 s after its mark.
     pub work_after_leaving: u64,
--- /dev/null
+++ b/crates/lab/src/run.rs
@@ -0,0 +1,86 @@
+//! One measured run: stand-ins, entry hosts, load and faults.
+
+use std::path::PathBuf;
+use std::sync::Arc;
+
+use crate::deployment::CONFIG_KEY;
+use crate::monitor::Monitor;
+use crate::{
+    CallerFaults, Deployment, Fault, Fleet, LabError, Load, LoadSettings, Observer, Report, Rig,
+    schedule,
+};
+
+/// Largest length of a run in seconds.
+const MAX_SECONDS: u64 = 600;
+/// Largest number of entry hosts.
+const MAX_HOSTS: usize = 16;
+
+/// Settings of a run.
+#[derive(Debug, Clone)]
+pub struct RunSettings {
+    /// Seed of the load and of the faults' targets.
+    pub seed: u64,
+    /// Length of the load in seconds, at most 600.
+    pub seconds: u64,
+    /// Number of entry hosts, at most 16.
+    pub hosts: usize,
+    /// Placement policy.
+    pub policy: String,
+    /// Inventory file.
+    pub inventory: PathBuf,
+    /// Offered load in percent.
+    pub load: u32,
+    /// Further urgent lookups a second in the middle fifth of the run.
+    pub burst: u32,
+    /// Faults.
+    pub faults: Vec<Fault>,
+}
+
+/// Runs the load and returns the report.
+///
+/// # Errors
+/// Fails if the stand-ins or entry hosts cannot be started.
+pub async fn measure(settings: &RunSettings) -> Result<Report, LabError> {
+    let path = &settings.inventory;
+    let text = std::fs::read_to_string(path).map_err(|source| LabError::Read {
+        path: path.clone(),
+        source,
+    })?;
+    let seconds = settings.seconds.clamp(1, MAX_SECONDS);
+    let count = settings.hosts.clamp(1, MAX_HOSTS);
+    let deployment = Arc::new(Deployment::start(&text).await?);
+    let observer = Arc::new(Observer::default());
+    let (fleet, relay) =
+        Fleet::start(&deployment, count, &settings.policy, observer.clone()).await?;
+    let fleet = Arc::new(fleet);
+    eprintln!("lab: {count} entry hosts are ready");
+    let monitor = Monitor::start(&fleet, &deployment, &observer);
+    let callers = Arc::new(CallerFaults::default());
+    let rig = Rig {
+        deployment: deployment.clone(),
+        fleet: fleet.clone(),
+        relay,
+        callers: callers.clone(),
+        monitor: monitor.clone(),
+        first_config: deployment
+            .table
+            .row(CONFIG_KEY)
+            .map(|(_, body)| body)
+            .unwrap_or_default(),
+    };
+    let load = Load::new(LoadSettings {
+        seed: settings.seed,
+        seconds,
+        percent: settings.load,
+        burst: settings.burst,
+        balancer: fleet.balancer.clone(),
+        observer: observer.clone(),
+        faults: callers,
+    });
+    let events = schedule(settings.seed, seconds, &settings.faults);
+    let (offered, ()) = tokio::join!(load.run(&deployment.inventory), rig.run(events));
+    let mut report = deployment.report(offered);
+    report.held_after_gone = observer.held_after_gone();
+    monitor.add_to(&mut report);
+    Ok(report)
+}
--- a/crates/lab/src/stand_in/engine/calls.rs
+++ b/crates/lab/src/stand_in/engine/calls.rs
@@ -197,6 +197,7 @@
         return Some((Ok(Bytes::from(done)), None));
     };
     if faults.truncated_at == Some(index) {
+        engine.note_broken(&reader.generation.nonce);
         if fastrand::bool() {
             return None;
         }
--- a/crates/lab/src/stand_in/engine/mod.rs
+++ b/crates/lab/src/stand_in/engine/mod.rs
@@ -97,6 +97,8 @@
     crashing: AtomicBool,
     faults: Shares<FAULTS>,
     counts: Mutex<EngineCounts>,
+    /// Nonces of the requests that a crash or a truncated answer broke, sorted.
+    broken: Mutex<Vec<String>>,
     gate: Arc<Gate>,
 }
 
@@ -121,6 +123,7 @@
             crashing: AtomicBool::new(false),
             faults: Shares::default(),
             counts: Mutex::default(),
+            broken: Mutex::default(),
             gate: Arc::default(),
         }
     }
@@ -179,6 +182,9 @@
     /// Drops all connections and state; the engine refuses connections until [`Engine::restart`].
     pub fn crash(&self) {
         self.count().crashes += 1;
+        for held in self.batch.held() {
+            self.note_broken(&held.nonce);
+        }
         self.gate.close();
         self.gate.cut();
         self.batch.clear();
@@ -216,6 +222,21 @@
         });
     }
 
+    /// Whether a crash or a truncated answer of this engine broke a request.
+    pub fn broke(&self, nonce: &str) -> bool {
+        let broken = self.broken.lock().unwrap_or_else(|err| err.into_inner());
+        broken
+            .binary_search_by(|known| known.as_str().cmp(nonce))
+            .is_ok()
+    }
+
+    fn note_broken(&self, nonce: &str) {
+        let mut broken = self.broken.lock().unwrap_or_else(|err| err.into_inner());
+        if let Err(index) = broken.binary_search_by(|known| known.as_str().cmp(nonce)) {
+            broken.insert(index, nonce.to_owned());
+        }
+    }
+
     fn hits(&self, fault: EngineFault) -> bool {
         self.faults.hits(fault as usize)
     }
