--- a/crates/place/src/affinity.rs
+++ b/crates/place/src/affinity.rs
@@ -15,23 +15,6 @@
     mix(fnv(FNV_OFFSET ^ mix(key), member.as_bytes()))
 }
 
-/// Members in the order of preference for a key.
-///
-/// ```
-/// let members = ["a", "b", "c"];
-/// let ranked = bv_place::rank(7, members);
-/// assert_eq!(ranked.len(), 3);
-/// assert_eq!(ranked, bv_place::rank(7, ["c", "b", "a"]));
-/// ```
-pub fn rank<T: AsRef<str>>(key: u64, members: impl IntoIterator<Item = T>) -> Vec<T> {
-    let mut ranked: Vec<(u64, T)> = members
-        .into_iter()
-        .map(|member| (score(key, member.as_ref()), member))
-        .collect();
-    ranked.sort_by(|(a, x), (b, y)| b.cmp(a).then_with(|| x.as_ref().cmp(y.as_ref())));
-    ranked.into_iter().map(|(_, member)| member).collect()
-}
-
 fn fnv(start: u64, bytes: &[u8]) -> u64 {
     bytes.iter().fold(start, |hash, byte| {
         (hash ^ u64::from(*byte)).wrapping_mul(FNV_PRIME)
--- a/crates/place/src/arrival.rs
+++ b/crates/place/src/arrival.rs
@@ -94,7 +94,7 @@
     /// Time until a slot is free for a request with `ahead` others before it.
     fn decode_wait(&self, now: Millis, request: &Request, ahead: usize) -> Millis {
         let pool = &self.spec.pool;
-        let limit = pool.slots.saturating_sub(self.spec.headroom_slots);
+        let limit = self.spec.waiting_limit();
         let mut free = 0;
         for (_, runner) in self.usable(Role::Decode) {
             let usage = runner.usage();
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -76,7 +76,7 @@
 mod spec;
 mod split;
 
-pub use affinity::{prefix_key, rank, score};
+pub use affinity::{prefix_key, score};
 pub use event::{Action, Adoption, Event, Grant, Report};
 pub use policy::Policy;
 pub use shard::{RunnerLoad, Shard};
--- a/crates/place/src/life.rs
+++ b/crates/place/src/life.rs
@@ -38,6 +38,7 @@
     /// Gives freed slots to promised grants and starts decode where prefill has ended.
     pub(crate) fn start_ready(&mut self, now: Millis, decode: usize, actions: &mut Vec<Action>) {
         let pool = &self.spec.pool;
+        let waiting_limit = self.spec.waiting_limit();
         let runner = &mut self.runners[decode];
         let counter = runner.advance(now, pool);
         let mut usage = runner.usage();
@@ -50,9 +51,13 @@
         });
         for index in order {
             let hold = &mut runner.holds[index];
-            let fits = usage.slots < pool.slots && usage.pieces + hold.pieces <= pool.pieces.0;
+            let waiting = hold.request.class == Class::Waiting;
+            let fits = usage.slots < pool.slots
+                && usage.pieces + hold.pieces <= pool.pieces.0
+                && (!waiting || usage.waiting_reserved < waiting_limit);
             if !hold.owns_slot && fits {
                 hold.owns_slot = true;
+                usage.waiting_reserved += u32::from(waiting);
                 usage.slots += 1;
                 usage.pieces += hold.pieces;
             }
@@ -187,7 +192,7 @@
             for hold in &mut runner.holds {
                 if is_dead(hold.attempt()) {
                     ended.push(hold.attempt().clone());
-                } else if hold.expires <= now && hold.phase == Phase::Prefill {
+                } else if hold.expires <= now && hold.phase == Phase::Prefill && hold.owns_slot {
                     // PrefillDone may be lost while decode runs, so the slot stays reserved.
                     let tokens = hold.request.max_output.0 as f64;
                     hold.start_decode(now, counter, tokens, hold.request.deadline + EXPIRY);
--- a/crates/place/src/planned.rs
+++ b/crates/place/src/planned.rs
@@ -116,11 +116,7 @@
     /// Quick check that leaves out full runners before pairs are examined.
     fn may_fit(&self, request: &Request, usage: &Usage, max_batch: u32) -> bool {
         let waiting = request.class == Class::Waiting;
-        let limit = self
-            .spec
-            .pool
-            .slots
-            .saturating_sub(self.spec.headroom_slots);
+        let limit = self.spec.waiting_limit();
         let ending = usage.promised_slots < usage.slots;
         let free = usage.slots + usage.promised_slots < self.spec.pool.slots;
         (!waiting || usage.waiting_slots < limit || ending)
@@ -215,7 +211,7 @@
             .saturating_sub(freed.pieces);
         let waiting = (usage.waiting_slots + 1).saturating_sub(freed.waiting_slots);
         let max_batch = usage.max_batch.min(pool.max_batch(request.token_gap));
-        let limit = pool.slots.saturating_sub(self.spec.headroom_slots);
+        let limit = self.spec.waiting_limit();
         slots <= pool.slots.min(max_batch)
             && pieces <= pool.pieces.0
             && (request.class == Class::Urgent || waiting <= limit)
--- a/crates/place/src/runner.rs
+++ b/crates/place/src/runner.rs
@@ -49,6 +49,8 @@
     pub promised_pieces: u32,
     /// Slots of waiting work, with promised ones.
     pub waiting_slots: u32,
+    /// Slots reserved for waiting work.
+    pub waiting_reserved: u32,
     /// Largest batch that every request in it allows.
     pub max_batch: u32,
 }
@@ -193,7 +195,9 @@
                 usage.promised_slots += 1;
                 usage.promised_pieces += hold.pieces;
             }
-            usage.waiting_slots += u32::from(hold.request.class == Class::Waiting);
+            let waiting = u32::from(hold.request.class == Class::Waiting);
+            usage.waiting_slots += waiting;
+            usage.waiting_reserved += waiting * u32::from(hold.owns_slot);
             usage.max_batch = usage.max_batch.min(hold.max_batch);
         }
         usage
--- a/crates/place/src/spec.rs
+++ b/crates/place/src/spec.rs
@@ -68,6 +68,13 @@
     pub headroom_slots: u32,
 }
 
+impl ShardSpec {
+    /// Slots of a decode runner that waiting work may use.
+    pub(crate) fn waiting_limit(&self) -> u32 {
+        self.pool.slots.saturating_sub(self.headroom_slots)
+    }
+}
+
 /// A request for a pair of runners; times are points on the home's clock.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Request {
--- a/crates/server/src/placement/ask.rs
+++ b/crates/server/src/placement/ask.rs
@@ -61,7 +61,7 @@
     let mut refusal = Refusal::NoBackend;
     for shard in ranked_shards(host, inventory, model, ask.prefix) {
         let mut answered = false;
-        for home in shards::homes(&shard, host.peers.alive())
+        for home in shards::homes(&shard, &host.peers.alive())
             .into_iter()
             .take(HOMES_ASKED)
         {
--- a/crates/server/src/placement/grants.rs
+++ b/crates/server/src/placement/grants.rs
@@ -124,9 +124,7 @@
     let members = host.peers.alive();
     let mut moved = Vec::new();
     for grant in lock(&host.placement.open).iter() {
-        let first = shards::homes(&grant.shard(), members.clone())
-            .into_iter()
-            .next();
+        let first = shards::homes(&grant.shard(), &members).into_iter().next();
         match (&grant.keeper, first) {
             (Keeper::Home(home), Some(first)) if *home != first => {
                 moved.push((first, grant.clone()));
--- a/crates/server/src/placement/poll.rs
+++ b/crates/server/src/placement/poll.rs
@@ -34,6 +34,7 @@
                 home.polled.get_or_init(|| std::future::ready(())).await;
             });
         }
+        apply_leaving(&host);
         grants::move_to_new_homes(&host);
         for _ in 0..TICKS {
             tokio::time::sleep((POLL.duration()) / TICKS).await;
@@ -62,7 +63,35 @@
         });
     }
     while let Some(Ok((runner, load))) = polls.join_next().await {
-        home.handle(&host, event_of(runner, load.as_ref().and_then(report_of)));
+        let report = load.as_ref().and_then(report_of);
+        if let Some(report) = &report {
+            note_leaving(&host, &runner, report);
+        }
+        home.handle(&host, event_of(runner, report));
+    }
+}
+
+/// Passes a runner's own leaving mark on to the other entry hosts.
+fn note_leaving(host: &Host, runner: &BackendId, report: &Report) {
+    host.leaving.lock().observe(runner, report.incarnation);
+    if report.leaving {
+        host.mark_leaving(runner, report.incarnation);
+    }
+}
+
+/// Passes marks from all sources on to the shards.
+fn apply_leaving(host: &Arc<Host>) {
+    let marks = host.leaving.lock().leaving();
+    for home in homes(host) {
+        for mark in &marks {
+            home.handle(
+                host,
+                Event::Leaving {
+                    runner: mark.backend.clone(),
+                    incarnation: mark.incarnation,
+                },
+            );
+        }
     }
 }
 
@@ -131,7 +160,7 @@
     let inventory = current.inventory;
     let members = host.peers.alive();
     let is_home = |key: &SmolStr| {
-        let first = shards::homes(key, members.clone()).into_iter().next();
+        let first = shards::homes(key, &members).into_iter().next();
         first.as_ref() == Some(&host.settings.host_id)
     };
     for pool in &inventory.pools {
--- a/crates/server/src/placement/shards.rs
+++ b/crates/server/src/placement/shards.rs
@@ -1,8 +1,8 @@
 //! Shards of an inventory.
 
 use bv_config::{self as config, EngineRole, Inventory};
-use bv_member::Member;
-use bv_place::{Class, PoolSpec, Role, RunnerSpec, ShardSpec, prefix_key, rank, split};
+use bv_member::{Member, rendezvous};
+use bv_place::{Class, PoolSpec, Role, RunnerSpec, ShardSpec, split};
 use bv_types::{HostId, PoolId};
 use smol_str::{SmolStr, format_smolstr};
 
@@ -40,11 +40,10 @@
 }
 
 /// Hosts in the order in which they are home of a shard.
-pub(super) fn homes(shard: &SmolStr, members: Vec<Member>) -> Vec<HostId> {
-    let ids: Vec<SmolStr> = members.into_iter().map(|m| m.host.into()).collect();
-    rank(prefix_key(shard.as_bytes()), ids)
+pub(super) fn homes(shard: &SmolStr, members: &[Member]) -> Vec<HostId> {
+    rendezvous(shard.as_bytes(), members)
         .into_iter()
-        .filter_map(|id| HostId::try_from(id).ok())
+        .map(|member| member.host.clone())
         .collect()
 }
 
