--- a/crates/lab/tests/plain/mod.rs
+++ b/crates/lab/tests/plain/mod.rs
@@ -1,5 +1,7 @@
 //! Entry host processes with one plain service, and callers of it.
 
+pub mod raw;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
