--- /dev/null
+++ b/crates/lab/tests/graceful_stop.rs
@@ -0,0 +1,148 @@
+//! SIGTERM to an entry host with requests in progress.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bv_lab::{Deployment, HostProcess};
+use bytes::Bytes;
+use common::{INVENTORY, send_signal, start_hosts, wait_view};
+use http_body_util::{BodyExt, Full};
+use hyper::Request;
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+use rustix::process::Signal;
+use serde_json::json;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+const STREAMS: usize = 8;
+/// Long enough to outlast the lame duck phase of 5 s.
+const STREAM_TOKENS: u64 = 600;
+/// The listener is closed by then.
+const CLOSED_AFTER: Duration = Duration::from_millis(6_500);
+const ARRIVALS: usize = 8;
+const EXIT_LIMIT: Duration = Duration::from_secs(60);
+
+/// A streamed call; returns its whole text, or what went wrong.
+async fn stream(addr: SocketAddr, model: String, tokens: u64) -> Result<String, String> {
+    let client = Client::builder(TokioExecutor::new()).build_http::<Full<Bytes>>();
+    let body = json!({
+        "model": model,
+        "messages": [{"role": "user", "content": "word ".repeat(200)}],
+        "max_tokens": tokens,
+        "stream": true,
+    });
+    let req = Request::post(format!("http://{addr}/v1/chat/completions"))
+        .header("content-type", "application/json")
+        .body(Full::new(Bytes::from(body.to_string())))
+        .map_err(|err| err.to_string())?;
+    let answer = client.request(req).await.map_err(|err| err.to_string())?;
+    let status = answer.status();
+    let body = answer.into_body().collect().await;
+    let text = body.map_err(|err| err.to_string())?.to_bytes();
+    let text = String::from_utf8_lossy(&text).into_owned();
+    match status.is_success() && text.ends_with("data: [DONE]\n\n") {
+        true => Ok(text),
+        false => Err(format!("status {status}, {} bytes", text.len())),
+    }
+}
+
+/// Guards against streams cut by a stopping host, connections that keep it from ending, and a
+/// departure that others take for a death.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_finish() {
+    let text = INVENTORY.replace(
+        "max_output_tokens = 300",
+        &format!("max_output_tokens = {STREAM_TOKENS}"),
+    );
+    let deployment = Deployment::start(&text).await.unwrap();
+    let mut hosts = start_hosts(&deployment, 3).await;
+    let addr = hosts[2].spec.caller_addr;
+    let model = deployment.inventory.models[0].clone();
+    let calls: Vec<_> = (0..STREAMS)
+        .map(|_| tokio::spawn(stream(addr, model.id.to_string(), STREAM_TOKENS)))
+        .collect();
+    // An idle keep-alive connection and one that never sends anything.
+    let mut idle = TcpStream::connect(addr).await.unwrap();
+    let req = b"GET /no-such-route HTTP/1.1\r\nhost: lab\r\n\r\n";
+    idle.write_all(req).await.unwrap();
+    let mut buf = [0; 4_096];
+    assert!(idle.read(&mut buf).await.unwrap() > 0);
+    let mut silent = TcpStream::connect(addr).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(500)).await;
+
+    let stopped = Instant::now();
+    send_signal(&hosts[2], Signal::TERM);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let late = stream(addr, model.id.to_string(), 4).await;
+    assert!(late.is_ok(), "call during the lame duck phase: {late:?}");
+    tokio::time::sleep_until((stopped + CLOSED_AFTER).into()).await;
+    let finished = calls.iter().filter(|call| call.is_finished()).count();
+    assert_eq!(finished, 0, "streams outlast the listener");
+    assert!(TcpStream::connect(addr).await.is_err(), "listener is open");
+    for call in calls {
+        let outcome = call.await.unwrap();
+        assert!(outcome.is_ok(), "stream cut: {outcome:?}");
+    }
+    let closed = idle.read(&mut buf).await.unwrap();
+    assert_eq!(closed, 0, "the idle connection is closed without an error");
+    assert_eq!(silent.read(&mut buf).await.unwrap(), 0);
+    wait_exit(&mut hosts[2], stopped).await;
+    // A death would take at least the suspicion time of 4 s to notice.
+    for host in &hosts[..2] {
+        wait_view(host, &[0, 1], Duration::from_secs(2)).await;
+    }
+}
+
+async fn wait_exit(host: &mut HostProcess, stopped: Instant) {
+    let status = loop {
+        if let Some(status) = host.exit_status() {
+            break status;
+        }
+        assert!(stopped.elapsed() < EXIT_LIMIT, "the process does not end");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    };
+    println!("exit after {:?}", stopped.elapsed());
+    assert!(status.success(), "{status}");
+}
+
+/// Opens connections with one call each until one is refused; returns how many were answered.
+async fn arrive(addr: SocketAddr) -> Result<usize, String> {
+    let mut answered = 0;
+    loop {
+        let Ok(mut conn) = TcpStream::connect(addr).await else {
+            return Ok(answered);
+        };
+        let req = b"GET /no-such-route HTTP/1.1\r\nhost: lab\r\n\r\n";
+        let mut buf = [0; 4_096];
+        let exchange = async {
+            conn.write_all(req).await?;
+            conn.read(&mut buf).await
+        };
+        match exchange.await {
+            Ok(0) => return Err(format!("closed without an answer after {answered}")),
+            Ok(_) => answered += 1,
+            Err(err) => return Err(format!("{err} after {answered}")),
+        }
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+}
+
+/// Guards against connections that are accepted while the listener closes and get no answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn arrivals_are_answered() {
+    let deployment = Deployment::start(INVENTORY).await.unwrap();
+    let mut hosts = start_hosts(&deployment, 2).await;
+    let addr = hosts[1].spec.caller_addr;
+    let arrivals: Vec<_> = (0..ARRIVALS).map(|_| tokio::spawn(arrive(addr))).collect();
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let stopped = Instant::now();
+    send_signal(&hosts[1], Signal::TERM);
+    for arrival in arrivals {
+        let outcome = arrival.await.unwrap();
+        assert!(outcome.as_ref().is_ok_and(|n| *n > 0), "{outcome:?}");
+    }
+    wait_exit(&mut hosts[1], stopped).await;
+}
--- a/crates/server/src/host.rs
+++ b/crates/server/src/host.rs
@@ -7,15 +7,21 @@
 use bv_store::{HttpTable, Table, TableSettings};
 use bv_types::{BackendId, Clock, HostId, Incarnation, RequestId};
 use miette::Diagnostic;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UdpSocket};
 use tracing::info;
 
 use crate::claims::{self, Claims};
 use crate::conf::Conf;
 use crate::engine::EngineClient;
+use crate::leaving::Leaving;
+use crate::model::RetryBudget;
+use crate::peers::Peers;
+use crate::placement::Placement;
 use crate::servers::Servers;
 use crate::shutdown::Shutdown;
-use crate::{Settings, callers, conf, counters, operate};
+use crate::{
+    Settings, callers, conf, counters, leaving, members, operate, peers, placement, shutdown,
+};
 
 /// Failure to start.
 #[derive(Debug, thiserror::Error, Diagnostic)]
@@ -49,8 +55,12 @@
     pub(crate) table: Arc<dyn Table>,
     pub(crate) conf: Conf,
     pub(crate) engines: EngineClient,
+    pub(crate) peers: Peers,
     pub(crate) servers: Arc<Servers>,
     pub(crate) claims: Claims,
+    pub(crate) leaving: Leaving,
+    pub(crate) placement: Placement,
+    pub(crate) retries: RetryBudget,
     pub(crate) shutdown: Shutdown,
     sequence: AtomicU64,
 }
@@ -72,11 +82,15 @@
         };
         let client = EngineClient::without_reuse(settings.bind_ip);
         Host {
+            peers: Peers::new(&settings, incarnation),
+            leaving: Leaving::default(),
+            placement: Placement::new(&settings.policy),
+            retries: RetryBudget::default(),
             incarnation,
             servers: Arc::new(Servers::new(seed)),
             claims: Claims::new(settings.host_id.clone(), incarnation, seed, client),
             table: Arc::new(table),
-            conf: Conf::default(),
+            conf: Conf::new(clock.clone(), !settings.seeds.is_empty()),
             engines: EngineClient::new(settings.bind_ip),
             shutdown: Shutdown::default(),
             sequence: AtomicU64::new(0),
@@ -128,21 +142,26 @@
     let metrics = counters::install();
     let caller_listener = listen("callers", settings.caller_addr).await?;
     let operator_listener = listen("operators", settings.operator_addr).await?;
+    let peer_listener = listen("peers", settings.peer_addr).await?;
+    let peer_socket = listen_udp("peers", settings.peer_addr).await?;
     let host = Arc::new(Host::new(settings));
+    host.peers.attach(&host);
     info!(
         host = %host.settings.host_id,
         incarnation = %host.incarnation,
         callers = %host.settings.caller_addr,
         "host: started"
     );
+    tokio::spawn(peers::serve(host.clone(), peer_listener));
+    tokio::spawn(leaving::follow(host.clone()));
+    tokio::spawn(members::follow(host.clone()));
+    tokio::spawn(peers::follow(host.clone(), peer_socket));
     tokio::spawn(conf::follow(host.clone()));
     tokio::spawn(claims::drive(host.clone()));
+    tokio::spawn(placement::follow(host.clone()));
     tokio::spawn(operate::serve(host.clone(), operator_listener, metrics));
     let serving = tokio::spawn(callers::serve(host.clone(), caller_listener));
-    host.shutdown.on_signal(&host.settings).await?;
-    // The listener task ends once every connection has finished or the drain limit has passed.
-    let _ = serving.await;
-    host.flush().await;
+    shutdown::run(&host, serving).await?;
     info!("host: stopped");
     Ok(())
 }
@@ -152,3 +171,9 @@
         .await
         .map_err(|source| HostError::Listen { peer, addr, source })
 }
+
+async fn listen_udp(peer: &'static str, addr: SocketAddr) -> Result<UdpSocket, HostError> {
+    UdpSocket::bind(addr)
+        .await
+        .map_err(|source| HostError::Listen { peer, addr, source })
+}
