--- a/crates/lab/tests/plain/mod.rs
+++ b/crates/lab/tests/plain/mod.rs
@@ -15,6 +15,8 @@
 
 /// Longer than every deadline of the routes.
 const CALL_LIMIT: Duration = Duration::from_secs(20);
+/// Header in which the plain service reads the caller's attempt.
+const ATTEMPT_HEADER: &str = "x-lab-attempt";
 
 pub const INVENTORY: &str = r#"
 name = "plain"
@@ -116,25 +118,42 @@
     send(host, "POST", "/booking/reserve", body).await
 }
 
+/// Sends a reservation as a numbered attempt; none if the host closes the connection.
+pub async fn try_reserve(host: SocketAddr, key: &str, attempt: u32) -> Option<Seen> {
+    let body = json!({"key": key}).to_string();
+    exchange(host, "POST", "/booking/reserve", body, attempt).await
+}
+
 pub async fn send(host: SocketAddr, method: &str, path: &str, body: String) -> Seen {
+    exchange(host, method, path, body, 0).await.unwrap()
+}
+
+async fn exchange(
+    host: SocketAddr,
+    method: &str,
+    path: &str,
+    body: String,
+    attempt: u32,
+) -> Option<Seen> {
     let client = Client::builder(TokioExecutor::new()).build_http::<Full<Bytes>>();
     let req = Request::builder()
         .method(method)
         .uri(format!("http://{host}{path}"))
+        .header(ATTEMPT_HEADER, attempt.to_string())
         .body(Full::new(Bytes::from(body)))
         .unwrap();
     let exchange = async {
-        let answer = client.request(req).await.unwrap();
+        let answer = client.request(req).await.ok()?;
         let status = answer.status();
         let outcome = answer.headers().get("x-burdockvale-outcome");
         let outcome = outcome.map(|value| value.to_str().unwrap().to_owned());
-        let body = answer.into_body().collect().await.unwrap().to_bytes();
+        let body = answer.into_body().collect().await.ok()?.to_bytes();
         let body = serde_json::from_slice(&body).unwrap_or(Value::Null);
-        Seen {
+        Some(Seen {
             status,
             outcome,
             body,
-        }
+        })
     };
     tokio::time::timeout(CALL_LIMIT, exchange).await.unwrap()
 }
