Exchange whole views while they differ

Cause: 350 members that start at once took 61.6 s until all views agreed, since their news compete for the datagrams.

Change: messages carry a digest of the view.

--- a/crates/member/src/compose.rs
+++ b/crates/member/src/compose.rs
@@ -55,11 +55,17 @@
             seq,
             kind,
             updates: Vec::new(),
+            view_digest: self.view_digest(),
             rumour_digest: self.rumours.digest(),
             rumours: Vec::new(),
         }
     }
 
+    /// Digest of the live members, this one included.
+    pub(crate) fn view_digest(&self) -> u64 {
+        self.own_digest.wrapping_add(self.table.digest())
+    }
+
     /// Adds states with transmissions left, the least sent first.
     fn add_news(&mut self, message: &mut Message, room: &mut usize) {
         let entries = &mut self.table.entries;
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -27,6 +27,7 @@
 
 mod compose;
 mod contact;
+mod departure;
 mod event;
 mod member;
 mod membership;
--- a/crates/member/src/membership.rs
+++ b/crates/member/src/membership.rs
@@ -6,26 +6,14 @@
 use fastrand::Rng;
 
 use crate::contact::Contacts;
+use crate::departure::Phase;
 use crate::message::{Kind, Message, Status, Update};
 use crate::probe::{Probes, Step};
 use crate::rumour::Rumours;
 use crate::table::{Change, Table};
-use crate::timing::{
-    HELPERS, LEAVE_FANOUT, LEAVE_PERIOD, LEAVE_REPEATS, OWN_PAUSE, SPREAD_FANOUT, SPREAD_PERIOD,
-    transmissions,
-};
+use crate::timing::{HELPERS, OWN_PAUSE, SPREAD_FANOUT, SPREAD_PERIOD, VIEW_PERIOD, transmissions};
 use crate::{Action, Event, Member, Rumour};
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Phase {
-    Member,
-    /// This process leaves; so many announcements are left, the next at this time.
-    Leaving {
-        left: u32,
-        next_at: Millis,
-    },
-}
-
 /// Membership as one host sees it.
 #[derive(Debug)]
 pub struct Membership {
@@ -35,9 +23,12 @@
     pub(crate) rumours: Rumours,
     /// Position of the entry that was last sent in rotation.
     pub(crate) rotation: usize,
+    pub(crate) own_digest: u64,
+    /// Last time at which another view was the same, or whole views were exchanged.
+    last_agreed: Millis,
     probes: Probes,
     contacts: Contacts,
-    phase: Phase,
+    pub(crate) phase: Phase,
     rng: Rng,
     next_seq: u64,
     last_tick: Millis,
@@ -53,6 +44,8 @@
     pub fn new(this: Member, seeds: Vec<SocketAddr>, seed: u64, now: Millis) -> Self {
         let mut rng = Rng::with_seed(seed);
         Membership {
+            own_digest: this.digest(),
+            last_agreed: now,
             contacts: Contacts::new(seeds, this.addr, now),
             this,
             counter: 0,
@@ -96,7 +89,7 @@
         out
     }
 
-    fn others(&self) -> Vec<Member> {
+    pub(crate) fn others(&self) -> Vec<Member> {
         self.table.alive().map(|e| e.member.clone()).collect()
     }
 
@@ -109,7 +102,14 @@
         self.next_seq
     }
 
-    fn send(&mut self, now: Millis, to: &Member, seq: u64, kind: Kind, out: &mut Vec<Action>) {
+    pub(crate) fn send(
+        &mut self,
+        now: Millis,
+        to: &Member,
+        seq: u64,
+        kind: Kind,
+        out: &mut Vec<Action>,
+    ) {
         let message = self.compose(now, Some(&to.host), seq, kind);
         out.push(Action::Send {
             to: to.addr,
@@ -155,6 +155,7 @@
             }
         }
         self.rumours.compare(now, message.rumour_digest);
+        self.compare_views(now, &from, message.view_digest, out);
         self.answer(now, &from, message.seq, message.kind, refuted, out);
     }
 
@@ -277,6 +278,15 @@
         (entry.status == Status::Dead && entry.member == *member).then(|| entry.update())
     }
 
+    fn compare_views(&mut self, now: Millis, from: &Member, digest: u64, out: &mut Vec<Action>) {
+        if digest == self.view_digest() {
+            self.last_agreed = now;
+        } else if now >= self.last_agreed + VIEW_PERIOD {
+            self.last_agreed = now;
+            self.welcome(from, None, out);
+        }
+    }
+
     /// Sends the whole view to a host that joined through this one. A host that had been declared
     /// dead is told so even if it has refuted since.
     fn welcome(&mut self, member: &Member, declared: Option<Update>, out: &mut Vec<Action>) {
@@ -368,29 +378,7 @@
         }
     }
 
-    fn leave(&mut self, now: Millis) {
-        if self.phase == Phase::Member {
-            self.phase = Phase::Leaving {
-                left: LEAVE_REPEATS,
-                next_at: now,
-            };
-        }
-    }
-
-    fn announce_leave(&mut self, now: Millis, left: u32, next_at: Millis, out: &mut Vec<Action>) {
-        if left == 0 || now < next_at {
-            return;
-        }
-        self.phase = Phase::Leaving {
-            left: left - 1,
-            next_at: now + LEAVE_PERIOD,
-        };
-        for member in self.choose(self.others(), LEAVE_FANOUT) {
-            self.send(now, &member, 0, Kind::Leave, out);
-        }
-    }
-
-    fn choose(&mut self, mut members: Vec<Member>, count: usize) -> Vec<Member> {
+    pub(crate) fn choose(&mut self, mut members: Vec<Member>, count: usize) -> Vec<Member> {
         self.rng.shuffle(&mut members);
         members.truncate(count);
         members
--- a/crates/member/src/message.rs
+++ b/crates/member/src/message.rs
@@ -27,6 +27,8 @@
     pub kind: Kind,
     /// News about members.
     pub updates: Vec<Update>,
+    /// Digest of the sender's view.
+    pub view_digest: u64,
     /// Digest of all rumours that the sender holds.
     pub rumour_digest: u64,
     /// Rumours; the sender's configuration comes first.
@@ -116,7 +118,7 @@
         };
         let updates: usize = self.updates.iter().map(Update::max_bytes).sum();
         let rumours: usize = self.rumours.iter().map(SentRumour::max_bytes).sum();
-        member_bytes(&self.from) + 6 + 2 * NUMBER_BYTES + kind + updates + rumours
+        member_bytes(&self.from) + 6 + 3 * NUMBER_BYTES + kind + updates + rumours
     }
 }
 
--- a/crates/member/src/rumour.rs
+++ b/crates/member/src/rumour.rs
@@ -1,5 +1,6 @@
 //! Rumours and how long they spread.
 
+use crate::member::short_digest;
 use bv_types::{BackendId, Fingerprint, Incarnation, Millis, Version};
 
 /// How long a leaving mark or a suspect spreads; receivers keep their own record of it.
@@ -298,10 +299,7 @@
         Rumour::Suspect { fingerprint, score } => (2, &fingerprint.0[..], u64::from(*score)),
         Rumour::Convicted { fingerprint, .. } => (3, &fingerprint.0[..], 0),
     };
-    let parts = [&[kind][..], name, &number.to_le_bytes()];
-    let Fingerprint(bytes) = Fingerprint::digest(parts);
-    let [a, b, c, d, e, f, g, h, ..] = bytes;
-    u64::from_le_bytes([a, b, c, d, e, f, g, h])
+    short_digest([&[kind][..], name, &number.to_le_bytes()])
 }
 
 fn supersedes(next: &Held, held: &Held) -> bool {
--- a/crates/member/src/table.rs
+++ b/crates/member/src/table.rs
@@ -18,6 +18,8 @@
     pub since: Millis,
     /// Transmissions of this state that are left.
     pub sends: u32,
+    /// Digest of host and incarnation.
+    digest: u64,
 }
 
 impl Entry {
@@ -81,6 +83,11 @@
         self.entries.iter().filter(|e| e.is_alive())
     }
 
+    /// Sum of the digests of the live members.
+    pub fn digest(&self) -> u64 {
+        self.alive().fold(0, |sum, e| sum.wrapping_add(e.digest))
+    }
+
     /// Dead members that did not say that they leave.
     pub fn dead(&self) -> impl Iterator<Item = &Entry> {
         self.entries.iter().filter(|e| e.status == Status::Dead)
@@ -157,6 +164,7 @@
 
 fn entry(now: Millis, update: Update, sends: u32) -> Entry {
     Entry {
+        digest: update.member.digest(),
         member: update.member,
         counter: update.counter,
         status: update.status,
--- a/crates/member/src/timing.rs
+++ b/crates/member/src/timing.rs
@@ -37,6 +37,9 @@
 pub(crate) const LEAVE_FANOUT: usize = 16;
 /// Known members added to each message in rotation, so that views converge after any loss.
 pub(crate) const ROTATED_UPDATES: usize = 2;
+/// A host that agrees with no other view for this long exchanges whole views, at most once in this
+/// time. A single change spreads faster; many hosts that start at once need it.
+pub(crate) const VIEW_PERIOD: Millis = Millis(5_000);
 /// Probes relayed for others at a time.
 pub(crate) const MAX_RELAYS: usize = 256;
 
--- a/crates/member/tests/fault_table.rs
+++ b/crates/member/tests/fault_table.rs
@@ -184,6 +184,7 @@
         seq: 1,
         kind,
         updates: Vec::new(),
+        view_digest: 0,
         rumour_digest: 0,
         rumours: Vec::new(),
     };
@@ -205,6 +206,7 @@
         seq: 1,
         kind: Kind::Ping,
         updates: Vec::new(),
+        view_digest: 0,
         rumour_digest: 0,
         rumours: Vec::new(),
     };
--- a/crates/member/tests/rumour_spread.rs
+++ b/crates/member/tests/rumour_spread.rs
@@ -44,6 +44,7 @@
         seq: 1,
         kind: Kind::Ping,
         updates: Vec::new(),
+        view_digest: 0,
         rumour_digest: 0,
         rumours,
     })
@@ -208,6 +209,7 @@
         seq: 9,
         kind: Kind::Ping,
         updates: Vec::new(),
+        view_digest: 0,
         rumour_digest: 0,
         rumours: Vec::new(),
     };
--- a/crates/wire/src/checked.rs
+++ b/crates/wire/src/checked.rs
@@ -45,6 +45,7 @@
             counter: datagram.counter,
             seq: datagram.seq,
             kind,
+            view_digest: datagram.view_digest,
             rumour_digest: datagram.rumour_digest,
             updates: updates.collect::<Result<_, _>>()?,
             rumours: rumours
@@ -170,6 +171,7 @@
             kind: kind.into(),
             target: target.map(HostId::to_string).unwrap_or_default(),
             target_addr: target_addr.map(write_addr).unwrap_or_default(),
+            view_digest: message.view_digest,
             rumour_digest: message.rumour_digest,
             updates: message.updates.iter().map(PeerStatus::from).collect(),
             rumours: message.rumours.iter().map(News::from).collect(),
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -41,6 +41,9 @@
     /// Digest of all rumours that the sender holds.
     #[prost(fixed64, tag = "9")]
     pub rumour_digest: u64,
+    /// Digest of the sender's view.
+    #[prost(fixed64, tag = "10")]
+    pub view_digest: u64,
 }
 
 /// Kinds of a [`Datagram`].
--- /dev/null
+++ b/crates/wire/tests/datagram_checks.rs
@@ -0,0 +1,167 @@
+//! Datagrams of the membership protocol: content, size and digest.
+
+use arbtest::arbitrary::{Result, Unstructured};
+use arbtest::arbtest;
+use bv_member::{Kind, MAX_MESSAGE_BYTES, Member, Message, Rumour, SentRumour, Status, Update};
+use bv_types::{Fingerprint, Incarnation, Millis, Version};
+use bv_wire::{DatagramCodec, MAX_DATAGRAM_BYTES, SealError, Sealed, open, seal};
+use bytes::BytesMut;
+use prost::Message as _;
+use tokio_util::codec::{Decoder, Encoder};
+
+const CASES: u64 = 10_000;
+const INPUT_BYTES: u64 = 4_096;
+/// Spreads case numbers over the seeds; small seeds start with similar bytes.
+const SPREAD: u64 = 0x9E37_79B9;
+const KEY: &[u8] = b"cluster-key-0123456789";
+
+fn for_each_case(check: impl Fn(&mut Unstructured<'_>) -> Result<()>) {
+    for case in 1..=CASES {
+        let seed = case.wrapping_mul(SPREAD) << 32 | INPUT_BYTES;
+        arbtest(&check).seed(seed);
+    }
+}
+
+fn text(u: &mut Unstructured<'_>) -> Result<String> {
+    let len = u.int_in_range(1..=64usize)?;
+    Ok("h".repeat(len))
+}
+
+fn member(u: &mut Unstructured<'_>) -> Result<Member> {
+    let port: u16 = u.arbitrary()?;
+    let addr = match u.arbitrary()? {
+        true => (u.arbitrary::<[u8; 4]>()?, port).into(),
+        false => (u.arbitrary::<[u8; 16]>()?, port).into(),
+    };
+    Ok(Member {
+        host: text(u)?.parse().unwrap(),
+        incarnation: Incarnation(u.arbitrary()?),
+        addr,
+    })
+}
+
+fn rumour(u: &mut Unstructured<'_>) -> Result<SentRumour> {
+    let ttl = Millis(u.arbitrary()?);
+    let fingerprint = Fingerprint(u.arbitrary()?);
+    let rumour = match u.int_in_range(0..=3u8)? {
+        0 => Rumour::Config {
+            version: Version(u.arbitrary()?),
+            digest: fingerprint,
+            age: Millis(u.arbitrary()?),
+        },
+        1 => Rumour::Leaving {
+            backend: text(u)?.parse().unwrap(),
+            incarnation: Incarnation(u.arbitrary()?),
+        },
+        2 => Rumour::Suspect {
+            fingerprint,
+            score: u.arbitrary()?,
+        },
+        _ => Rumour::Convicted {
+            fingerprint,
+            until: ttl,
+        },
+    };
+    Ok(SentRumour { rumour, ttl })
+}
+
+fn message(u: &mut Unstructured<'_>) -> Result<Message> {
+    let from = member(u)?;
+    let target = member(u)?;
+    let kind = match u.int_in_range(0..=5u8)? {
+        0 => Kind::Ping,
+        1 => Kind::Ack { target: None },
+        2 => Kind::Ack {
+            target: Some(target.host),
+        },
+        3 => Kind::PingReq {
+            target: target.host,
+            addr: target.addr,
+        },
+        4 => Kind::Gossip,
+        _ => Kind::Leave,
+    };
+    let mut message = Message {
+        from,
+        counter: u.arbitrary()?,
+        seq: u.arbitrary()?,
+        kind,
+        updates: Vec::new(),
+        view_digest: u.arbitrary()?,
+        rumour_digest: u.arbitrary()?,
+        rumours: Vec::new(),
+    };
+    for _ in 0..u.int_in_range(0..=20u8)? {
+        let statuses = [Status::Alive, Status::Suspect, Status::Dead, Status::Left];
+        let update = Update {
+            member: member(u)?,
+            counter: u.arbitrary()?,
+            status: *u.choose(&statuses)?,
+        };
+        let rumour = rumour(u)?;
+        let more = update.max_bytes() + rumour.max_bytes();
+        if message.max_bytes() + more <= MAX_MESSAGE_BYTES {
+            message.updates.push(update);
+            message.rumours.push(rumour);
+        }
+    }
+    Ok(message)
+}
+
+/// Guards against fields that get lost, and against messages that fit by the state machine's
+/// estimate but not into a datagram.
+#[test]
+fn messages_survive() {
+    for_each_case(|u| {
+        let sent = message(u)?;
+        let sealed = seal(KEY, &sent);
+        assert!(sealed.content.len() <= sent.max_bytes(), "{sent:?}");
+        let mut codec = DatagramCodec::<Sealed>::default();
+        let mut buf = BytesMut::new();
+        codec.encode(sealed, &mut buf).unwrap();
+        assert!(buf.len() <= MAX_DATAGRAM_BYTES, "{} bytes", buf.len());
+        let received = codec.decode(&mut buf).unwrap().unwrap();
+        assert_eq!(open(KEY, &received).unwrap(), sent);
+        Ok(())
+    });
+}
+
+/// Guards against datagrams of hosts without the key, and against changed ones.
+#[test]
+fn changed_content_is_refused() {
+    for_each_case(|u| {
+        let sealed = seal(KEY, &message(u)?);
+        assert!(matches!(
+            open(b"another-key-0123456789", &sealed),
+            Err(SealError::Digest)
+        ));
+        let mut changed = sealed.clone();
+        let at = u.choose_index(changed.content.len())?;
+        changed.content[at] ^= u.int_in_range(1..=255u8)?;
+        assert!(matches!(open(KEY, &changed), Err(SealError::Digest)));
+        let mut short = sealed.clone();
+        short.digest.truncate(u.choose_index(short.digest.len())?);
+        assert!(matches!(open(KEY, &short), Err(SealError::Digest)));
+        Ok(())
+    });
+}
+
+/// Guards against a crash by any bytes, sealed or not.
+#[test]
+fn any_bytes_are_refused_or_read() {
+    for_each_case(|u| {
+        let content: Vec<u8> = u.arbitrary()?;
+        let _ = Sealed::decode(&content[..]);
+        let datagram = bv_wire::Datagram::decode(&content[..]);
+        if let Ok(datagram) = datagram {
+            let _ = Message::try_from(datagram);
+        }
+        let mut changed = bv_wire::Datagram::from(&message(u)?).encode_to_vec();
+        let at = u.choose_index(changed.len())?;
+        changed[at] ^= u.int_in_range(1..=255u8)?;
+        if let Ok(datagram) = bv_wire::Datagram::decode(&changed[..]) {
+            let _ = Message::try_from(datagram);
+        }
+        Ok(())
+    });
+}
