Test the operators' program and listener against real entry hosts

Cause: the commands and the listener had no tests.

A change that could not be written is given up after 4 s instead of 10 s, so that apply turns to the next host. A server may no longer have the id of a runner, because a leaving mark names a backend server by its id alone; check.rs is split.

--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -1,188 +1,19 @@
 //! Turns a document into a checked inventory.
 
-use std::fmt::Display;
-use std::net::SocketAddr;
-use std::ops::Range;
-use std::str::FromStr;
-
-use bv_types::{Bytes, Millis, Pieces, RatePerSec, Tokens};
-use miette::NamedSource;
-use smol_str::SmolStr;
-use toml::Spanned;
+use bv_types::{BackendId, Bytes, Millis, Pieces, Tokens};
 
+use crate::checker::{Checked, Checker};
 use crate::inventory::{
-    Class, Device, EngineRole, Identity, Inventory, Model, Pool, Route, Runner, Server, Service,
-    Team, Zone,
+    Device, Identity, Inventory, Model, Pool, Route, Runner, Server, Service, Team, Zone,
 };
-use crate::{ConfigError, raw};
+use crate::raw;
 
 const DEFAULT_SHARD_RUNNERS: u32 = 16;
 const MAX_SHARD_RUNNERS: u32 = 64;
 const DEFAULT_RESEND_WINDOW_S: u64 = 600;
 const MAX_RESEND_WINDOW_S: u64 = 7 * 86_400;
-const MAX_DEADLINE_MS: u64 = 3_600_000;
 const DEFAULT_MAX_OUTPUT_TOKENS: u64 = 1_024;
 
-type Checked<T> = Result<T, Box<ConfigError>>;
-
-struct Checker<'a> {
-    text: &'a str,
-}
-
-impl Checker<'_> {
-    fn fault(
-        &self,
-        field: &'static str,
-        at: Range<usize>,
-        message: impl Display,
-    ) -> Box<ConfigError> {
-        self.fault_with_help(field, at, message, None)
-    }
-
-    fn fault_with_help(
-        &self,
-        field: &'static str,
-        at: Range<usize>,
-        message: impl Display,
-        help: Option<String>,
-    ) -> Box<ConfigError> {
-        Box::new(ConfigError::Value {
-            field,
-            message: message.to_string(),
-            source_text: NamedSource::new("inventory", self.text.to_owned()),
-            at: at.into(),
-            help,
-        })
-    }
-
-    fn parse<T>(&self, field: &'static str, value: &Spanned<SmolStr>) -> Checked<T>
-    where
-        T: FromStr,
-        T::Err: Display,
-    {
-        value
-            .get_ref()
-            .parse()
-            .map_err(|err| self.fault(field, value.span(), err))
-    }
-
-    fn number<T: PartialOrd + Display + Copy>(
-        &self,
-        field: &'static str,
-        value: &Spanned<T>,
-        allowed: Range<T>,
-    ) -> Checked<T> {
-        let number = *value.get_ref();
-        if allowed.contains(&number) {
-            return Ok(number);
-        }
-        let message = format!(
-            "{number} is out of range; allowed are {} up to, not including, {}",
-            allowed.start, allowed.end
-        );
-        Err(self.fault(field, value.span(), message))
-    }
-
-    fn rate(&self, field: &'static str, value: &Spanned<f64>) -> Checked<RatePerSec> {
-        RatePerSec::try_from(*value.get_ref()).map_err(|err| self.fault(field, value.span(), err))
-    }
-
-    fn deadline(&self, field: &'static str, value: &Spanned<u64>) -> Checked<Millis> {
-        self.number(field, value, 1..MAX_DEADLINE_MS + 1)
-            .map(Millis)
-    }
-
-    fn class(&self, field: &'static str, value: &Spanned<SmolStr>) -> Checked<Class> {
-        match value.get_ref().as_str() {
-            "urgent" => Ok(Class::Urgent),
-            "waiting" => Ok(Class::Waiting),
-            other => Err(self.fault(
-                field,
-                value.span(),
-                format!("{other:?} is not a class; allowed are \"urgent\" and \"waiting\""),
-            )),
-        }
-    }
-
-    fn role(&self, value: &Spanned<SmolStr>) -> Checked<EngineRole> {
-        match value.get_ref().as_str() {
-            "prefill" => Ok(EngineRole::Prefill),
-            "decode" => Ok(EngineRole::Decode),
-            other => Err(self.fault(
-                "runner.role",
-                value.span(),
-                format!("{other:?} is not a role; allowed are \"prefill\" and \"decode\""),
-            )),
-        }
-    }
-
-    fn addr(&self, field: &'static str, value: &Spanned<SmolStr>) -> Checked<SocketAddr> {
-        value.get_ref().parse().map_err(|_| {
-            self.fault(
-                field,
-                value.span(),
-                format!(
-                    "{:?} is not an IP address with a port, such as 10.0.0.7:8000",
-                    value.get_ref()
-                ),
-            )
-        })
-    }
-
-    /// Sorts by id and refuses an id that stands twice.
-    fn sorted<T, K: Ord + Display + Clone>(
-        &self,
-        field: &'static str,
-        mut entries: Vec<(T, Range<usize>)>,
-        id: impl Fn(&T) -> K,
-    ) -> Checked<Vec<T>> {
-        entries.sort_by_key(|(entry, _)| id(entry));
-        for pair in entries.windows(2) {
-            let (first, second) = (&pair[0], &pair[1]);
-            if id(&first.0) == id(&second.0) {
-                return Err(self.fault(
-                    field,
-                    second.1.clone(),
-                    format!("{} is listed twice", id(&second.0)),
-                ));
-            }
-        }
-        Ok(entries.into_iter().map(|(entry, _)| entry).collect())
-    }
-
-    /// Parses a reference to another entry and refuses one that does not resolve.
-    fn reference<T, K>(
-        &self,
-        field: &'static str,
-        value: &Spanned<SmolStr>,
-        entries: &[T],
-        id: impl Fn(&T) -> &K,
-    ) -> Checked<K>
-    where
-        K: Ord + FromStr + Display,
-        K::Err: Display,
-    {
-        let key: K = self.parse(field, value)?;
-        if entries
-            .binary_search_by(|entry| id(entry).cmp(&key))
-            .is_ok()
-        {
-            return Ok(key);
-        }
-        let known: Vec<String> = entries.iter().map(|entry| id(entry).to_string()).collect();
-        let help = match known.is_empty() {
-            true => "the inventory lists no such entries".to_owned(),
-            false => format!("listed are {}", known.join(", ")),
-        };
-        Err(self.fault_with_help(
-            field,
-            value.span(),
-            format!("{key} is not in the inventory"),
-            Some(help),
-        ))
-    }
-}
-
 pub(crate) fn inventory(text: &str, document: raw::Document) -> Checked<Inventory> {
     let checker = Checker { text };
     let zones = zones(&checker, document.zones)?;
@@ -191,7 +22,7 @@
     let teams = teams(&checker, document.teams)?;
     let runners = runners(&checker, document.runners, &pools, &zones)?;
     let models = models(&checker, document.models, &pools)?;
-    let servers = servers(&checker, document.servers, &services, &zones)?;
+    let servers = servers(&checker, document.servers, &services, &zones, &runners)?;
     let routes = routes(&checker, document.routes, &services)?;
     let devices = devices(&checker, document.devices, &teams)?;
     let shard_runners = document.shard_runners.unwrap_or(DEFAULT_SHARD_RUNNERS);
@@ -309,11 +140,18 @@
     entries: Vec<raw::Server>,
     services: &[Service],
     zones: &[Zone],
+    runners: &[Runner],
 ) -> Checked<Vec<Server>> {
     let mut servers = Vec::with_capacity(entries.len());
     for entry in entries {
+        let id: BackendId = checker.parse("server.id", &entry.id)?;
+        // Leaving marks name a backend server by its id alone.
+        if runners.iter().any(|runner| runner.id == id) {
+            let message = format!("a runner has the same id {id}");
+            return Err(checker.fault("server.id", entry.id.span(), message));
+        }
         let server = Server {
-            id: checker.parse("server.id", &entry.id)?,
+            id,
             service: checker.reference("server.service", &entry.service, services, |s| &s.id)?,
             zone: checker.reference("server.zone", &entry.zone, zones, |zone| &zone.id)?,
             addr: checker.addr("server.addr", &entry.addr)?,
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -12,6 +12,7 @@
 //! ```
 
 mod check;
+mod checker;
 mod error;
 mod inventory;
 mod raw;
--- a/crates/config/src/versions/apply.rs
+++ b/crates/config/src/versions/apply.rs
@@ -9,6 +9,9 @@
 
 /// Time after which an undecided change is reported to the operator.
 pub const APPLY_LIMIT: Millis = Millis(10_000);
+/// Time after which a change that was not written is given up, so that an operator can turn to
+/// another entry host.
+pub(super) const UNWRITTEN_LIMIT: Millis = Millis(4_000);
 /// Time for which a row below the expected version is read again.
 pub(super) const BEHIND_LIMIT: Millis = Millis(2_000);
 /// Pause before the store is asked again.
@@ -36,6 +39,8 @@
     /// repetition are the same.
     pub written: Option<Document>,
     pub until: Millis,
+    /// End of the time for a first write.
+    pub unwritten_until: Millis,
     /// Time until which a row below the expected version is taken for a lagging read.
     pub behind_until: Millis,
     /// Whether a write was sent whose effect is not known.
@@ -54,6 +59,16 @@
 }
 
 impl Pending {
+    /// Whether no write of this change can have taken effect through this host.
+    pub fn is_unwritten(&self) -> bool {
+        !self.in_doubt && !matches!(self.step, Step::Writing(_))
+    }
+
+    /// Whether the time for this change has passed.
+    pub fn is_late(&self, now: Millis) -> bool {
+        now >= self.until || (self.is_unwritten() && now >= self.unwritten_until)
+    }
+
     pub fn pause(&mut self, now: Millis) {
         self.step = Step::Paused(now + RETRY_PAUSE);
     }
--- a/crates/config/src/versions/changes.rs
+++ b/crates/config/src/versions/changes.rs
@@ -5,7 +5,7 @@
 use bv_types::{Millis, Version};
 use smol_str::SmolStr;
 
-use super::apply::{APPLY_LIMIT, BEHIND_LIMIT, Pending, Step, Verdict};
+use super::apply::{APPLY_LIMIT, BEHIND_LIMIT, Pending, Step, UNWRITTEN_LIMIT, Verdict};
 use super::{Action, Document, NotWritten, Outcome, Versions, WriteResult};
 
 impl Versions {
@@ -34,6 +34,7 @@
             step: Step::Reading(read),
             written: None,
             until: now + APPLY_LIMIT,
+            unwritten_until: now + UNWRITTEN_LIMIT,
             behind_until: now + BEHIND_LIMIT,
             in_doubt: false,
         });
@@ -43,11 +44,10 @@
     pub(super) fn tick_changes(&mut self, now: Millis, out: &mut Vec<Action>) {
         let (late, open): (Vec<Pending>, Vec<Pending>) = std::mem::take(&mut self.pending)
             .into_iter()
-            .partition(|pending| now >= pending.until);
+            .partition(|pending| pending.is_late(now));
         self.pending = open;
         for pending in late {
-            let unwritten = !pending.in_doubt && !matches!(pending.step, Step::Writing(_));
-            let outcome = match unwritten {
+            let outcome = match pending.is_unwritten() {
                 true => Outcome::NotWritten(NotWritten::StoreUnavailable),
                 false => Outcome::Unknown,
             };
--- /dev/null
+++ b/crates/lab/tests/apply_changes.rs
@@ -0,0 +1,148 @@
+//! `burdockvale apply` against real entry hosts.
+
+mod operator;
+
+use std::time::{Duration, Instant};
+
+use bv_lab::stand_in::StoreFault;
+use operator::{Cluster, burdockvale};
+
+/// Section 1, P8: in force everywhere within 2 s without faults.
+const IN_FORCE_LIMIT: Duration = Duration::from_secs(2);
+
+/// Guards against two operators who are both told that their change won.
+#[tokio::test]
+async fn racing_operators() {
+    const OPERATORS: usize = 8;
+    let cluster = Cluster::start(3).await;
+    let addrs = cluster.addrs();
+    let mut racing = tokio::task::JoinSet::new();
+    for index in 0..OPERATORS {
+        let file = cluster.document(&format!("operator-{index}"));
+        let change = format!("change-{index}");
+        let host = addrs[index % addrs.len()];
+        racing.spawn(async move {
+            let words = [
+                "apply", &file, "--expect", "1", "--change", &change, "--json",
+            ];
+            (change.clone(), burdockvale(&words, &[host]).await)
+        });
+    }
+    let runs = racing.join_all().await;
+    let winners: Vec<_> = runs.iter().filter(|(_, run)| run.exit == 0).collect();
+    let losers = runs.iter().filter(|(_, run)| run.exit == 4).count();
+    assert_eq!((winners.len(), losers), (1, OPERATORS - 1), "{runs:?}");
+    assert_eq!(cluster.stored(), (2, winners[0].0.clone()));
+    let (_, loser) = runs.iter().find(|(_, run)| run.exit == 4).unwrap();
+    assert!(loser.err.contains("\"current\":2"), "{loser:?}");
+}
+
+/// Guards against a change that is reported everywhere before it is, and against one that takes
+/// longer than promised.
+#[tokio::test]
+async fn waits_for_all_hosts() {
+    let cluster = Cluster::start(3).await;
+    let addrs = cluster.addrs();
+    for round in 0..3 {
+        let file = cluster.document(&format!("round-{round}"));
+        let began = Instant::now();
+        let run = burdockvale(&["apply", &file, "--wait"], &addrs).await;
+        let took = began.elapsed();
+        assert_eq!(run.exit, 0, "{run:?}");
+        println!("in force at 3 hosts after {took:?}");
+        assert!(took < IN_FORCE_LIMIT, "{took:?}");
+        let status = burdockvale(&["status", "--json"], &addrs).await.json();
+        for host in status["hosts"].as_array().unwrap() {
+            assert_eq!(host["status"]["version"], 2 + round, "{status}");
+        }
+    }
+}
+
+/// Guards against `--wait` that does not name the hosts that lag.
+#[tokio::test]
+async fn wait_lists_missing_hosts() {
+    let mut cluster = Cluster::start(3).await;
+    let addrs = cluster.addrs();
+    // Dropping the process kills it.
+    drop(cluster.hosts.pop());
+    let file = cluster.document("missing");
+    let words = ["apply", &file, "--wait", "--wait-s", "3"];
+    let run = burdockvale(&words, &addrs).await;
+    assert_eq!(run.exit, 5, "{run:?}");
+    assert!(run.err.contains(&addrs[2].to_string()), "{run:?}");
+    assert!(!run.err.contains(&addrs[0].to_string()), "{run:?}");
+    assert_eq!(cluster.stored().0, 2);
+}
+
+/// Guards against a change that is told as made while the store is down, and against hosts that
+/// stop then.
+#[tokio::test]
+async fn store_down() {
+    let cluster = Cluster::start(3).await;
+    let addrs = cluster.addrs();
+    let gate = cluster.deployment.table.gate();
+    gate.close();
+    gate.cut();
+    let file = cluster.document("down");
+    let run = burdockvale(&["apply", &file], &addrs).await;
+    assert_eq!(run.exit, 1, "{run:?}");
+    let status = burdockvale(&["status", "--json"], &addrs).await.json();
+    for host in status["hosts"].as_array().unwrap() {
+        assert_eq!(host["status"]["version"], 1, "{status}");
+        assert_eq!(host["status"]["ready"], true, "{status}");
+    }
+    gate.open();
+    let run = burdockvale(&["apply", &file, "--expect", "1", "--wait"], &addrs).await;
+    assert_eq!(run.exit, 0, "{run:?}");
+    assert_eq!(cluster.stored().0, 2);
+}
+
+/// Guards against a change that is made twice because its answer was lost.
+#[tokio::test]
+async fn lost_answers() {
+    const CHANGES: u64 = 4;
+    const ATTEMPTS: usize = 6;
+    let cluster = Cluster::start(3).await;
+    let addrs = cluster.addrs();
+    cluster
+        .deployment
+        .table
+        .set_fault(StoreFault::LoseAnswer, 300);
+    for index in 1..=CHANGES {
+        let file = cluster.document(&format!("lost-{index}"));
+        let expected = index.to_string();
+        let change = format!("change-{index}");
+        let words = ["apply", &file, "--expect", &expected, "--change", &change];
+        let mut exits = Vec::new();
+        for _ in 0..ATTEMPTS {
+            let run = burdockvale(&words, &addrs).await;
+            exits.push(run.exit);
+            if run.exit == 0 {
+                break;
+            }
+        }
+        assert_eq!(exits.last(), Some(&0), "{exits:?}");
+        assert_eq!(cluster.stored(), (index + 1, change));
+    }
+}
+
+/// Guards against a store that was set back to an older copy and stays so.
+#[tokio::test]
+async fn older_copy_is_repaired() {
+    let cluster = Cluster::start(3).await;
+    let addrs = cluster.addrs();
+    let old = cluster.deployment.table.row("config/current").unwrap();
+    for name in ["first", "second"] {
+        let file = cluster.document(name);
+        let run = burdockvale(&["apply", &file, "--wait"], &addrs).await;
+        assert_eq!(run.exit, 0, "{run:?}");
+    }
+    let newest = cluster.stored();
+    assert_eq!(newest.0, 3);
+    cluster
+        .deployment
+        .table
+        .put("config/current", old.0, &old.1);
+    tokio::time::sleep(IN_FORCE_LIMIT).await;
+    assert_eq!(cluster.stored(), newest);
+}
--- /dev/null
+++ b/crates/lab/tests/operator/mod.rs
@@ -0,0 +1,123 @@
+//! Entry hosts and the operators' program as child processes.
+#![allow(dead_code, reason = "each test program uses a part")]
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Command, Stdio};
+
+use bv_lab::{Deployment, HostProcess, HostSpec, OPERATOR_KEY};
+use serde_json::Value;
+
+pub const INVENTORY: &str = include_str!("../../../../examples/co-operative.toml");
+
+/// Result of one run of the program.
+#[derive(Debug)]
+pub struct Run {
+    pub exit: i32,
+    pub out: String,
+    pub err: String,
+}
+
+impl Run {
+    pub fn json(&self) -> Value {
+        serde_json::from_str(&self.out).unwrap_or_else(|err| panic!("{err}: {self:?}"))
+    }
+}
+
+/// Path of a program of this workspace.
+pub fn program(name: &str) -> PathBuf {
+    let mut path = std::env::current_exe().unwrap();
+    path.pop();
+    if path.ends_with("deps") {
+        path.pop();
+    }
+    path.join(name)
+}
+
+/// Runs `burdockvale` with these words for these entry hosts.
+pub async fn burdockvale(words: &[&str], hosts: &[SocketAddr]) -> Run {
+    let mut command = Command::new(program("burdockvale"));
+    let hosts: Vec<String> = hosts.iter().map(SocketAddr::to_string).collect();
+    command
+        .args(words)
+        .env("BURDOCKVALE_OPERATOR_KEY", OPERATOR_KEY)
+        .env("BURDOCKVALE_HOSTS", hosts.join(","))
+        .stdin(Stdio::null());
+    tokio::task::spawn_blocking(move || {
+        let output = command.output().unwrap();
+        Run {
+            exit: output.status.code().unwrap_or(-1),
+            out: String::from_utf8_lossy(&output.stdout).into_owned(),
+            err: String::from_utf8_lossy(&output.stderr).into_owned(),
+        }
+    })
+    .await
+    .unwrap()
+}
+
+/// Ready entry hosts of one deployment that know each other.
+pub struct Cluster {
+    pub deployment: Deployment,
+    pub hosts: Vec<HostProcess>,
+    dir: PathBuf,
+}
+
+impl Cluster {
+    pub async fn start(count: usize) -> Self {
+        let deployment = Deployment::start(INVENTORY).await.unwrap();
+        let mut specs = Vec::new();
+        for index in 0..count {
+            specs.push(HostSpec::new(index, &deployment, "planned").await.unwrap());
+        }
+        let seeds: Vec<SocketAddr> = specs.iter().map(|spec| spec.peer_addr).collect();
+        let mut hosts = Vec::new();
+        for mut spec in specs {
+            spec.seeds = seeds.clone();
+            hosts.push(HostProcess::start(spec).unwrap());
+        }
+        for host in &hosts {
+            host.wait_ready().await.unwrap();
+        }
+        let dir = std::env::temp_dir().join(format!(
+            "burdockvale-test-{}-{}",
+            std::process::id(),
+            hosts[0].spec.operator_addr.port()
+        ));
+        std::fs::create_dir_all(&dir).unwrap();
+        Cluster {
+            deployment,
+            hosts,
+            dir,
+        }
+    }
+
+    pub fn addrs(&self) -> Vec<SocketAddr> {
+        let hosts = self.hosts.iter();
+        hosts.map(|host| host.spec.operator_addr).collect()
+    }
+
+    /// A file with the inventory and another name of the deployment.
+    pub fn document(&self, name: &str) -> String {
+        let (_, body) = self.deployment.table.row("config/current").unwrap();
+        let body: Value = serde_json::from_str(&body).unwrap();
+        let text = body["document"].as_str().unwrap();
+        let (_, rest) = text.split_once("name = ").unwrap();
+        let (_, rest) = rest.split_once('\n').unwrap();
+        let path = self.dir.join(format!("{name}.toml"));
+        std::fs::write(&path, format!("name = \"{name}\"\n{rest}")).unwrap();
+        path.display().to_string()
+    }
+
+    /// Version in the store and the change that made it.
+    pub fn stored(&self) -> (u64, String) {
+        let (version, body) = self.deployment.table.row("config/current").unwrap();
+        let body: Value = serde_json::from_str(&body).unwrap();
+        (version, body["change"].as_str().unwrap().to_owned())
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.dir);
+    }
+}
