Add leases with fencing, orders to engines and role changes

Change: bv-lease with three state machines without I/O. Lease counts from the time a confirmed write was sent, reads an unanswered write back, and takes a row, or its absence, only after seeing it unchanged for 10 s. RoleBalance decides with hysteresis.

--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -1,1 +1,54 @@
-//! Leases with fencing numbers and the orders sent to engines.
+//! Leases with fencing numbers, the orders sent to engines under them, and role changes.
+//!
+//! Each engine group has one holder at a time. [`Lease`] obtains and renews the lease in the table
+//! service, [`Orders`] sends orders under it, and [`RoleBalance`] decides when an engine should
+//! change its role. None of them does I/O.
+//!
+//! ```
+//! use bv_lease::{Action, Event, Holder, Lease};
+//! use bv_types::{Fence, Incarnation, Millis};
+//!
+//! let me = Holder { host: "host-a".parse().unwrap(), incarnation: Incarnation(1) };
+//! let mut lease = Lease::new(me);
+//! let mut now = Millis(0);
+//! let mut actions = lease.handle(now, Event::Want(true));
+//! // The row does not exist, and is taken once that has been seen for long enough.
+//! let write = loop {
+//!     now = now + Millis(500);
+//!     actions = match actions[..] {
+//!         [Action::Read { read }] => lease.handle(now, Event::Read { read, row: None }),
+//!         [Action::Write { write, .. }] => break write,
+//!         _ => lease.handle(now, Event::Tick),
+//!     };
+//! };
+//! let sent = now - Millis(500);
+//! let committed = Event::WriteEnded { write, result: bv_lease::WriteResult::Committed };
+//! assert_eq!(lease.handle(now, committed), [Action::Acquired(Fence(1))]);
+//! // The lease counts from the time at which the write was sent.
+//! assert_eq!(lease.held(now).unwrap().until, sent + Millis(9_000));
+//! ```
+
+mod event;
+mod lease;
+mod orders;
+mod roles;
+
+pub use event::{Action, Event, Held, Holder, LeaseRow, Stored, WriteResult};
+pub use lease::{LEASE_DURATION, Lease, TAKE_MARGIN};
+pub use orders::{
+    EngineSpec, FIRST_ORDER_WAIT, LATE_ORDER_LIMIT, MIN_LEASE_LEFT, ORDER_TIMEOUT, Order,
+    OrderAction, OrderEvent, OrderResult, Orders,
+};
+pub use roles::{CHANGE_PAUSE, RoleBalance, SUSTAINED, Side};
+
+use serde::{Deserialize, Serialize};
+
+/// What an engine does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Role {
+    /// Computes KV cache from prompts.
+    Prefill,
+    /// Generates tokens from imported KV cache.
+    Decode,
+}
--- /dev/null
+++ b/crates/lease/src/orders.rs
@@ -0,0 +1,335 @@
+//! Orders to the engines of one group, sent under its lease.
+
+use bv_types::{BackendId, Fence, Millis};
+
+use crate::{Held, Role};
+
+/// Time after which an order without an answer is given up.
+pub const ORDER_TIMEOUT: Millis = Millis(2_000);
+/// Least time left of the lease for an order to an engine that does not check fences.
+pub const MIN_LEASE_LEFT: Millis = Millis(3_000);
+/// Time between taking the lease and the first order to an engine that does not check fences.
+pub const FIRST_ORDER_WAIT: Millis = Millis(4_000);
+/// Time after which an order that was sent no longer takes effect. With [`MIN_LEASE_LEFT`], the
+/// margin of 1 s before a lease is taken, and [`FIRST_ORDER_WAIT`], the orders of two holders do
+/// not interleave on an engine that does not check fences as long as this bound holds.
+pub const LATE_ORDER_LIMIT: Millis = Millis(8_000);
+const RETRY_PAUSE: Millis = Millis(500);
+/// Time after which a known role is read again, because an engine may restart or carry out a late
+/// order of an earlier holder.
+const RECHECK: Millis = Millis(10_000);
+
+/// An engine of the group.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EngineSpec {
+    /// Its id.
+    pub id: BackendId,
+    /// Whether it refuses orders with an old fence.
+    pub checks_fence: bool,
+}
+
+/// An order to change role.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Order {
+    /// Fence of the holder.
+    pub fence: Fence,
+    /// Position among the orders of this process.
+    pub sequence: u64,
+    /// Role to change to.
+    pub role: Role,
+}
+
+/// Something that happened outside.
+#[derive(Debug, Clone)]
+pub enum OrderEvent {
+    /// The engines of the group.
+    Engines(Vec<EngineSpec>),
+    /// An engine should have this role.
+    Want(BackendId, Role),
+    /// An engine told its role, or did not answer.
+    State {
+        /// The engine.
+        engine: BackendId,
+        /// Id from [`OrderAction::ReadState`].
+        read: u64,
+        /// Its role; `None` without an answer.
+        role: Option<Role>,
+    },
+    /// An order was answered or given up.
+    Ended {
+        /// The engine.
+        engine: BackendId,
+        /// Position from [`Order::sequence`].
+        sequence: u64,
+        /// Result.
+        result: OrderResult,
+    },
+    /// Time has passed.
+    Tick,
+}
+
+/// Result of an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OrderResult {
+    /// The engine carried it out.
+    Done,
+    /// The engine refused it because it knows a higher fence.
+    Stale(Fence),
+    /// It did not take effect and will not.
+    Refused,
+    /// It may have taken effect or may still do so.
+    Unanswered,
+}
+
+/// Something to do outside.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum OrderAction {
+    /// Read the engine's role; answer with [`OrderEvent::State`].
+    ReadState {
+        /// The engine.
+        engine: BackendId,
+        /// Id of the read.
+        read: u64,
+    },
+    /// Send an order at once, or not at all, and give it up after [`ORDER_TIMEOUT`]; answer with
+    /// [`OrderEvent::Ended`].
+    Send {
+        /// The engine.
+        engine: BackendId,
+        /// The order.
+        order: Order,
+    },
+    /// An engine knows this fence; the lease needs a higher one.
+    FenceSeen(Fence),
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Step {
+    /// The role is not known.
+    Unknown,
+    Reading(u64),
+    /// The role is known, as of this time.
+    Known(Role, Millis),
+    Sending {
+        sequence: u64,
+        role: Role,
+        sent: Millis,
+    },
+}
+
+#[derive(Debug, Clone)]
+struct Engine {
+    spec: EngineSpec,
+    wanted: Option<Role>,
+    step: Step,
+    /// No read and no order before this time.
+    not_before: Millis,
+}
+
+/// Sends orders to the engines of one group while its lease is held.
+#[derive(Debug, Clone, Default)]
+pub struct Orders {
+    engines: Vec<Engine>,
+    fence: Option<Fence>,
+    next_id: u64,
+}
+
+impl Orders {
+    /// Processes an event and returns what to do. `held` is the lease at `now`.
+    pub fn handle(
+        &mut self,
+        now: Millis,
+        held: Option<Held>,
+        event: OrderEvent,
+    ) -> Vec<OrderAction> {
+        let mut out = Vec::new();
+        self.follow_lease(held);
+        match event {
+            OrderEvent::Engines(specs) => self.set_engines(specs),
+            OrderEvent::Want(id, role) => {
+                if let Some(engine) = self.engine(&id) {
+                    engine.wanted = Some(role);
+                }
+            }
+            OrderEvent::State { engine, read, role } => self.state_read(now, &engine, read, role),
+            OrderEvent::Ended {
+                engine,
+                sequence,
+                result,
+            } => self.ended(now, &engine, sequence, result, &mut out),
+            OrderEvent::Tick => {}
+        }
+        if let Some(held) = held {
+            self.proceed(now, held, &mut out);
+        }
+        out
+    }
+
+    /// Role of an engine as read back or ordered under the present lease.
+    pub fn known(&self, id: &BackendId) -> Option<Role> {
+        let index = self.find(id).ok()?;
+        match self.engines[index].step {
+            Step::Known(role, _) => Some(role),
+            _ => None,
+        }
+    }
+
+    fn find(&self, id: &BackendId) -> Result<usize, usize> {
+        self.engines
+            .binary_search_by(|engine| engine.spec.id.cmp(id))
+    }
+
+    fn engine(&mut self, id: &BackendId) -> Option<&mut Engine> {
+        let index = self.find(id).ok()?;
+        Some(&mut self.engines[index])
+    }
+
+    fn set_engines(&mut self, mut specs: Vec<EngineSpec>) {
+        specs.sort_by(|a, b| a.id.cmp(&b.id));
+        let mut engines = Vec::with_capacity(specs.len());
+        for spec in specs {
+            let known = self
+                .find(&spec.id)
+                .ok()
+                .map(|index| self.engines[index].clone());
+            engines.push(match known {
+                Some(engine) => Engine { spec, ..engine },
+                None => Engine {
+                    spec,
+                    wanted: None,
+                    step: Step::Unknown,
+                    not_before: Millis::ZERO,
+                },
+            });
+        }
+        self.engines = engines;
+    }
+
+    /// Under a new lease nothing is known about the engines.
+    fn follow_lease(&mut self, held: Option<Held>) {
+        let fence = held.map(|held| held.fence);
+        if fence == self.fence {
+            return;
+        }
+        self.fence = fence;
+        for engine in &mut self.engines {
+            engine.step = Step::Unknown;
+        }
+    }
+
+    fn state_read(&mut self, now: Millis, id: &BackendId, read: u64, role: Option<Role>) {
+        let Some(engine) = self.engine(id) else {
+            return;
+        };
+        if engine.step != Step::Reading(read) {
+            return;
+        }
+        match role {
+            Some(role) => engine.step = Step::Known(role, now),
+            None => {
+                engine.step = Step::Unknown;
+                engine.not_before = now + RETRY_PAUSE;
+            }
+        }
+    }
+
+    fn ended(
+        &mut self,
+        now: Millis,
+        id: &BackendId,
+        ended: u64,
+        result: OrderResult,
+        out: &mut Vec<OrderAction>,
+    ) {
+        if let OrderResult::Stale(fence) = result {
+            out.push(OrderAction::FenceSeen(fence));
+        }
+        let Some(engine) = self.engine(id) else {
+            return;
+        };
+        let Step::Sending {
+            sequence,
+            role,
+            sent,
+        } = engine.step
+        else {
+            return;
+        };
+        if sequence != ended {
+            return;
+        }
+        match result {
+            OrderResult::Done => engine.step = Step::Known(role, now),
+            OrderResult::Stale(_) | OrderResult::Refused => {
+                engine.step = Step::Unknown;
+                engine.not_before = now + RETRY_PAUSE;
+            }
+            OrderResult::Unanswered => {
+                // Until it can no longer take effect, neither the state nor another order counts.
+                engine.step = Step::Unknown;
+                engine.not_before = sent + LATE_ORDER_LIMIT;
+            }
+        }
+    }
+
+    fn proceed(&mut self, now: Millis, held: Held, out: &mut Vec<OrderAction>) {
+        for engine in &mut self.engines {
+            if now < engine.first_use(held) {
+                continue;
+            }
+            if let Step::Known(_, at) = engine.step
+                && now >= at + RECHECK
+            {
+                engine.step = Step::Unknown;
+            }
+            let id = self.next_id;
+            match (engine.step, engine.wanted) {
+                (Step::Unknown, Some(_)) => {
+                    engine.step = Step::Reading(id);
+                    out.push(OrderAction::ReadState {
+                        engine: engine.spec.id.clone(),
+                        read: id,
+                    });
+                }
+                (Step::Known(known, _), Some(role))
+                    if known != role && engine.may_send(now, held) =>
+                {
+                    engine.step = Step::Sending {
+                        sequence: id,
+                        role,
+                        sent: now,
+                    };
+                    out.push(OrderAction::Send {
+                        engine: engine.spec.id.clone(),
+                        order: Order {
+                            fence: held.fence,
+                            sequence: id,
+                            role,
+                        },
+                    });
+                }
+                _ => continue,
+            }
+            self.next_id += 1;
+        }
+    }
+}
+
+impl Engine {
+    /// When this engine may first be read or ordered under the lease. The state is read after the
+    /// wait, because an order of the previous holder may take effect before.
+    fn first_use(&self, held: Held) -> Millis {
+        match self.spec.checks_fence {
+            true => self.not_before,
+            false => self.not_before.max(held.acquired + FIRST_ORDER_WAIT),
+        }
+    }
+
+    fn may_send(&self, now: Millis, held: Held) -> bool {
+        let left = held.until - now;
+        match self.spec.checks_fence {
+            true => left > Millis::ZERO,
+            false => left >= MIN_LEASE_LEFT,
+        }
+    }
+}
