--- a/crates/lab/src/stand_in/service.rs
+++ b/crates/lab/src/stand_in/service.rs
@@ -1,6 +1,7 @@
 //! Plain service that counts how often each key ran, by attempt.
 
 use std::convert::Infallible;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -41,6 +42,8 @@
     /// Attempts that ran by key, sorted by key.
     runs: Mutex<Vec<(String, Vec<u32>)>>,
     faults: Shares<FAULTS>,
+    /// Added time between a run and its answer, in milliseconds.
+    answer_delay: AtomicU64,
 }
 
 impl PlainService {
@@ -60,6 +63,12 @@
         self.faults.set(fault as usize, thousandths);
     }
 
+    /// Sets the time between a run and its answer.
+    pub fn set_answer_delay(&self, delay: Duration) {
+        self.answer_delay
+            .store(delay.as_millis() as u64, Ordering::Relaxed);
+    }
+
     /// Runs beyond the first, over all keys.
     pub fn double_runs(&self) -> u64 {
         let runs = self.lock();
@@ -108,6 +117,7 @@
         true => fastrand::u64(SLOW_RUN_MS),
         false => fastrand::u64(RUN_MS),
     };
+    let time_ms = time_ms + service.answer_delay.load(Ordering::Relaxed);
     let answer = match parts.method {
         Method::GET => {
             tokio::time::sleep(Duration::from_millis(time_ms)).await;
