--- a/crates/lease/tests/role_changes.rs
+++ b/crates/lease/tests/role_changes.rs
@@ -25,7 +25,8 @@
 fn hysteresis() {
     let (sustained, pause) = (SUSTAINED.0 / 1_000, CHANGE_PAUSE.0 / 1_000);
     type Load = fn(u64) -> Option<(Side, Side)>;
-    let cases: [(&str, Load, Vec<(u64, Role)>); 8] = [
+    type Case = (&'static str, Load, Vec<(u64, Role)>);
+    let cases: [Case; 8] = [
         ("balanced", |_| Some((side(0.6, 3), side(0.5, 6))), vec![]),
         (
             "prefill is short",
