--- a/crates/lab/src/commands/mod.rs
+++ b/crates/lab/src/commands/mod.rs
@@ -1,5 +1,6 @@
 //! Commands of `burdockvale-lab`, one file each.
 
+mod report;
 mod run;
 
 use std::process::ExitCode;
@@ -7,6 +8,7 @@
 use argh::{EarlyExit, FromArgs};
 
 use crate::faults::FAULT_NOTE;
+pub use report::ReportRuns;
 pub use run::Run;
 
 /// Stand-ins, bounded load and measurement for burdockvale.
@@ -20,6 +22,7 @@
 #[argh(subcommand)]
 enum Command {
     Run(Run),
+    Report(ReportRuns),
 }
 
 impl Lab {
@@ -43,6 +46,7 @@
     pub fn run(self) -> miette::Result<ExitCode> {
         match self.command {
             Command::Run(run) => run.run(),
+            Command::Report(report) => report.run(),
         }
     }
 }
--- a/crates/lab/src/commands/run.rs
+++ b/crates/lab/src/commands/run.rs
@@ -58,7 +58,7 @@
         };
         let report = runtime.block_on(measure(&settings))?;
         println!("{}", report.summary());
-        println!("{}", report.json());
+        println!("{}", settings.report(&report));
         Ok(match report.violations() {
             0 => ExitCode::SUCCESS,
             _ => ExitCode::FAILURE,
--- a/crates/lab/src/deployment.rs
+++ b/crates/lab/src/deployment.rs
@@ -1,7 +1,8 @@
 //! Stand-ins of one deployment.
 
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 
 use bv_config::Inventory;
 use serde_json::json;
@@ -15,6 +16,12 @@
 /// Key of the configuration row.
 pub(crate) const CONFIG_KEY: &str = "config/current";
 
+/// Ports of stand-ins and entry hosts.
+const PORTS: std::ops::Range<u16> = 10_000..32_000;
+/// Distance between the first ports of two processes with successive ids.
+const PORT_STRIDE: u32 = 997;
+const MAX_BINDS: u32 = 500;
+
 /// Running stand-ins for the backend servers and the table service of an inventory.
 pub struct Deployment {
     /// The inventory with the addresses of the stand-ins.
@@ -152,14 +159,33 @@
     (services, gates)
 }
 
+/// Listens on a free loopback port.
+///
+/// The port is below the usual range of outgoing connections, so that none of them takes it while
+/// an entry host or a stand-in is down.
 pub(crate) async fn listen(part: &'static str) -> Result<(TcpListener, SocketAddr), LabError> {
-    let listener = TcpListener::bind("127.0.0.1:0")
-        .await
-        .map_err(|source| LabError::Listen { part, source })?;
-    let addr = listener
-        .local_addr()
-        .map_err(|source| LabError::Listen { part, source })?;
-    Ok((listener, addr))
+    let mut last = std::io::Error::from(std::io::ErrorKind::AddrInUse);
+    for _ in 0..MAX_BINDS {
+        match TcpListener::bind((Ipv4Addr::LOCALHOST, next_port())).await {
+            Ok(listener) => {
+                let addr = listener
+                    .local_addr()
+                    .map_err(|source| LabError::Listen { part, source })?;
+                return Ok((listener, addr));
+            }
+            Err(err) => last = err,
+        }
+    }
+    Err(LabError::Listen { part, source: last })
+}
+
+/// Ports in turn; each process starts at another one.
+fn next_port() -> u16 {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let turn = NEXT.fetch_add(1, Ordering::Relaxed);
+    let start = std::process::id().wrapping_mul(PORT_STRIDE);
+    let offset = start.wrapping_add(turn) % u32::from(PORTS.end - PORTS.start);
+    PORTS.start + offset as u16
 }
 
 fn replace_addr(text: &str, old: &SocketAddr, new: &SocketAddr) -> String {
--- a/crates/lab/src/error.rs
+++ b/crates/lab/src/error.rs
@@ -16,6 +16,27 @@
         /// The system's error.
         source: std::io::Error,
     },
+    /// A file cannot be written.
+    #[error("writing {path}: {detail}", path = path.display())]
+    #[diagnostic(code(lab::write))]
+    Write {
+        /// The file.
+        path: PathBuf,
+        /// What happened.
+        detail: String,
+    },
+    /// A file holds no run.
+    #[error("{path}: {detail}", path = path.display())]
+    #[diagnostic(
+        code(lab::no_run),
+        help("its last line must be the JSON object printed by `burdockvale-lab run`")
+    )]
+    NoRun {
+        /// The file.
+        path: PathBuf,
+        /// What is missing.
+        detail: &'static str,
+    },
     /// The inventory is not valid.
     #[error(transparent)]
     #[diagnostic(transparent)]
--- a/crates/lab/src/faults/mod.rs
+++ b/crates/lab/src/faults/mod.rs
@@ -6,6 +6,8 @@
 
 use std::str::FromStr;
 
+use serde::Serialize;
+
 pub use rig::Rig;
 pub use schedule::{FaultEvent, schedule};
 
@@ -78,6 +80,12 @@
     FreshHostStoreDown = "fresh-host-store-down", "a host is started again while the store is down";
 }
 
+impl Serialize for Fault {
+    fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_str(self.name())
+    }
+}
+
 impl FromStr for Fault {
     type Err = String;
 
--- a/crates/lab/src/faults/operators.rs
+++ b/crates/lab/src/faults/operators.rs
@@ -21,10 +21,11 @@
         .await?;
     let current: Value = serde_json::from_slice(&current.1).ok()?;
     let number = NEXT_CHANGE.fetch_add(1, Ordering::Relaxed);
+    let change = format!("lab-{number}");
     let document = current["document"].as_str()?;
     let body = json!({
         "expected": expected.or(current["version"].as_u64())?,
-        "change": format!("lab-{number}"),
+        "change": change,
         "document": format!("{document}\n# change {number}\n"),
     });
     let answer = operator
@@ -35,9 +36,9 @@
     if status.is_success()
         && let Some(version) = body["version"].as_u64()
     {
-        rig.monitor.accepted(version);
+        rig.monitor.accepted(version, &change);
     }
-    eprintln!("lab: change {number} at host {host}: {status}");
+    eprintln!("lab: change {change} at host {host}: {status}");
     Some(status)
 }
 
--- a/crates/lab/src/faults/rig.rs
+++ b/crates/lab/src/faults/rig.rs
@@ -19,6 +19,8 @@
 const DRAIN_LIMIT: Duration = Duration::from_secs(70);
 /// Time for a leaving engine to become idle.
 const IDLE_LIMIT: Duration = Duration::from_secs(30);
+/// Time until a change is in force at every host without faults.
+const IN_FORCE_TIME: Duration = Duration::from_secs(2);
 const IDLE_POLL: Duration = Duration::from_millis(200);
 /// Shares of calls hit, in thousandths.
 const ALL: u32 = 1_000;
@@ -229,9 +231,11 @@
         }
     }
 
-    /// Makes a change, so that there is a newer copy, and then restores the first one.
+    /// Makes a change, so that there is a newer copy, and restores the first one once the change
+    /// should be in force everywhere.
     async fn restore_old_copy(&self, host: usize) {
         operators::change(self, host, None).await;
+        tokio::time::sleep(IN_FORCE_TIME).await;
         self.deployment.table.put(CONFIG_KEY, 1, &self.first_config);
     }
 
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -10,10 +10,12 @@
 mod load;
 mod monitor;
 mod observe;
+mod plot;
 mod relay;
 mod report;
 mod run;
 pub mod stand_in;
+mod study;
 
 pub use balancer::Balancer;
 pub use deployment::Deployment;
@@ -26,3 +28,4 @@
 pub use relay::{Relay, RelayFaults};
 pub use report::{Report, Tally};
 pub use run::{RunSettings, measure};
+pub use study::{Point, Spread, Study};
--- a/crates/lab/src/load/exchange.rs
+++ b/crates/lab/src/load/exchange.rs
@@ -124,6 +124,8 @@
                 filled = count;
                 observer.caller_gone(nonce);
             }
+            // Nothing is held any more: the answer ended or was cancelled.
+            _ if filled > 0 && !observer.is_held(nonce) => break,
             _ => {}
         }
         tokio::time::sleep(SILENT_POLL).await;
--- a/crates/lab/src/monitor.rs
+++ b/crates/lab/src/monitor.rs
@@ -75,6 +75,10 @@
     /// Last version reported by each host ever.
     last: Vec<u64>,
     accepted: Vec<Accepted>,
+    /// Accepted versions and their changes, for the whole run.
+    changes: Vec<(u64, String)>,
+    /// Accepted versions that a host reported with another change.
+    replaced: Vec<u64>,
     /// Retry counters by host and start of its process.
     retries: Vec<((usize, u64), Tally)>,
     reverts: u64,
@@ -114,10 +118,12 @@
         monitor
     }
 
-    /// An operator was told that this version is accepted.
-    pub fn accepted(&self, version: u64) {
+    /// An operator was told that this change is accepted with this version.
+    pub fn accepted(&self, version: u64, change: &str) {
         let at = Instant::now();
-        self.lock().accepted.push(Accepted { version, at });
+        let mut seen = self.lock();
+        seen.accepted.push(Accepted { version, at });
+        seen.changes.push((version, change.to_owned()));
     }
 
     /// Two changes of the same version were both accepted.
@@ -130,6 +136,7 @@
         let seen = self.lock();
         report.config_reverts = seen.reverts;
         report.config_late = seen.late;
+        report.config_replaced = seen.replaced.len() as u64;
         report.config_in_force_ms = seen.in_force.as_millis() as u64;
         report.operator_races_broken = seen.races_broken;
         for (_, tally) in &seen.retries {
@@ -139,11 +146,17 @@
 }
 
 impl Seen {
-    fn version(&mut self, index: usize, version: Option<u64>) {
-        self.versions[index] = version;
-        let Some(version) = version else {
+    fn version(&mut self, index: usize, config: Option<(u64, String)>) {
+        self.versions[index] = config.as_ref().map(|(version, _)| *version);
+        let Some((version, change)) = config else {
             return;
         };
+        let mut changes = self.changes.iter();
+        let other = changes.any(|(known, accepted)| *known == version && *accepted != change);
+        if other && !self.replaced.contains(&version) {
+            eprintln!("lab: host {index} has version {version} with change {change}");
+            self.replaced.push(version);
+        }
         if version < self.last[index] {
             eprintln!(
                 "lab: host {index} went from version {} to {version}",
@@ -186,8 +199,11 @@
         fleet.balancer.set_ready(index, ready);
         let config = operator.get(&fleet, index, "/v1/config").await;
         let config: Option<Value> = config.and_then(|body| serde_json::from_slice(&body).ok());
-        let version = config.and_then(|config| config["version"].as_u64());
-        monitor.lock().version(index, version);
+        let config = config.and_then(|config| {
+            let change = config["change"].as_str().unwrap_or_default().to_owned();
+            Some((config["version"].as_u64()?, change))
+        });
+        monitor.lock().version(index, config);
         if polls % METRICS_EVERY == 0
             && let Some(text) = operator.get(&fleet, index, "/metrics").await
         {
@@ -203,9 +219,9 @@
 
 async fn watch_engines(deployment: Arc<Deployment>, observer: Arc<Observer>) {
     loop {
-        for engine in &deployment.engines {
-            observer.check(&engine.held_attempts());
-        }
+        let engines = deployment.engines.iter();
+        let held: Vec<_> = engines.flat_map(|engine| engine.held_attempts()).collect();
+        observer.check(&held);
         tokio::time::sleep(HELD_POLL).await;
     }
 }
--- a/crates/lab/src/observe.rs
+++ b/crates/lab/src/observe.rs
@@ -18,6 +18,8 @@
     callers: Vec<(String, Instant)>,
     /// Entry hosts that are killed or paused.
     hosts: Vec<(String, Instant)>,
+    /// Nonces of the attempts that hold memory now.
+    held: Vec<String>,
     /// Attempts already counted, sorted.
     counted: Vec<String>,
 }
@@ -53,6 +55,7 @@
     /// Looks at the attempts that hold memory now.
     pub fn check(&self, held: &[HeldAttempt]) {
         let mut seen = self.lock();
+        seen.held = held.iter().map(|held| held.nonce.clone()).collect();
         for attempt in held {
             let gone = seen.gone_at(attempt);
             if gone.is_none_or(|at| at.elapsed() <= HELD_LIMIT) {
@@ -68,6 +71,11 @@
         }
     }
 
+    /// Whether an engine holds memory for this request, as of the last look.
+    pub fn is_held(&self, nonce: &str) -> bool {
+        self.lock().held.iter().any(|held| held == nonce)
+    }
+
     /// Attempts that held memory for too long.
     pub fn held_after_gone(&self) -> u64 {
         self.lock().counted.len() as u64
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -95,6 +95,8 @@
     pub config_reverts: u64,
     /// Accepted configurations that a running entry host did not report within 17 s.
     pub config_late: u64,
+    /// Accepted configurations that a host reported with the same version and another change.
+    pub config_replaced: u64,
     /// Longest time until every running entry host reported an accepted configuration.
     pub config_in_force_ms: u64,
     /// Operator races in which both changes of the same version were accepted.
@@ -130,6 +132,7 @@
             + self.cut_by_shutdown
             + self.config_reverts
             + self.config_late
+            + self.config_replaced
             + self.operator_races_broken
             + self.work_after_leaving
     }
@@ -176,11 +179,6 @@
         value["violations"] = json!(self.violations());
         value
     }
-
-    /// One JSON object on one line.
-    pub fn json(&self) -> String {
-        self.value().to_string()
-    }
 }
 
 fn ratio(part: u64, whole: u64, empty: f64) -> f64 {
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -3,6 +3,9 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 
+use serde::Serialize;
+use serde_json::{Value, json};
+
 use crate::deployment::CONFIG_KEY;
 use crate::monitor::Monitor;
 use crate::{
@@ -16,7 +19,7 @@
 const MAX_HOSTS: usize = 16;
 
 /// Settings of a run.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Serialize)]
 pub struct RunSettings {
     /// Seed of the load and of the faults' targets.
     pub seed: u64,
@@ -36,6 +39,15 @@
     pub faults: Vec<Fault>,
 }
 
+impl RunSettings {
+    /// The report of a run with these settings, as one JSON object.
+    pub fn report(&self, report: &Report) -> Value {
+        let mut value = report.value();
+        value["run"] = json!(self);
+        value
+    }
+}
+
 /// Runs the load and returns the report.
 ///
 /// # Errors
--- /dev/null
+++ b/crates/lab/src/study.rs
@@ -0,0 +1,120 @@
+//! Several runs by policy and load, with median and range.
+
+use std::path::Path;
+
+use serde::Serialize;
+use serde_json::Value;
+
+use crate::LabError;
+
+/// Median and range over the runs of one point.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize)]
+pub struct Spread {
+    /// Median; the mean of the two middle values if their number is even.
+    pub median: f64,
+    /// Smallest value.
+    pub low: f64,
+    /// Largest value.
+    pub high: f64,
+}
+
+impl Spread {
+    /// Spread of some values; zero if there are none.
+    pub fn of(values: impl IntoIterator<Item = f64>) -> Self {
+        let mut values: Vec<f64> = values.into_iter().collect();
+        values.sort_by(f64::total_cmp);
+        let (Some(low), Some(high)) = (values.first(), values.last()) else {
+            return Spread::default();
+        };
+        Spread {
+            median: (values[(values.len() - 1) / 2] + values[values.len() / 2]) / 2.0,
+            low: *low,
+            high: *high,
+        }
+    }
+}
+
+/// Runs of one policy at one load.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Point {
+    /// Placement policy.
+    pub policy: String,
+    /// Offered load in percent.
+    pub load: u64,
+    /// Number of runs.
+    pub runs: usize,
+    /// Share of requests within both latency targets.
+    pub goodput_ratio: Spread,
+    /// Share of urgent calls before their deadline.
+    pub urgent_in_time_ratio: Spread,
+    /// Share of prompt tokens whose result reached no decode.
+    pub wasted_prefill_ratio: Spread,
+    /// Broken promises over all runs.
+    pub violations: u64,
+}
+
+/// Runs as printed by `burdockvale-lab run`.
+#[derive(Debug, Clone, Default)]
+pub struct Study(Vec<Value>);
+
+impl Study {
+    /// Adds one run.
+    pub fn add(&mut self, run: Value) {
+        self.0.push(run);
+    }
+
+    /// Adds the run whose JSON object is the last line of a file.
+    ///
+    /// # Errors
+    /// Fails if the file cannot be read or holds no run.
+    pub fn read(&mut self, path: &Path) -> Result<(), LabError> {
+        let text = std::fs::read_to_string(path).map_err(|source| LabError::Read {
+            path: path.to_owned(),
+            source,
+        })?;
+        let no_run = |detail| LabError::NoRun {
+            path: path.to_owned(),
+            detail,
+        };
+        let last = text.lines().rev().find(|line| !line.trim().is_empty());
+        let run: Value = serde_json::from_str(last.unwrap_or_default())
+            .map_err(|_| no_run("the last line is not JSON"))?;
+        if !run["run"]["policy"].is_string() || !run["run"]["load"].is_u64() {
+            return Err(no_run("the object has no field `run` with policy and load"));
+        }
+        self.add(run);
+        Ok(())
+    }
+
+    /// One point for each policy and load, sorted.
+    pub fn points(&self) -> Vec<Point> {
+        let key = |run: &Value| {
+            let policy = run["run"]["policy"].as_str().unwrap_or_default().to_owned();
+            (policy, run["run"]["load"].as_u64().unwrap_or_default())
+        };
+        let mut keys: Vec<(String, u64)> = self.0.iter().map(key).collect();
+        keys.sort();
+        keys.dedup();
+        let point = |(policy, load): (String, u64)| {
+            let runs: Vec<&Value> = self
+                .0
+                .iter()
+                .filter(|run| key(run) == (policy.clone(), load))
+                .collect();
+            let spread = |name: &str| Spread::of(runs.iter().filter_map(|run| run[name].as_f64()));
+            Point {
+                runs: runs.len(),
+                goodput_ratio: spread("goodput_ratio"),
+                urgent_in_time_ratio: spread("urgent_in_time_ratio"),
+                wasted_prefill_ratio: spread("wasted_prefill_ratio"),
+                violations: runs
+                    .iter()
+                    .filter_map(|run| run["violations"].as_u64())
+                    .sum(),
+                policy,
+                load,
+            }
+        };
+        keys.into_iter().map(point).collect()
+    }
+}
