--- a/crates/lab/src/hosts.rs
+++ b/crates/lab/src/hosts.rs
@@ -2,7 +2,7 @@
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -131,6 +131,11 @@
         self.child.id()
     }
 
+    /// Exit status, once the process has ended.
+    pub fn exit_status(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().ok().flatten()
+    }
+
     /// Sends a signal to the process unless it has ended.
     pub fn signal(&mut self, signal: Signal) {
         // Once the child is reaped its id may belong to another process.
--- a/crates/server/src/conf/mod.rs
+++ b/crates/server/src/conf/mod.rs
@@ -95,14 +95,6 @@
         self.in_force.borrow().clone()
     }
 
-    /// Puts a row in force unless its version is not higher than the current one. A starting host
-    /// ignores it, because it hears the store and its peers first.
-    pub fn offer(&self, row: &Row) {
-        if let Some(document) = self.read_row(row) {
-            self.feed(Event::Offered(document));
-        }
-    }
-
     /// What this host tells others in its messages; `None` without a configuration.
     pub fn advert(&self) -> Option<Advert> {
         let state = self.lock();
@@ -114,7 +106,6 @@
         })
     }
 
-    #[allow(dead_code, reason = "called with the rumours of membership messages")]
     /// Notes what a peer told in its messages; a newer version is fetched from it.
     pub fn advertised(&self, peer: HostId, advert: Advert) {
         self.feed(Event::Advertised {
--- a/crates/server/src/host.rs
+++ b/crates/server/src/host.rs
@@ -5,17 +5,23 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use bv_store::{HttpTable, Table, TableSettings};
-use bv_types::{Clock, Incarnation, RequestId};
+use bv_types::{BackendId, Clock, HostId, Incarnation, RequestId};
 use miette::Diagnostic;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UdpSocket};
 use tracing::info;
 
+use crate::claims::{self, Claims};
 use crate::conf::Conf;
 use crate::engine::EngineClient;
-use crate::leaving::LeavingMarks;
+use crate::leaving::Leaving;
+use crate::model::RetryBudget;
 use crate::peers::Peers;
+use crate::placement::Placement;
+use crate::servers::Servers;
 use crate::shutdown::Shutdown;
-use crate::{Settings, callers, conf, counters, operate, peers};
+use crate::{
+    Settings, callers, conf, counters, leaving, members, operate, peers, placement, shutdown,
+};
 
 /// Failure to start.
 #[derive(Debug, thiserror::Error, Diagnostic)]
@@ -48,9 +54,13 @@
     pub(crate) incarnation: Incarnation,
     pub(crate) table: Arc<dyn Table>,
     pub(crate) conf: Conf,
-    pub(crate) leaving: LeavingMarks,
     pub(crate) engines: EngineClient,
     pub(crate) peers: Peers,
+    pub(crate) servers: Arc<Servers>,
+    pub(crate) claims: Claims,
+    pub(crate) leaving: Leaving,
+    pub(crate) placement: Placement,
+    pub(crate) retries: RetryBudget,
     pub(crate) shutdown: Shutdown,
     sequence: AtomicU64,
 }
@@ -66,12 +76,21 @@
             bind_ip: settings.bind_ip,
         });
         let incarnation = Incarnation(clock.now().0);
+        let seed = match settings.random_seed {
+            0 => fastrand::u64(..),
+            seed => seed,
+        };
+        let client = EngineClient::without_reuse(settings.bind_ip);
         Host {
             peers: Peers::new(&settings, incarnation),
+            leaving: Leaving::default(),
+            placement: Placement::new(&settings.policy),
+            retries: RetryBudget::default(),
             incarnation,
+            servers: Arc::new(Servers::new(seed)),
+            claims: Claims::new(settings.host_id.clone(), incarnation, seed, client),
             table: Arc::new(table),
             conf: Conf::new(clock.clone(), !settings.seeds.is_empty()),
-            leaving: LeavingMarks::default(),
             engines: EngineClient::new(settings.bind_ip),
             shutdown: Shutdown::default(),
             sequence: AtomicU64::new(0),
@@ -80,6 +99,31 @@
         }
     }
 
+    /// Reports that a process of an entry host ended, with all earlier processes of that host.
+    pub fn host_dead(self: &Arc<Self>, host: HostId, incarnation: Incarnation) {
+        claims::handle(self, bv_ledger::Event::HostDead { host, incarnation });
+    }
+
+    /// Sets the number of entry hosts that write to the table.
+    pub fn set_committers(&self, hosts: usize) {
+        self.claims.set_committers(hosts);
+    }
+
+    /// Replaces the list of leaving backend servers, which get no new work.
+    pub fn set_leaving(&self, servers: Vec<BackendId>) {
+        self.servers.set_leaving(servers);
+    }
+
+    /// Whether a backend server is leaving.
+    pub fn is_leaving(&self, server: &BackendId) -> bool {
+        self.servers.is_leaving(server)
+    }
+
+    /// Waits until the outcomes of all open calls are recorded or the drain limit has passed.
+    pub async fn flush(&self) {
+        self.claims.flush(self.settings.drain_limit_ms).await;
+    }
+
     /// A new id for a caller's request.
     pub(crate) fn next_request(&self) -> RequestId {
         RequestId {
@@ -99,6 +143,7 @@
     let caller_listener = listen("callers", settings.caller_addr).await?;
     let operator_listener = listen("operators", settings.operator_addr).await?;
     let peer_listener = listen("peers", settings.peer_addr).await?;
+    let peer_socket = listen_udp("peers", settings.peer_addr).await?;
     let host = Arc::new(Host::new(settings));
     host.peers.attach(&host);
     info!(
@@ -108,13 +153,15 @@
         "host: started"
     );
     tokio::spawn(peers::serve(host.clone(), peer_listener));
-    tokio::spawn(peers::follow_seeds(host.clone()));
+    tokio::spawn(leaving::follow(host.clone()));
+    tokio::spawn(members::follow(host.clone()));
+    tokio::spawn(peers::follow(host.clone(), peer_socket));
     tokio::spawn(conf::follow(host.clone()));
+    tokio::spawn(claims::drive(host.clone()));
+    tokio::spawn(placement::follow(host.clone()));
     tokio::spawn(operate::serve(host.clone(), operator_listener, metrics));
     let serving = tokio::spawn(callers::serve(host.clone(), caller_listener));
-    host.shutdown.on_signal(&host.settings).await?;
-    // The listener task ends once every connection has finished or the drain limit has passed.
-    let _ = serving.await;
+    shutdown::run(&host, serving).await?;
     info!("host: stopped");
     Ok(())
 }
@@ -124,3 +171,9 @@
         .await
         .map_err(|source| HostError::Listen { peer, addr, source })
 }
+
+async fn listen_udp(peer: &'static str, addr: SocketAddr) -> Result<UdpSocket, HostError> {
+    UdpSocket::bind(addr)
+        .await
+        .map_err(|source| HostError::Listen { peer, addr, source })
+}
--- /dev/null
+++ b/crates/server/src/members.rs
@@ -0,0 +1,32 @@
+//! Effects of membership events on the other parts of the host.
+
+use std::sync::Arc;
+
+use tokio::sync::broadcast::error::RecvError;
+use tracing::warn;
+
+use crate::Host;
+use crate::peers::PeerEvent;
+
+/// Passes membership events on until the process ends.
+pub(crate) async fn follow(host: Arc<Host>) {
+    let mut events = host.peers.subscribe();
+    loop {
+        match events.recv().await {
+            Ok(event) => handle(&host, event),
+            Err(RecvError::Lagged(missed)) => warn!(missed, "members: events missed"),
+            Err(RecvError::Closed) => return,
+        }
+    }
+}
+
+fn handle(host: &Arc<Host>, event: PeerEvent) {
+    match event {
+        PeerEvent::Joined(_) => {}
+        PeerEvent::Dead(member) | PeerEvent::Left(member) => {
+            host.host_dead(member.host, member.incarnation);
+        }
+        PeerEvent::Rumour { .. } | PeerEvent::DeclaredDead { .. } => return,
+    }
+    host.set_committers(host.peers.alive().len());
+}
--- a/crates/server/src/operate/status.rs
+++ b/crates/server/src/operate/status.rs
@@ -27,12 +27,13 @@
         .collect();
     let leaving: Vec<Value> = host
         .leaving
-        .marks()
+        .lock()
+        .leaving()
         .into_iter()
         .map(|mark| {
             json!({
                 "backend": mark.backend.as_str(),
-                "incarnation": mark.incarnation.map(|incarnation| incarnation.0),
+                "incarnation": mark.incarnation.0,
             })
         })
         .collect();
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,5 +9,8 @@
 pub use checked::DatagramError;
 pub use codec::{CodecError, DatagramCodec, FrameCodec, MAX_DATAGRAM_BYTES, MAX_FRAME_BYTES};
 pub use datagram::{Datagram, DatagramKind, News, Peer, PeerStatus, Sealed, news};
-pub use message::{Config, ConfigChange, Frame, GetConfig, Hello, Unsupported, frame};
+pub use message::{
+    Adopt, Config, ConfigChange, Deny, Done, Frame, GetConfig, Grant, Hello, PrefillDone, Queued,
+    Release, Reserve, Unsupported, frame,
+};
 pub use seal::{SealError, open, seal};
