--- a/crates/lab/tests/engine_contract.rs
+++ b/crates/lab/tests/engine_contract.rs
@@ -135,7 +135,7 @@
     let running = pair.decode("h.1.2.0", 500);
     let abort = async {
         eventually("decode starts", || {
-            { pair.decode.counts().imported_tokens > first }
+            pair.decode.counts().imported_tokens > first
         })
         .await;
         tokio::time::sleep(Duration::from_millis(100)).await;
