--- a/crates/server/src/plain.rs
+++ b/crates/server/src/plain.rs
@@ -16,7 +16,6 @@
 use smol_str::SmolStr;
 
 use crate::answer::OUTCOME_HEADER;
-pub(crate) use crate::body::MAX_BODY_BYTES;
 use crate::callers::PeerAddr;
 use crate::claims::Work;
 use crate::engine::CallError;
