--- a/crates/place/src/planned.rs
+++ b/crates/place/src/planned.rs
@@ -16,7 +16,7 @@
 /// the shortest eviction time of 800 ms for the import.
 const SLOT_WAIT_MS: f64 = 700.0;
 /// Error of a predicted end that is allowed for.
-const END_ERROR: Millis = Millis(200);
+const END_ERROR: Millis = Millis(300);
 /// Time after its predicted end in which an attempt is still expected to end soon.
 const OVERDUE: Millis = Millis(200);
 /// Share of a prefill that the preferred runner is expected to have in its prefix cache.
--- a/crates/server/src/model/attempt.rs
+++ b/crates/server/src/model/attempt.rs
@@ -191,7 +191,7 @@
     pub fn failed(&self, runner: &BackendId, err: &CallError) -> Failure {
         debug!(%err, attempt = %self.id, "model: attempt failed");
         if matches!(err, CallError::Lost { .. }) {
-            crash::engine_crashed(&self.host, runner);
+            crash::connection_lost(&self.host, runner);
         }
         broken(runner, err.reason())
     }
--- a/crates/server/src/model/stream.rs
+++ b/crates/server/src/model/stream.rs
@@ -23,6 +23,8 @@
 const STALL: Duration = Duration::from_secs(3);
 /// Tries to resume a broken stream; engines keep it for about 1 s.
 const RESUME_TRIES: u32 = 4;
+/// Resumes in a row without a new event.
+const MAX_RESUMES: u32 = 3;
 const RESUME_INTERVAL: Millis = Millis(200);
 /// Events that a slow caller may be behind before its engine is held up.
 const BUFFERED_EVENTS: usize = 64;
@@ -41,6 +43,8 @@
     decode: Decode,
     events: EventStream,
     first: Option<Event>,
+    /// Resumes since the last event.
+    resumes: u32,
 }
 
 impl DecodeStream {
@@ -59,6 +63,7 @@
                 decode,
                 events,
                 first: Some(first),
+                resumes: 0,
             }),
             Err(err) => Err(attempt.failed(&runner, &err)),
         }
@@ -72,13 +77,18 @@
         loop {
             let next = tokio::time::timeout(STALL, self.events.next());
             let err = match next.await {
-                Ok(Ok(event)) => return Ok(event),
+                Ok(Ok(event)) => {
+                    self.resumes = 0;
+                    return Ok(event);
+                }
                 Ok(Err(err)) => err,
                 Err(_) => self.events.stalled(),
             };
-            if !matches!(err, CallError::Lost { .. }) {
+            // A stream that breaks at the same event each time would be resumed for ever.
+            if !matches!(err, CallError::Lost { .. }) || self.resumes == MAX_RESUMES {
                 return Err(err);
             }
+            self.resumes += 1;
             self.resume(err).await?;
         }
     }
--- a/crates/server/src/placement/ask.rs
+++ b/crates/server/src/placement/ask.rs
@@ -17,10 +17,16 @@
 
 /// Time within which a home must answer, if only that the request is queued.
 const FIRST_TIMEOUT: Millis = Millis(150);
-/// Time for which a home keeps the first call; less than the timeout by a round trip.
-const FIRST_WAIT: Millis = Millis(100);
+/// Time for which a home keeps the first call; a busy home needs the rest of the timeout.
+const FIRST_WAIT: Millis = Millis(20);
 /// Time for which a home keeps a further call for a queued request.
 const NEXT_WAIT: Millis = Millis(1_000);
+/// Time beyond the wait within which a home must answer a further call. The home is known to work,
+/// and a second home would not know its reservations.
+const NEXT_MARGIN: Millis = Millis(500);
+/// Time for which a home keeps the report of a prefill that waits for its slot.
+const SLOT_WAIT: Millis = Millis(100);
+const SLOT_RETRY: Millis = Millis(20);
 /// Homes asked in order of rank before placement without a home.
 const HOMES_ASKED: usize = 2;
 /// Load above which the second shard in rank is used if it has less.
@@ -113,11 +119,11 @@
         attempt: Some(ask.attempt.clone()),
     };
     let mut wait = FIRST_WAIT;
+    let mut timeout = FIRST_TIMEOUT;
     loop {
         let now = host.clock.now();
         let reserve = reserve(host, model, ask, shard, now, wait);
         let call = Body::Reserve(reserve.clone());
-        let timeout = wait + (FIRST_TIMEOUT - FIRST_WAIT);
         match host.peers.call(home, call, timeout).await {
             Ok(Body::Grant(grant)) => {
                 host.placement.note_load(shard, grant.load_percent);
@@ -147,7 +153,10 @@
                 host.placement.note_load(shard, deny.load_percent);
                 return Reply::Denied(refusal_of(&deny.reason));
             }
-            Ok(Body::Queued(_)) => wait = NEXT_WAIT,
+            Ok(Body::Queued(_)) => {
+                wait = NEXT_WAIT;
+                timeout = NEXT_WAIT + NEXT_MARGIN;
+            }
             Ok(_) => return Reply::Unreachable,
             Err(err) => {
                 debug!(%err, "place: the home does not answer");
@@ -268,17 +277,17 @@
         if left == Millis::ZERO {
             return Err(RetryReason::PrefillEvicted);
         }
-        let wait = left.min(FIRST_WAIT);
+        let wait = left.min(SLOT_WAIT);
         let call = prefill_done(grant, wait);
-        let timeout = wait + (FIRST_TIMEOUT - FIRST_WAIT);
+        let timeout = left.min(SLOT_WAIT + FIRST_TIMEOUT);
         match host.peers.call(&home, call, timeout).await {
             Ok(Body::Queued(_)) => {}
             Ok(_) => return Ok(()),
+            // The call may be repeated. The grant moves to another home if this one is dead.
             Err(err) => {
-                // The slot is most often there; waiting for the home would waste the prefill.
                 debug!(%err, "place: the home does not answer after prefill");
                 counters::retried(RetryReason::HomeUnreachable);
-                return Ok(());
+                tokio::time::sleep(SLOT_RETRY.duration()).await;
             }
         }
     }
