Ask team homes for allowances between entry hosts

Cause: the limit part was not connected to the daemon. Change: frames TakeAllowance, Allowance and GiveBack, the shell in server::limits, and its maintenance task.

--- a/crates/server/src/host.rs
+++ b/crates/server/src/host.rs
@@ -13,9 +13,10 @@
 use crate::conf::Conf;
 use crate::engine::EngineClient;
 use crate::leaving::LeavingMarks;
+use crate::limits::TeamLimits;
 use crate::peers::Peers;
 use crate::shutdown::Shutdown;
-use crate::{Settings, callers, conf, counters, operate, peers};
+use crate::{Settings, callers, conf, counters, limits, operate, peers};
 
 /// Failure to start.
 #[derive(Debug, thiserror::Error, Diagnostic)]
@@ -52,6 +53,7 @@
     pub(crate) engines: EngineClient,
     pub(crate) peers: Peers,
     pub(crate) shutdown: Shutdown,
+    pub(crate) limits: TeamLimits,
     sequence: AtomicU64,
 }
 
@@ -74,6 +76,7 @@
             leaving: LeavingMarks::default(),
             engines: EngineClient::new(settings.bind_ip),
             shutdown: Shutdown::default(),
+            limits: TeamLimits::default(),
             sequence: AtomicU64::new(0),
             clock,
             settings,
@@ -110,6 +113,7 @@
     tokio::spawn(peers::serve(host.clone(), peer_listener));
     tokio::spawn(peers::follow_seeds(host.clone()));
     tokio::spawn(conf::follow(host.clone()));
+    tokio::spawn(limits::maintain(host.clone()));
     tokio::spawn(operate::serve(host.clone(), operator_listener, metrics));
     let serving = tokio::spawn(callers::serve(host.clone(), caller_listener));
     host.shutdown.on_signal(&host.settings).await?;
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -7,6 +7,7 @@
 mod engine;
 mod host;
 mod leaving;
+mod limits;
 mod model;
 mod operate;
 mod peers;
--- a/crates/server/src/peers/answer.rs
+++ b/crates/server/src/peers/answer.rs
@@ -11,13 +11,15 @@
 /// Answers one call; calls of one connection are answered concurrently.
 pub(crate) async fn answer(
     host: &Arc<Host>,
-    _from: &HostId,
-    _incarnation: Incarnation,
+    from: &HostId,
+    incarnation: Incarnation,
     body: Body,
 ) -> Body {
     match body {
         Body::GetConfig(_) => Body::Config(host.conf.answer()),
-        Body::Hello(_) | Body::Config(_) | Body::Unsupported(_) => {
+        Body::TakeAllowance(take) => host.limits.answer_take(host, (from, incarnation), &take),
+        Body::GiveBack(back) => host.limits.answer_give_back((from, incarnation), &back),
+        Body::Hello(_) | Body::Config(_) | Body::Allowance(_) | Body::Unsupported(_) => {
             Body::Unsupported(Unsupported {})
         }
     }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,5 +9,8 @@
 pub use checked::DatagramError;
 pub use codec::{CodecError, DatagramCodec, FrameCodec, MAX_DATAGRAM_BYTES, MAX_FRAME_BYTES};
 pub use datagram::{Datagram, DatagramKind, News, Peer, PeerStatus, Sealed, news};
-pub use message::{Config, ConfigChange, Frame, GetConfig, Hello, Unsupported, frame};
+pub use message::{
+    Allowance, Config, ConfigChange, Frame, GetConfig, GiveBack, Hello, TakeAllowance, Unsupported,
+    frame,
+};
 pub use seal::{SealError, open, seal};
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -7,7 +7,7 @@
     #[prost(uint64, tag = "1")]
     pub id: u64,
     /// Content.
-    #[prost(oneof = "frame::Body", tags = "2, 3, 4, 5")]
+    #[prost(oneof = "frame::Body", tags = "2, 3, 4, 5, 20, 21, 22")]
     pub body: Option<frame::Body>,
 }
 
@@ -28,6 +28,15 @@
         /// The receiver does not know the content of the call.
         #[prost(message, tag = "5")]
         Unsupported(super::Unsupported),
+        /// Asks the home of a team for an allowance.
+        #[prost(message, tag = "20")]
+        TakeAllowance(super::TakeAllowance),
+        /// What the home of a team grants.
+        #[prost(message, tag = "21")]
+        Allowance(super::Allowance),
+        /// Gives tokens back to the home of a team; answered with an empty allowance.
+        #[prost(message, tag = "22")]
+        GiveBack(super::GiveBack),
     }
 }
 
@@ -83,3 +92,39 @@
 /// The content of a call is not known.
 #[derive(Clone, Copy, PartialEq, prost::Message)]
 pub struct Unsupported {}
+
+/// Asks the home of a team for an allowance.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct TakeAllowance {
+    /// Team id.
+    #[prost(string, tag = "1")]
+    pub team: String,
+    /// Requests that wait.
+    #[prost(uint64, tag = "2")]
+    pub requests: u64,
+    /// Tokens beyond those already granted.
+    #[prost(uint64, tag = "3")]
+    pub tokens: u64,
+}
+
+/// What the home of a team grants.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct Allowance {
+    /// Requests that may start within a second.
+    #[prost(uint64, tag = "1")]
+    pub requests: u64,
+    /// Tokens that may be in progress until they are given back.
+    #[prost(uint64, tag = "2")]
+    pub tokens: u64,
+}
+
+/// Gives tokens back to the home of a team.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct GiveBack {
+    /// Team id.
+    #[prost(string, tag = "1")]
+    pub team: String,
+    /// Tokens that are no longer used.
+    #[prost(uint64, tag = "2")]
+    pub tokens: u64,
+}
