--- a/crates/place/src/shard.rs
+++ b/crates/place/src/shard.rs
@@ -231,6 +231,7 @@
             first_token: plan.first_token,
             since: plan.prefill_end,
             end: plan.end,
+            tokens: (0.0, 0.0),
             expires: plan.prefill_end + EXPIRY,
             request,
         };
@@ -251,6 +252,7 @@
             decode: self.runners[decode].spec.id.clone(),
             prefill_time: hold.prefill_end - hold.granted_at,
             first_token: hold.first_token - hold.granted_at,
+            slot_ready: hold.owns_slot,
         }
     }
 
--- a/crates/server/src/counters.rs
+++ b/crates/server/src/counters.rs
@@ -8,6 +8,13 @@
 const RETRIES: &str = "burdockvale_retries_total";
 const UNKNOWN: &str = "burdockvale_outcome_unknown_total";
 const DROPPED: &str = "burdockvale_answers_dropped_total";
+const TRANSACTIONS: &str = "burdockvale_transactions_total";
+const TRANSACTION_ROWS: &str = "burdockvale_transaction_rows_total";
+const MEMBERS: &str = "burdockvale_members";
+const MEMBER_EVENTS: &str = "burdockvale_member_events_total";
+const DATAGRAMS_DROPPED: &str = "burdockvale_datagrams_dropped_total";
+const BLIND: &str = "burdockvale_blind_placement_total";
+const CRASHED: &str = "burdockvale_engine_crashes_total";
 const CONFIG_VERSION: &str = "burdockvale_config_version";
 const CONFIG_STALE: &str = "burdockvale_config_stale";
 const CONFIG_REPAIRS: &str = "burdockvale_config_repairs_total";
@@ -49,6 +56,15 @@
         counter!(name).absolute(0);
     }
     config_stale(true);
+    describe_counter!(TRANSACTIONS, "Transactions sent by the ledger.");
+    describe_counter!(TRANSACTION_ROWS, "Rows in the ledger's transactions.");
+    describe_counter!(BLIND, "Model calls placed without a home.");
+    describe_counter!(
+        CRASHED,
+        "Connections lost to runners with attempts in flight."
+    );
+    counter!(BLIND).absolute(0);
+    counter!(CRASHED).absolute(0);
     for reason in Refusal::ALL {
         counter!(REFUSED, "reason" => reason.code()).absolute(0);
     }
@@ -74,6 +90,19 @@
     counter!(DROPPED, "reason" => reason).increment(1);
 }
 
+pub(crate) fn transaction(rows: usize) {
+    counter!(TRANSACTIONS).increment(1);
+    counter!(TRANSACTION_ROWS).increment(rows as u64);
+}
+
+pub(crate) fn blind_placement() {
+    counter!(BLIND).increment(1);
+}
+
+pub(crate) fn engine_crashed() {
+    counter!(CRASHED).increment(1);
+}
+
 pub(crate) fn config_version(version: u64) {
     gauge!(CONFIG_VERSION).set(version as f64);
 }
@@ -97,3 +126,15 @@
 pub(crate) fn operator_refused() {
     counter!(OPERATOR_REFUSED).increment(1);
 }
+
+pub(crate) fn members(count: usize) {
+    gauge!(MEMBERS).set(count as f64);
+}
+
+pub(crate) fn member_event(kind: &'static str) {
+    counter!(MEMBER_EVENTS, "kind" => kind).increment(1);
+}
+
+pub(crate) fn datagram_dropped(reason: &'static str) {
+    counter!(DATAGRAMS_DROPPED, "reason" => reason).increment(1);
+}
--- a/crates/server/src/operate/drain.rs
+++ b/crates/server/src/operate/drain.rs
@@ -11,7 +11,6 @@
 
 use super::error::OperatorError;
 use crate::Host;
-use crate::leaving::LeavingMark;
 
 /// Body of `POST /v1/drain`.
 #[derive(Debug, Deserialize)]
@@ -33,11 +32,6 @@
     if !known {
         return Err(OperatorError::UnknownBackend(asked.backend.to_string()));
     }
-    let mark = LeavingMark {
-        backend: asked.backend,
-        incarnation: None,
-    };
-    let backend = mark.backend.to_string();
-    let new = host.leaving.mark_leaving(mark);
-    Ok(Json(json!({"backend": backend, "new": new})))
+    let new = host.mark_current_leaving(&asked.backend);
+    Ok(Json(json!({"backend": asked.backend, "new": new})))
 }
