Check expired rows in the seeded cases

Cause: the seeded cases ended before any row expired. Change: after each case the clock passes the rows' expiry, half of them are deleted, and every key is sent twice: it must run once and then be answered from its row. Conclusion: an expired row does not block or merge a new call.

--- a/crates/ledger/tests/at_most_once.rs
+++ b/crates/ledger/tests/at_most_once.rs
@@ -13,6 +13,8 @@
 const CASES: u64 = 2_500;
 /// Time for a claim, the longest run and the record, without faults.
 const QUIET_DEADLINE: u64 = 5_000;
+/// The resend window of the world's calls, the time that rows are kept after it, and a second.
+const EXPIRED_AFTER: Millis = Millis::from_secs(600 + 3_600 + 1);
 /// A reply follows its deadline within one sleep of the driver.
 const REPLY_SLACK: Millis = Millis(2);
 
@@ -124,6 +126,26 @@
     }
 }
 
+/// After its row has expired, whether deleted or not, a call is new and runs once again.
+fn check_expired(world: &mut World) {
+    world.now = world.now + EXPIRED_AFTER;
+    for key in 0..KEYS {
+        if world.rng.bool() {
+            world.table.delete(&key_name(key));
+        }
+        world.runs[key] = 0;
+        for _ in 0..2 {
+            let host = world.rng.usize(..HOSTS);
+            let call = world.hosts[host].calls.len();
+            world.schedule(world.now, host, Step::Arrive { key });
+            world.run();
+            let (_, reply) = world.hosts[host].calls[call].reply.clone().unwrap();
+            assert_eq!(reply, Reply::Answer(answer_of(key)), "key {key}");
+            assert_eq!(world.runs[key], 1, "key {key}");
+        }
+    }
+}
+
 fn run_cases(first: u64) {
     for seed in first..first + CASES {
         let result = std::panic::catch_unwind(|| run_case(seed));
@@ -143,6 +165,7 @@
     check_rows(&world);
     check_resends(&mut world);
     check_replies(&world, faults);
+    check_expired(&mut world);
 }
 
 /// Guards against a second run, a run after "not run" and a lost stored answer.
