Test device identity and a server that is down

Cause: the device header and the choice among servers had no process test. Change: equal refunds of two devices run twice and of one device once; 40 lookups and 40 reservations pass while one of two servers refuses connections.

--- a/crates/lab/tests/backend_faults.rs
+++ b/crates/lab/tests/backend_faults.rs
@@ -95,3 +95,20 @@
     let seen = reserve(addr, "b").await;
     assert_eq!((seen.status.as_u16(), seen.outcome), (200, None));
 }
+
+/// Guards against refusals while one of two servers is down and the other is sound.
+#[tokio::test(flavor = "multi_thread")]
+async fn one_server_down() {
+    let (deployment, hosts) = start(1).await;
+    let addr = hosts[0].spec.caller_addr;
+    let sound = deployment.inventory.servers[1].addr;
+    set_servers(&deployment, &[refusing_addr().await, sound]).await;
+    for turn in 0..40 {
+        let lookup = send(addr, "GET", "/booking/seats", String::new()).await;
+        assert_eq!(lookup.status, 200, "turn {turn}: {lookup:?}");
+        let key = format!("key-{turn}");
+        let seen = reserve(addr, &key).await;
+        assert!(seen.is_answer(&key), "turn {turn}: {seen:?}");
+        assert_eq!(deployment.services[0].runs_of(&key), 1);
+    }
+}
--- a/crates/lab/tests/plain/mod.rs
+++ b/crates/lab/tests/plain/mod.rs
@@ -23,6 +23,7 @@
 zone_delay_ms = 1.0
 zone_price_ms = 1
 client_delay_ms = 1.0
+device_header = "x-device"
 
 [[zone]]
 id = "zone-a"
@@ -121,11 +122,19 @@
 /// Sends a reservation as a numbered attempt; none if the host closes the connection.
 pub async fn try_reserve(host: SocketAddr, key: &str, attempt: u32) -> Option<Seen> {
     let body = json!({"key": key}).to_string();
-    exchange(host, "POST", "/booking/reserve", body, attempt).await
+    let headers = [(ATTEMPT_HEADER, attempt.to_string())];
+    exchange(host, "POST", "/booking/reserve", body, &headers).await
+}
+
+/// Sends a refund, which is identified by its digest, as the balancer does for a device.
+pub async fn refund_from(host: SocketAddr, device: &str, body: String) -> Seen {
+    let headers = [("x-device", device.to_owned())];
+    let seen = exchange(host, "POST", "/booking/refund", body, &headers).await;
+    seen.unwrap()
 }
 
 pub async fn send(host: SocketAddr, method: &str, path: &str, body: String) -> Seen {
-    exchange(host, method, path, body, 0).await.unwrap()
+    exchange(host, method, path, body, &[]).await.unwrap()
 }
 
 async fn exchange(
@@ -133,15 +142,16 @@
     method: &str,
     path: &str,
     body: String,
-    attempt: u32,
+    headers: &[(&str, String)],
 ) -> Option<Seen> {
     let client = Client::builder(TokioExecutor::new()).build_http::<Full<Bytes>>();
-    let req = Request::builder()
+    let mut req = Request::builder()
         .method(method)
-        .uri(format!("http://{host}{path}"))
-        .header(ATTEMPT_HEADER, attempt.to_string())
-        .body(Full::new(Bytes::from(body)))
-        .unwrap();
+        .uri(format!("http://{host}{path}"));
+    for (name, value) in headers {
+        req = req.header(*name, value);
+    }
+    let req = req.body(Full::new(Bytes::from(body))).unwrap();
     let exchange = async {
         let answer = client.request(req).await.ok()?;
         let status = answer.status();
--- a/crates/lab/tests/resent_call.rs
+++ b/crates/lab/tests/resent_call.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bv_lab::{HostProcess, HostSpec};
-use plain::{reserve, send, start};
+use plain::{refund_from, reserve, send, start};
 
 /// Guards against a second run when a device resends through another host.
 #[tokio::test(flavor = "multi_thread")]
@@ -77,7 +77,7 @@
     assert_eq!(service.runs_of("a"), 1);
 }
 
-/// Guards against merging different calls: another body, device path or key.
+/// Guards against merging different calls: another body or key.
 #[tokio::test(flavor = "multi_thread")]
 async fn other_call() {
     let (deployment, hosts) = start(1).await;
@@ -90,3 +90,24 @@
     assert_eq!(deployment.services[0].runs_of("a"), 2);
     assert_eq!(deployment.services[0].runs_of("b"), 1);
 }
+
+/// Guards against merging equal calls of two devices behind one balancer, and against two runs of
+/// one device's call that took another way through the balancers.
+#[tokio::test(flavor = "multi_thread")]
+async fn other_device() {
+    let (deployment, hosts) = start(2).await;
+    let body = "{\"key\": \"a\"}";
+    let devices = [
+        "10.0.1.1",
+        "10.0.1.2",
+        "10.0.1.1",
+        "10.0.1.1, 10.9.9.9",
+        " 10.0.1.2",
+    ];
+    for (turn, device) in devices.into_iter().enumerate() {
+        let addr = hosts[turn % 2].spec.caller_addr;
+        let seen = refund_from(addr, device, body.to_owned()).await;
+        assert!(seen.is_answer("a"), "turn {turn}: {seen:?}");
+    }
+    assert_eq!(deployment.services[0].runs_of("a"), 2);
+}
