Check "not run" against the host's own open calls

Cause: nothing tested that a resend at the host that runs the call is not told "not run". Change: the oracle compares each "not run" with the open calls of the same key and process.

--- a/crates/ledger/tests/world/host.rs
+++ b/crates/ledger/tests/world/host.rs
@@ -17,6 +17,8 @@
     pub crashed: bool,
     /// Whether the caller closed its connection.
     pub gone: bool,
+    /// Whether the outcome is recorded, or the process ended.
+    pub closed: bool,
 }
 
 pub struct Host {
@@ -52,6 +54,7 @@
         self.tick_at = None;
         for call in &mut self.calls {
             call.crashed |= call.reply.is_none();
+            call.closed = true;
         }
     }
 
@@ -66,6 +69,7 @@
             reply: None,
             crashed: false,
             gone: false,
+            closed: false,
         });
         call
     }
@@ -85,6 +89,15 @@
     }
 
     pub fn told(&mut self, call: CallId, now: Millis, reply: Reply) {
+        let key = self.key_of(call);
+        let mut open = self
+            .calls
+            .iter()
+            .filter(|told| told.key == key && !told.closed);
+        assert!(
+            !super::is_not_run(&reply) || open.all(|told| !told.sent),
+            "{call:?} is told \"not run\" while this host runs the same call"
+        );
         let told = &mut self.calls[call.0 as usize];
         assert!(told.reply.is_none(), "{call:?} was answered twice");
         assert!(
--- a/crates/ledger/tests/world/mod.rs
+++ b/crates/ledger/tests/world/mod.rs
@@ -293,7 +293,7 @@
                 let now = self.now;
                 self.hosts[host].told(call, now, reply);
             }
-            Action::Closed { .. } => {}
+            Action::Closed { call } => self.hosts[host].calls[call.0 as usize].closed = true,
         }
     }
 
