--- a/crates/lab/src/hosts.rs
+++ b/crates/lab/src/hosts.rs
@@ -17,7 +17,8 @@
 pub const STORE_KEY: &str = "lab-store-key-0123456789";
 /// Key for the operators' listener.
 pub const OPERATOR_KEY: &str = "lab-operator-key-0123456789";
-const CLUSTER_KEY: &str = "lab-cluster-key-0123456789";
+/// Key shared by the entry hosts.
+pub const CLUSTER_KEY: &str = "lab-cluster-key-0123456789";
 const READY_LIMIT_S: u64 = 20;
 const READY_POLL: Duration = Duration::from_millis(100);
 
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -10,6 +10,6 @@
 
 pub use deployment::Deployment;
 pub use error::LabError;
-pub use hosts::{HostProcess, HostSpec, OPERATOR_KEY, STORE_KEY};
+pub use hosts::{CLUSTER_KEY, HostProcess, HostSpec, OPERATOR_KEY, STORE_KEY};
 pub use load::{Load, LoadSettings};
 pub use report::Report;
--- a/crates/lab/tests/common/mod.rs
+++ b/crates/lab/tests/common/mod.rs
@@ -3,6 +3,7 @@
 // Each test program uses a part of this module.
 #![allow(dead_code)]
 
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::{Duration, Instant};
 
 use bv_lab::{Deployment, HostProcess, HostSpec, OPERATOR_KEY};
@@ -15,13 +16,25 @@
 use serde_json::Value;
 
 pub const INVENTORY: &str = include_str!("../../../../examples/start-up.toml");
+/// Nothing listens on the discard port.
+pub const NO_STORE: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 9);
 const POLL: Duration = Duration::from_millis(50);
 
 /// Starts entry hosts that have the first two for seeds, and waits until all see all.
 pub async fn start_hosts(deployment: &Deployment, count: usize) -> Vec<HostProcess> {
+    start_changed(deployment, count, |_, _| ()).await
+}
+
+/// Like [`start_hosts`], with changed settings.
+pub async fn start_changed(
+    deployment: &Deployment,
+    count: usize,
+    change: impl Fn(usize, &mut HostSpec),
+) -> Vec<HostProcess> {
     let mut specs = Vec::new();
     for index in 0..count {
-        let spec = HostSpec::new(index, deployment, "planned").await.unwrap();
+        let mut spec = HostSpec::new(index, deployment, "planned").await.unwrap();
+        change(index, &mut spec);
         specs.push(spec);
     }
     let seeds: Vec<_> = specs.iter().take(2).map(|s| s.peer_addr).collect();
--- a/crates/lab/tests/peer_config.rs
+++ b/crates/lab/tests/peer_config.rs
@@ -1,13 +1,9 @@
 //! An entry host without the table service takes its configuration from a peer.
 
-use std::net::SocketAddr;
+mod common;
 
 use bv_lab::{Deployment, HostProcess, HostSpec};
-
-const INVENTORY: &str = include_str!("../../../examples/start-up.toml");
-/// Nothing listens on the discard port.
-const NO_STORE: SocketAddr =
-    SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 9);
+use common::{INVENTORY, NO_STORE};
 
 /// Guards against a restarted host that stays not ready while the store is down.
 #[tokio::test]
