--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,15 +1,31 @@
 //! Stand-ins for backend servers and the platform, a bounded load, and measurement.
 
+mod balancer;
 pub mod commands;
 mod deployment;
 mod error;
+mod faults;
+mod fleet;
 mod hosts;
 mod load;
+mod monitor;
+mod observe;
+mod plot;
+mod relay;
 mod report;
+mod run;
 pub mod stand_in;
+mod study;
 
+pub use balancer::Balancer;
 pub use deployment::Deployment;
 pub use error::LabError;
+pub use faults::{Fault, FaultEvent, Rig, schedule};
+pub use fleet::Fleet;
 pub use hosts::{CLUSTER_KEY, HostProcess, HostSpec, OPERATOR_KEY, STORE_KEY};
-pub use load::{Load, LoadSettings};
-pub use report::Report;
+pub use load::{CallerFaults, Load, LoadSettings, Offered};
+pub use observe::{HELD_LIMIT, Observer};
+pub use relay::{Relay, RelayFaults};
+pub use report::{Report, Tally};
+pub use run::{RunSettings, measure};
+pub use study::{Point, Spread, Study};
--- a/crates/server/src/leaving.rs
+++ b/crates/server/src/leaving.rs
@@ -34,15 +34,24 @@
     }
 
     /// Marks the process of a backend server that was seen last, for sources that know no
-    /// incarnations, and tells the other entry hosts.
-    pub fn mark_current_leaving(&self, backend: &BackendId) {
+    /// incarnations, and tells the other entry hosts; true if it was not known.
+    pub fn mark_current_leaving(&self, backend: &BackendId) -> bool {
         let mark = self.leaving.lock().mark_current(backend);
+        let is_new = mark.is_some();
         if let Some(mark) = mark {
             self.spread_leaving(mark);
         }
+        is_new
+    }
+
+    /// Passes the marks on to the choice of servers of plain services.
+    fn apply_leaving(&self) {
+        let marks = self.leaving.lock().leaving();
+        self.set_leaving(marks.into_iter().map(|mark| mark.backend).collect());
     }
 
     fn spread_leaving(&self, mark: LeavingMark) {
+        self.apply_leaving();
         info!(backend = %mark.backend, incarnation = %mark.incarnation, "drain: leaving");
         self.peers.add_rumour(Rumour::Leaving {
             backend: mark.backend,
@@ -65,6 +74,7 @@
                 ..
             }) => {
                 host.leaving.lock().mark(&backend, incarnation);
+                host.apply_leaving();
             }
             Ok(_) => {}
             Err(RecvError::Lagged(missed)) => warn!(missed, "drain: peer events missed"),
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -1,16 +1,25 @@
 //! The entry host daemon as a library.
 
 mod answer;
+mod body;
 mod callers;
+mod claims;
 mod conf;
 mod counters;
+mod crash;
+mod dispatch;
 mod engine;
 mod host;
 mod leaving;
+mod members;
 mod model;
+mod open_attempt;
 mod operate;
 mod peers;
+mod placement;
 mod plain;
+mod rows;
+mod servers;
 mod settings;
 mod shutdown;
 
--- a/crates/server/src/peers/gossip.rs
+++ b/crates/server/src/peers/gossip.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bv_member::{Action, Event, Membership, Message, Rumour};
-use bv_types::{Fingerprint, Incarnation, Millis, Version};
+use bv_types::{Fingerprint, HostId, Incarnation, Millis};
 use bv_wire::{DatagramCodec, Sealed};
 use futures_util::{SinkExt, StreamExt};
 use tokio::net::UdpSocket;
@@ -15,15 +15,14 @@
 use tokio_util::udp::UdpFramed;
 use tracing::{debug, info, warn};
 
-use super::{PeerEvent, config};
+use super::PeerEvent;
+use crate::conf::Advert;
 use crate::{Host, counters};
 
 const TICK: Duration = Duration::from_millis(50);
 
-/// Digest of a configuration document in rumours.
-pub(crate) fn config_digest(document: &str) -> Fingerprint {
-    Fingerprint::digest([document.as_bytes()])
-}
+/// Ages above this come from a host whose configuration was never confirmed; a hop adds to the age.
+const NEVER_CONFIRMED: Millis = Millis(u64::MAX / 2);
 
 /// Takes part in the membership until the process ends.
 pub(crate) async fn follow(host: Arc<Host>, socket: UdpSocket) {
@@ -39,7 +38,6 @@
     let gossip = Gossip {
         framed: UdpFramed::new(socket, DatagramCodec::default()),
         machine,
-        advertised: None,
         superseded: false,
         host,
     };
@@ -59,8 +57,6 @@
 struct Gossip {
     framed: UdpFramed<DatagramCodec<Sealed>>,
     machine: Membership,
-    /// Version of the configuration in this host's messages.
-    advertised: Option<Version>,
     /// A newer process with this host's id has been reported.
     superseded: bool,
     host: Arc<Host>,
@@ -107,22 +103,17 @@
         }
     }
 
-    /// Advertises the configuration in force once it has changed. Its age is that of a
-    /// configuration never confirmed; whoever reads the store adds a rumour with the real age.
+    /// Advertises the configuration in force with the age of its confirmation.
     async fn advertise_config(&mut self) {
-        let version = self.host.conf.version();
-        if version == self.advertised {
+        let Some(advert) = self.host.conf.advert() else {
             return;
-        }
-        self.advertised = version;
-        if let Some(current) = self.host.conf.current() {
-            let rumour = Rumour::Config {
-                version: current.version,
-                digest: config_digest(&current.row.document),
-                age: Millis::MAX,
-            };
-            self.handle(Event::AddRumour(rumour)).await;
-        }
+        };
+        let rumour = Rumour::Config {
+            version: advert.version,
+            digest: advert.digest,
+            age: advert.age.unwrap_or(Millis::MAX),
+        };
+        self.handle(Event::AddRumour(rumour)).await;
     }
 
     async fn handle(&mut self, event: Event) {
@@ -148,9 +139,7 @@
                     self.announce("left", PeerEvent::Left(member));
                 }
                 Action::Rumour { from, rumour } => {
-                    if let Rumour::Config { version, .. } = rumour {
-                        config::fetch_newer(&self.host, &from, version);
-                    }
+                    self.hear_config(&from, &rumour);
                     self.host.peers.announce(PeerEvent::Rumour { from, rumour });
                 }
                 Action::DeclaredDead { by } => {
@@ -162,6 +151,24 @@
         }
     }
 
+    /// A newer version is fetched from the peer by the configuration's own task.
+    fn hear_config(&self, from: &HostId, rumour: &Rumour) {
+        let Rumour::Config {
+            version,
+            digest,
+            age,
+        } = rumour
+        else {
+            return;
+        };
+        let advert = Advert {
+            version: *version,
+            digest: *digest,
+            age: (*age < NEVER_CONFIRMED).then_some(*age),
+        };
+        self.host.conf.advertised(from.clone(), advert);
+    }
+
     /// Updates the view first, so that receivers of the event find it.
     fn announce(&self, kind: &'static str, event: PeerEvent) {
         counters::member_event(kind);
--- a/crates/server/src/peers/mod.rs
+++ b/crates/server/src/peers/mod.rs
@@ -1,7 +1,6 @@
 //! Calls between entry hosts, and the view of which hosts are live.
 
 mod answer;
-mod config;
 mod error;
 mod event;
 mod gossip;
@@ -10,7 +9,6 @@
 mod show;
 
 use std::net::SocketAddr;
-use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex, OnceLock, PoisonError, RwLock, Weak};
 
 use bv_member::{Event, Member, Rumour};
@@ -47,8 +45,6 @@
     input: mpsc::UnboundedSender<Event>,
     pending_input: Mutex<Option<mpsc::UnboundedReceiver<Event>>>,
     events: broadcast::Sender<PeerEvent>,
-    /// A fetch of the configuration is in progress.
-    fetching: AtomicBool,
 }
 
 impl Peers {
@@ -64,7 +60,6 @@
             input,
             pending_input: Mutex::new(Some(pending_input)),
             events: broadcast::Sender::new(EVENTS_HELD),
-            fetching: AtomicBool::new(false),
             view: RwLock::new(vec![this.clone()]),
             this,
             host: OnceLock::new(),
--- a/crates/server/src/shutdown.rs
+++ b/crates/server/src/shutdown.rs
@@ -85,8 +85,10 @@
             host.peers.leave().await;
             Some(Event::Left)
         }
-        // Rows that are still to be written are flushed here.
-        Action::Flush => Some(Event::Flushed),
+        Action::Flush => {
+            host.flush().await;
+            Some(Event::Flushed)
+        }
         Action::Exit { .. } => None,
     }
 }
