Apply leaving marks to model placement and bound the shutdown steps

Cause: marks of operators and rumours reached only plain services; marks in load reports stayed at the shard's home and did not end when an engine returned. An operator's mark carried incarnation 0, which hosts that had seen the engine ignore. Departure and flush ran inside the shutdown loop, so that their limits had no effect.

Change: homes pass each load report to the marks and all marks to their shards; placement without a home leaves out marked runners. A mark without a known incarnation covers the processes started until now. Departure and flush run beside the loop; the flush has the drain limit. /v1/members is gone, /v1/status shows the same.

--- a/crates/drain/src/marks.rs
+++ b/crates/drain/src/marks.rs
@@ -1,6 +1,6 @@
 //! Leaving marks of backend servers.
 
-use bv_types::{BackendId, Incarnation};
+use bv_types::{BackendId, Incarnation, Millis};
 
 /// A process of a backend server that leaves.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
@@ -42,10 +42,15 @@
         true
     }
 
-    /// Marks the process that was seen last, for sources that know no incarnations. The returned
-    /// mark is to be spread; none if it was known.
-    pub fn mark_current(&mut self, backend: &BackendId) -> Option<LeavingMark> {
-        let incarnation = self.entry(backend).seen;
+    /// Marks the process that runs at `now`, for sources that know no incarnations. Incarnations are
+    /// start times, so the mark covers a process started until then, whether it was seen or not.
+    /// The returned mark is to be spread; none if one is in force.
+    pub fn mark_current(&mut self, backend: &BackendId, now: Millis) -> Option<LeavingMark> {
+        let known = self.entry(backend);
+        if known.is_leaving() {
+            return None;
+        }
+        let incarnation = known.seen.max(Incarnation(now.0));
         self.mark(backend, incarnation).then(|| LeavingMark {
             backend: backend.clone(),
             incarnation,
--- a/crates/drain/src/shutdown.rs
+++ b/crates/drain/src/shutdown.rs
@@ -4,8 +4,6 @@
 
 /// Time for the announcement of the departure.
 const LEAVE_LIMIT: Millis = Millis::from_secs(2);
-/// Time to write what the ledger still holds.
-const FLUSH_LIMIT: Millis = Millis::from_secs(5);
 
 /// Times of a shutdown.
 #[derive(Debug, Clone, Copy)]
@@ -14,6 +12,8 @@
     pub lame_duck: Millis,
     /// Time for requests in progress once the listener is closed.
     pub drain: Millis,
+    /// Time to write what the ledger still holds.
+    pub flush: Millis,
 }
 
 /// Input of [`Shutdown`].
@@ -66,7 +66,7 @@
 /// use bv_drain::{Action, Event, Limits, Shutdown};
 /// use bv_types::Millis;
 ///
-/// let limits = Limits { lame_duck: Millis(5_000), drain: Millis(600_000) };
+/// let limits = Limits { lame_duck: Millis(5_000), drain: Millis(600_000), flush: Millis(5_000) };
 /// let mut shutdown = Shutdown::new(limits);
 /// assert_eq!(shutdown.handle(Millis(0), Event::Stop), [Action::NotReady]);
 /// assert_eq!(shutdown.wake_at(), Some(Millis(5_000)));
@@ -113,8 +113,8 @@
             }
             (Phase::Draining { .. }, Event::Drained) => leaving(now, true),
             (Phase::Draining { .. }, _) if overdue => leaving(now, false),
-            (Phase::Leaving { drained, .. }, Event::Left) => flushing(now, drained),
-            (Phase::Leaving { drained, .. }, _) if overdue => flushing(now, drained),
+            (Phase::Leaving { drained, .. }, Event::Left) => self.flushing(now, drained),
+            (Phase::Leaving { drained, .. }, _) if overdue => self.flushing(now, drained),
             (Phase::Flushing { drained, .. }, Event::Flushed) => ended(drained),
             (Phase::Flushing { drained, .. }, _) if overdue => ended(drained),
             _ => return Vec::new(),
@@ -122,6 +122,11 @@
         self.phase = phase;
         vec![action]
     }
+
+    fn flushing(&self, now: Millis, drained: bool) -> (Phase, Action) {
+        let until = now + self.limits.flush;
+        (Phase::Flushing { until, drained }, Action::Flush)
+    }
 }
 
 fn leaving(now: Millis, drained: bool) -> (Phase, Action) {
@@ -129,11 +134,6 @@
     (Phase::Leaving { until, drained }, Action::Leave)
 }
 
-fn flushing(now: Millis, drained: bool) -> (Phase, Action) {
-    let until = now + FLUSH_LIMIT;
-    (Phase::Flushing { until, drained }, Action::Flush)
-}
-
 fn ended(drained: bool) -> (Phase, Action) {
     (Phase::Ended, Action::Exit { drained })
 }
--- a/crates/drain/tests/shutdown_phases.rs
+++ b/crates/drain/tests/shutdown_phases.rs
@@ -12,6 +12,7 @@
 const LIMITS: Limits = Limits {
     lame_duck: Millis(5_000),
     drain: Millis(60_000),
+    flush: Millis(10_000),
 };
 
 /// Guards against requests cut by a limit that is taken for the end of the requests.
--- a/crates/server/src/leaving.rs
+++ b/crates/server/src/leaving.rs
@@ -36,7 +36,7 @@
     /// Marks the process of a backend server that was seen last, for sources that know no
     /// incarnations, and tells the other entry hosts; true if it was not known.
     pub fn mark_current_leaving(&self, backend: &BackendId) -> bool {
-        let mark = self.leaving.lock().mark_current(backend);
+        let mark = self.leaving.lock().mark_current(backend, self.clock.now());
         let is_new = mark.is_some();
         if let Some(mark) = mark {
             self.spread_leaving(mark);
@@ -44,6 +44,24 @@
         is_new
     }
 
+    /// Takes the load report of a backend server: a report with the mark sets and spreads it, a
+    /// higher incarnation ends it.
+    pub(crate) fn backend_seen(
+        &self,
+        backend: &BackendId,
+        incarnation: Incarnation,
+        leaving: bool,
+    ) {
+        let ended = self.leaving.lock().observe(backend, incarnation);
+        if ended {
+            info!(%backend, %incarnation, "drain: the backend server has returned");
+            self.apply_leaving();
+        }
+        if leaving {
+            self.mark_leaving(backend, incarnation);
+        }
+    }
+
     /// Passes the marks on to the choice of servers of plain services.
     fn apply_leaving(&self) {
         let marks = self.leaving.lock().leaving();
--- a/crates/server/src/operate/mod.rs
+++ b/crates/server/src/operate/mod.rs
@@ -21,7 +21,7 @@
 use tower_http::limit::RequestBodyLimitLayer;
 use tower_http::timeout::TimeoutLayer;
 
-use crate::{Host, counters, peers};
+use crate::{Host, counters};
 
 /// Largest body of an operator's request, in bytes.
 const MAX_BODY_BYTES: usize = 1 << 20;
@@ -41,7 +41,6 @@
         )
         .route("/v1/config", get(config::show).put(config::apply))
         .route("/v1/status", get(status::show))
-        .route("/v1/members", get(peers::show))
         .route("/v1/drain", post(drain::mark))
         .layer(middleware::from_fn_with_state(host.clone(), check_key));
     Router::new()
--- a/crates/server/src/peers/mod.rs
+++ b/crates/server/src/peers/mod.rs
@@ -6,7 +6,6 @@
 mod gossip;
 mod link;
 mod listener;
-mod show;
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, OnceLock, PoisonError, RwLock, Weak};
@@ -24,7 +23,6 @@
 pub(crate) use gossip::follow;
 pub(crate) use link::Link;
 pub(crate) use listener::serve;
-pub(crate) use show::show;
 
 /// Events that a slow receiver may lag behind before it loses the oldest.
 const EVENTS_HELD: usize = 1_024;
--- a/crates/server/src/placement/ask.rs
+++ b/crates/server/src/placement/ask.rs
@@ -205,9 +205,10 @@
     ask: &Ask,
     shard: &SmolStr,
 ) -> Result<(GrantGuard, OpenGrant), Refusal> {
+    let is_leaving = |runner: &BackendId| host.leaving.lock().is_leaving(runner);
     let (prefill, decode) = host
         .placement
-        .place_blind(inventory, model, ask.prefix, &ask.avoid)
+        .place_blind(inventory, model, ask.prefix, &ask.avoid, is_leaving)
         .ok_or(Refusal::NoBackend)?;
     counters::blind_placement();
     let now = host.clock.now();
--- a/crates/server/src/placement/blind.rs
+++ b/crates/server/src/placement/blind.rs
@@ -7,13 +7,15 @@
 use super::{Placement, lock};
 
 impl Placement {
-    /// Chooses a pair by rendezvous among the runners this host uses least, and counts it.
+    /// Chooses a pair by rendezvous among the runners this host uses least, without those that
+    /// leave, and counts it.
     pub(super) fn place_blind(
         &self,
         inventory: &Inventory,
         model: &Model,
         prefix: u64,
         avoid: &[BackendId],
+        is_leaving: impl Fn(&BackendId) -> bool,
     ) -> Option<(BackendId, BackendId)> {
         let mut counts = lock(&self.blind);
         let mut choose = |role: EngineRole| {
@@ -23,7 +25,7 @@
             };
             let chosen = inventory
                 .runners_of(&model.pool)
-                .filter(|runner| runner.role == role)
+                .filter(|runner| runner.role == role && !is_leaving(&runner.id))
                 .map(|runner| &runner.id)
                 .min_by_key(|id| {
                     let rank = std::cmp::Reverse(score(prefix, id.as_str()));
--- a/crates/server/src/placement/poll.rs
+++ b/crates/server/src/placement/poll.rs
@@ -34,6 +34,7 @@
                 home.polled.get_or_init(|| std::future::ready(())).await;
             });
         }
+        tell_leaving(&host);
         grants::move_to_new_homes(&host);
         for _ in 0..TICKS {
             tokio::time::sleep((POLL.duration()) / TICKS).await;
@@ -62,7 +63,11 @@
         });
     }
     while let Some(Ok((runner, load))) = polls.join_next().await {
-        home.handle(&host, event_of(runner, load.as_ref().and_then(report_of)));
+        let report = load.as_ref().and_then(report_of);
+        if let Some(report) = &report {
+            host.backend_seen(&runner, report.incarnation, report.leaving);
+        }
+        home.handle(&host, event_of(runner, report));
     }
 }
 
@@ -90,6 +95,20 @@
     lock(&host.placement.homes).clone()
 }
 
+/// Tells the shards which runners have a leaving mark from any source.
+fn tell_leaving(host: &Arc<Host>) {
+    let marks = host.leaving.lock().leaving();
+    for home in homes(host) {
+        for mark in &marks {
+            let event = Event::Leaving {
+                runner: mark.backend.clone(),
+                incarnation: mark.incarnation,
+            };
+            home.handle(host, event);
+        }
+    }
+}
+
 /// Tells the shards which entry host processes have died or returned.
 fn follow_members(host: &Arc<Host>, before: Vec<Member>) -> Vec<Member> {
     let members = host.peers.alive();
--- a/crates/server/src/shutdown.rs
+++ b/crates/server/src/shutdown.rs
@@ -4,7 +4,7 @@
 
 use bv_drain::{Action, Event, Limits};
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::task::JoinHandle;
+use tokio::task::{JoinHandle, JoinSet};
 use tokio_util::sync::CancellationToken;
 use tracing::{info, warn};
 
@@ -27,29 +27,32 @@
     let mut phases = bv_drain::Shutdown::new(Limits {
         lame_duck: host.settings.lame_duck_ms,
         drain: host.settings.drain_limit_ms,
+        flush: host.settings.drain_limit_ms,
     });
     let mut is_serving = true;
+    // Departure and flush run beside the loop, which keeps their limits.
+    let mut work = JoinSet::new();
     loop {
-        let mut next = tokio::select! {
-            () = stop(&mut term, &mut interrupt) => Some(Event::Stop),
-            () = sleep_until(host, &phases) => Some(Event::Tick),
+        let event = tokio::select! {
+            () = stop(&mut term, &mut interrupt) => Event::Stop,
+            () = sleep_until(host, &phases) => Event::Tick,
+            Some(Ok(done)) = work.join_next() => done,
             _ = &mut serving, if is_serving => {
                 is_serving = false;
-                Some(Event::Drained)
+                Event::Drained
             }
         };
-        while let Some(event) = next.take() {
-            for action in phases.handle(host.clock.now(), event) {
-                if let Action::Exit { drained } = action {
-                    report(drained);
-                    return Ok(());
-                }
-                next = carry_out(host, action).await;
-                if action == Action::CloseListener && !is_serving {
-                    // The listener's task has failed before.
-                    next = Some(Event::Drained);
-                }
+        let mut actions = phases.handle(host.clock.now(), event);
+        if actions.contains(&Action::CloseListener) && !is_serving {
+            // The listener's task has failed before.
+            actions.extend(phases.handle(host.clock.now(), Event::Drained));
+        }
+        for action in actions {
+            if let Action::Exit { drained } = action {
+                report(drained);
+                return Ok(());
             }
+            carry_out(host, action, &mut work);
         }
     }
 }
@@ -68,28 +71,31 @@
     }
 }
 
-async fn carry_out(host: &Arc<Host>, action: Action) -> Option<Event> {
+fn carry_out(host: &Arc<Host>, action: Action, work: &mut JoinSet<Event>) {
+    let host = host.clone();
     match action {
         Action::NotReady => {
             info!("shutdown: not ready");
             host.shutdown.lame_duck.cancel();
-            None
         }
         Action::CloseListener => {
             info!("shutdown: closing the listener");
             host.shutdown.closing.cancel();
-            None
         }
         Action::Leave => {
             info!("shutdown: leaving");
-            host.peers.leave().await;
-            Some(Event::Left)
+            work.spawn(async move {
+                host.peers.leave().await;
+                Event::Left
+            });
         }
         Action::Flush => {
-            host.flush().await;
-            Some(Event::Flushed)
+            work.spawn(async move {
+                host.flush().await;
+                Event::Flushed
+            });
         }
-        Action::Exit { .. } => None,
+        Action::Exit { .. } => {}
     }
 }
 
