--- a/crates/server/src/placement/poll.rs
+++ b/crates/server/src/placement/poll.rs
@@ -150,7 +150,7 @@
     let inventory = current.inventory;
     let members = host.peers.alive();
     let is_home = |key: &SmolStr| {
-        let first = shards::homes(key, members.clone()).into_iter().next();
+        let first = shards::homes(key, &members).into_iter().next();
         first.as_ref() == Some(&host.settings.host_id)
     };
     for pool in &inventory.pools {
