Hold the lease of each pool and send role orders to engines

Cause: bv-lease had no shell.

Change: server::orders holds one lease a pool at the host ranked first for it, with the row lease/<pool>, reads each engine's state back with GET /order and posts the role of the inventory with the fence. The time left of the lease is checked again in the task that sends. An engine that names no role is ordered to take the wanted one: taken for its inventory role, it was never ordered after a change. A lease with a fence below one that an engine knows is given up. RoleBalance is not connected, because placement takes roles from the inventory only.

--- a/crates/lease/src/lease.rs
+++ b/crates/lease/src/lease.rs
@@ -105,7 +105,7 @@
                 }
             }
             Event::WriteEnded { write, result } => self.write_ended(now, write, result, &mut out),
-            Event::FenceSeen(fence) => self.highest_fence = self.highest_fence.max(fence),
+            Event::FenceSeen(fence) => self.fence_seen(fence, &mut out),
             Event::Tick => {}
         }
         self.proceed(now, &mut out);
@@ -119,6 +119,14 @@
         }
     }
 
+    /// A lease with a fence below one that an engine knows is of no use and is given up.
+    fn fence_seen(&mut self, fence: Fence, out: &mut Vec<Action>) {
+        self.highest_fence = self.highest_fence.max(fence);
+        if let Some(held) = self.held.filter(|held| held.fence < fence) {
+            self.lose(held, out);
+        }
+    }
+
     fn expire(&mut self, now: Millis, out: &mut Vec<Action>) {
         if let Some(held) = self.held.filter(|held| now >= held.until) {
             self.lose(held, out);
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -36,8 +36,8 @@
 pub use event::{Action, Event, Held, Holder, LeaseRow, Stored, WriteResult};
 pub use lease::{LEASE_DURATION, Lease, TAKE_MARGIN};
 pub use orders::{
-    EngineSpec, FIRST_ORDER_WAIT, LATE_ORDER_LIMIT, MIN_LEASE_LEFT, ORDER_TIMEOUT, Order,
-    OrderAction, OrderEvent, OrderResult, Orders,
+    EngineSpec, EngineState, FIRST_ORDER_WAIT, LATE_ORDER_LIMIT, MIN_LEASE_LEFT, ORDER_TIMEOUT,
+    Order, OrderAction, OrderEvent, OrderResult, Orders,
 };
 pub use roles::{CHANGE_PAUSE, RoleBalance, SUSTAINED, Side};
 
--- a/crates/lease/src/orders.rs
+++ b/crates/lease/src/orders.rs
@@ -46,14 +46,14 @@
     Engines(Vec<EngineSpec>),
     /// An engine should have this role.
     Want(BackendId, Role),
-    /// An engine told its role, or did not answer.
+    /// The state of an engine was read.
     State {
         /// The engine.
         engine: BackendId,
         /// Id from [`OrderAction::ReadState`].
         read: u64,
-        /// Its role; `None` without an answer.
-        role: Option<Role>,
+        /// What it told.
+        state: EngineState,
     },
     /// An order was answered or given up.
     Ended {
@@ -68,6 +68,17 @@
     Tick,
 }
 
+/// What an engine tells about its role.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EngineState {
+    /// Its role.
+    Role(Role),
+    /// It names no role, as before its first order; it is ordered to take the wanted one.
+    NoRole,
+    /// It did not answer.
+    Unanswered,
+}
+
 /// Result of an order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum OrderResult {
@@ -108,8 +119,8 @@
     /// The role is not known.
     Unknown,
     Reading(u64),
-    /// The role is known, as of this time.
-    Known(Role, Millis),
+    /// What the engine told or was ordered, as of this time; `None` if it names no role.
+    Known(Option<Role>, Millis),
     Sending {
         sequence: u64,
         role: Role,
@@ -151,7 +162,11 @@
                     engine.wanted = Some(role);
                 }
             }
-            OrderEvent::State { engine, read, role } => self.state_read(now, &engine, read, role),
+            OrderEvent::State {
+                engine,
+                read,
+                state,
+            } => self.state_read(now, &engine, read, state),
             OrderEvent::Ended {
                 engine,
                 sequence,
@@ -169,7 +184,7 @@
     pub fn known(&self, id: &BackendId) -> Option<Role> {
         let index = self.find(id).ok()?;
         match self.engines[index].step {
-            Step::Known(role, _) => Some(role),
+            Step::Known(role, _) => role,
             _ => None,
         }
     }
@@ -217,16 +232,17 @@
         }
     }
 
-    fn state_read(&mut self, now: Millis, id: &BackendId, read: u64, role: Option<Role>) {
+    fn state_read(&mut self, now: Millis, id: &BackendId, read: u64, state: EngineState) {
         let Some(engine) = self.engine(id) else {
             return;
         };
         if engine.step != Step::Reading(read) {
             return;
         }
-        match role {
-            Some(role) => engine.step = Step::Known(role, now),
-            None => {
+        match state {
+            EngineState::Role(role) => engine.step = Step::Known(Some(role), now),
+            EngineState::NoRole => engine.step = Step::Known(None, now),
+            EngineState::Unanswered => {
                 engine.step = Step::Unknown;
                 engine.not_before = now + RETRY_PAUSE;
             }
@@ -259,7 +275,7 @@
             return;
         }
         match result {
-            OrderResult::Done => engine.step = Step::Known(role, now),
+            OrderResult::Done => engine.step = Step::Known(Some(role), now),
             OrderResult::Stale(_) | OrderResult::Refused => {
                 engine.step = Step::Unknown;
                 engine.not_before = now + RETRY_PAUSE;
@@ -292,7 +308,7 @@
                     });
                 }
                 (Step::Known(known, _), Some(role))
-                    if known != role && engine.may_send(now, held) =>
+                    if known != Some(role) && engine.may_send(now, held) =>
                 {
                     engine.step = Step::Sending {
                         sequence: id,
--- a/crates/lease/tests/lease_terms.rs
+++ b/crates/lease/tests/lease_terms.rs
@@ -171,4 +171,8 @@
     lease.handle(Millis(0), Event::FenceSeen(Fence(40)));
     let (_, _, row) = first_write(&mut lease, Millis(0), |_| None);
     assert_eq!(row.row.fence, Fence(41));
+    // A lease that is held with a lower fence is of no use.
+    let (mut lease, sent, _) = acquired();
+    let actions = lease.handle(sent + Millis(500), Event::FenceSeen(Fence(40)));
+    assert_eq!(actions[0], Action::Lost(Fence(1)));
 }
--- a/crates/lease/tests/model/mod.rs
+++ b/crates/lease/tests/model/mod.rs
@@ -2,8 +2,8 @@
 
 use arbtest::arbitrary::{Result, Unstructured};
 use bv_lease::{
-    Action, EngineSpec, Event, Holder, LATE_ORDER_LIMIT, Lease, ORDER_TIMEOUT, Order, OrderAction,
-    OrderEvent, OrderResult, Orders, Role, Stored, WriteResult,
+    Action, EngineSpec, EngineState, Event, Holder, LATE_ORDER_LIMIT, Lease, ORDER_TIMEOUT, Order,
+    OrderAction, OrderEvent, OrderResult, Orders, Role, Stored, WriteResult,
 };
 use bv_types::{BackendId, Incarnation, Millis, Version};
 
@@ -562,15 +562,15 @@
                 engine,
                 read,
             } => {
-                let role = match self.chance(10)? {
-                    true => None,
-                    false => Some(self.engines[engine].role),
+                let state = match self.chance(10)? {
+                    true => EngineState::Unanswered,
+                    false => EngineState::Role(self.engines[engine].role),
                 };
                 let id = self.engines[engine].spec.id.clone();
                 let event = OrderEvent::State {
                     engine: id,
                     read,
-                    role,
+                    state,
                 };
                 self.mail.push((
                     answered_at,
--- a/crates/lease/tests/order_rules.rs
+++ b/crates/lease/tests/order_rules.rs
@@ -1,8 +1,8 @@
 //! When orders are sent to engines that check fences and to those that do not.
 
 use bv_lease::{
-    EngineSpec, FIRST_ORDER_WAIT, Held, LATE_ORDER_LIMIT, MIN_LEASE_LEFT, Order, OrderAction,
-    OrderEvent, OrderResult, Orders, Role,
+    EngineSpec, EngineState, FIRST_ORDER_WAIT, Held, LATE_ORDER_LIMIT, MIN_LEASE_LEFT, Order,
+    OrderAction, OrderEvent, OrderResult, Orders, Role,
 };
 use bv_types::{BackendId, Fence, Millis};
 
@@ -37,16 +37,24 @@
     from: Millis,
     until: Millis,
     lease: impl Fn(Millis) -> Held,
-    role: Role,
+    role: impl Into<Option<Role>>,
 ) -> Option<(Millis, Order)> {
+    let role = role.into();
     let mut now = from;
     while now < until {
         let mut actions = orders.handle(now, Some(lease(now)), OrderEvent::Tick);
         while let Some(action) = actions.pop() {
             match action {
                 OrderAction::ReadState { engine, read } => {
-                    let role = Some(role);
-                    let state = OrderEvent::State { engine, read, role };
+                    let state = match role {
+                        Some(role) => EngineState::Role(role),
+                        None => EngineState::NoRole,
+                    };
+                    let state = OrderEvent::State {
+                        engine,
+                        read,
+                        state,
+                    };
                     actions.extend(orders.handle(now, Some(lease(now)), state));
                 }
                 OrderAction::Send { order, .. } => return Some((now, order)),
@@ -135,6 +143,15 @@
     }
 }
 
+/// Guards against an engine that keeps an unknown role because it has never had an order.
+#[test]
+fn engine_without_a_role_is_ordered() {
+    let mut orders = orders(true);
+    let end = ACQUIRED + Millis(1_000);
+    let order = first_order(&mut orders, ACQUIRED, end, long, None);
+    assert_eq!(order.map(|(_, order)| order.role), Some(Role::Decode));
+}
+
 /// Guards against a role that is believed forever, though a late order has changed it.
 #[test]
 fn role_is_read_again() {
--- a/crates/server/src/counters.rs
+++ b/crates/server/src/counters.rs
@@ -17,6 +17,8 @@
 const CRASHED: &str = "burdockvale_engine_crashes_total";
 const CONFIG_VERSION: &str = "burdockvale_config_version";
 const CONFIG_STALE: &str = "burdockvale_config_stale";
+const LEASES: &str = "burdockvale_lease_changes_total";
+const ORDERS: &str = "burdockvale_orders_total";
 const CONFIG_REPAIRS: &str = "burdockvale_config_repairs_total";
 const CONFIG_DIVERGED: &str = "burdockvale_config_diverged_total";
 const OPERATOR_REFUSED: &str = "burdockvale_operator_refused_total";
@@ -138,3 +140,11 @@
 pub(crate) fn datagram_dropped(reason: &'static str) {
     counter!(DATAGRAMS_DROPPED, "reason" => reason).increment(1);
 }
+
+pub(crate) fn lease_changed(change: &'static str) {
+    counter!(LEASES, "change" => change).increment(1);
+}
+
+pub(crate) fn order_ended(result: &'static str) {
+    counter!(ORDERS, "result" => result).increment(1);
+}
--- a/crates/server/src/engine.rs
+++ b/crates/server/src/engine.rs
@@ -222,11 +222,20 @@
 
     /// Asks an engine for its load.
     pub async fn load(&self, peer: SocketAddr) -> Result<Value, CallError> {
-        const STEP: &str = "load";
+        self.get_json("load", peer, "/load").await
+    }
+
+    /// Gets a JSON answer.
+    pub async fn get_json(
+        &self,
+        step: &'static str,
+        peer: SocketAddr,
+        path: &str,
+    ) -> Result<Value, CallError> {
         let mut req = Request::new(Full::default());
-        *req.uri_mut() = target(peer, "/load");
-        let answer = self.send_checked(STEP, peer, req).await?;
-        read_json(STEP, peer, answer.into_body()).await
+        *req.uri_mut() = target(peer, path);
+        let answer = self.send_checked(step, peer, req).await?;
+        read_json(step, peer, answer.into_body()).await
     }
 
     /// Cancels an attempt; succeeds also if the engine does not know it.
--- a/crates/server/src/host.rs
+++ b/crates/server/src/host.rs
@@ -20,7 +20,8 @@
 use crate::servers::Servers;
 use crate::shutdown::Shutdown;
 use crate::{
-    Settings, callers, conf, counters, leaving, members, operate, peers, placement, shutdown,
+    Settings, callers, conf, counters, leaving, members, operate, orders, peers, placement,
+    shutdown,
 };
 
 /// Failure to start.
@@ -159,6 +160,7 @@
     tokio::spawn(conf::follow(host.clone()));
     tokio::spawn(claims::drive(host.clone()));
     tokio::spawn(placement::follow(host.clone()));
+    tokio::spawn(orders::follow(host.clone()));
     tokio::spawn(operate::serve(host.clone(), operator_listener, metrics));
     let serving = tokio::spawn(callers::serve(host.clone(), caller_listener));
     shutdown::run(&host, serving).await?;
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -15,6 +15,7 @@
 mod model;
 mod open_attempt;
 mod operate;
+mod orders;
 mod peers;
 mod placement;
 mod plain;
--- /dev/null
+++ b/crates/server/src/orders/calls.rs
@@ -0,0 +1,150 @@
+//! Calls of the table service and of engines for leases and orders.
+
+use std::net::SocketAddr;
+
+use bv_lease::{
+    EngineState, Event, LeaseRow, ORDER_TIMEOUT, Order, OrderResult, Stored, WriteResult,
+};
+use bv_store::{Condition, Refused, Row, StoreError, Transacted, Write};
+use bv_types::{Fence, Millis, PoolId, Version};
+use serde_json::{Value, json};
+use smol_str::{SmolStr, format_smolstr};
+use tracing::debug;
+
+use crate::engine::CallError;
+use crate::{Host, counters};
+
+const ORDER_PATH: &str = "/order";
+const STATE_TIMEOUT: Millis = Millis(1_000);
+
+/// Key of a pool's lease row.
+pub(super) fn row_key(pool: &PoolId) -> SmolStr {
+    format_smolstr!("lease/{pool}")
+}
+
+fn from_row(row: &Row) -> Option<Stored> {
+    let body: LeaseRow = serde_json::from_str(&row.body).ok()?;
+    Some(Stored {
+        version: row.version,
+        row: body,
+    })
+}
+
+pub(super) async fn read_row(host: &Host, pool: &PoolId, read: u64) -> Event {
+    match host.table.get(&row_key(pool)).await {
+        Ok(None) => Event::Read { read, row: None },
+        Ok(Some(row)) => match from_row(&row) {
+            Some(stored) => Event::Read {
+                read,
+                row: Some(stored),
+            },
+            None => Event::ReadFailed { read },
+        },
+        Err(err) => {
+            debug!(%err, "lease: read failed");
+            Event::ReadFailed { read }
+        }
+    }
+}
+
+pub(super) async fn write_row(
+    host: &Host,
+    pool: &PoolId,
+    stored: &Stored,
+    expected: Option<Version>,
+) -> WriteResult {
+    let Ok(body) = serde_json::to_string(&stored.row) else {
+        return WriteResult::Unavailable;
+    };
+    let write = Write {
+        row: Row {
+            key: row_key(pool),
+            version: stored.version,
+            body,
+        },
+        condition: match expected {
+            Some(version) => Condition::Version(version),
+            None => Condition::Absent,
+        },
+        expires: None,
+    };
+    match host.table.transact(&[write]).await {
+        Ok(Transacted::Committed) => WriteResult::Committed,
+        Ok(Transacted::Refused(refused)) => match refused.into_iter().next() {
+            Some(Refused::Conflict(row)) => WriteResult::Conflict(row.as_ref().and_then(from_row)),
+            Some(Refused::Innocent) | None => WriteResult::Unavailable,
+        },
+        Err(err @ StoreError::Unavailable { .. }) => {
+            debug!(%err, "lease: write failed");
+            WriteResult::Unavailable
+        }
+        Err(err @ StoreError::Unanswered { .. }) => {
+            debug!(%err, "lease: write unanswered");
+            WriteResult::Unanswered
+        }
+    }
+}
+
+/// State and fence that an engine reports; `None` without an answer.
+pub(super) async fn read_state(host: &Host, addr: SocketAddr) -> Option<(EngineState, Fence)> {
+    let call = host.engines.get_json("state", addr, ORDER_PATH);
+    let state = match tokio::time::timeout(STATE_TIMEOUT.duration(), call).await {
+        Ok(Ok(state)) => state,
+        Ok(Err(err)) => {
+            debug!(%err, "lease: reading the state failed");
+            return None;
+        }
+        Err(_) => return None,
+    };
+    let role = serde_json::from_value(state["role"].clone());
+    let told = role.map_or(EngineState::NoRole, EngineState::Role);
+    Some((told, fence_of(&state)))
+}
+
+fn fence_of(state: &Value) -> Fence {
+    Fence(state["fence"].as_u64().unwrap_or(0))
+}
+
+/// Sends an order unless its time has passed, as after a pause of this process.
+pub(super) async fn send_order(
+    host: &Host,
+    addr: SocketAddr,
+    order: &Order,
+    not_after: Millis,
+) -> OrderResult {
+    if host.clock.now() > not_after {
+        return OrderResult::Refused;
+    }
+    let body = json!({"fence": order.fence.0, "role": order.role});
+    let call = host.engines.post_json("order", addr, ORDER_PATH, &body);
+    let result = match tokio::time::timeout(ORDER_TIMEOUT.duration(), call).await {
+        Ok(Ok(_)) => OrderResult::Done,
+        Ok(Err(CallError::Status { status, .. })) if status == hyper::StatusCode::CONFLICT => {
+            stale(host, addr).await
+        }
+        Ok(Err(CallError::Status { status, .. })) if status.is_client_error() => {
+            OrderResult::Refused
+        }
+        Ok(Err(CallError::Refused { .. })) => OrderResult::Refused,
+        Ok(Err(err)) => {
+            debug!(%err, "lease: order unanswered");
+            OrderResult::Unanswered
+        }
+        Err(_) => OrderResult::Unanswered,
+    };
+    counters::order_ended(match result {
+        OrderResult::Done => "done",
+        OrderResult::Stale(_) => "stale",
+        OrderResult::Refused => "refused",
+        OrderResult::Unanswered => "unanswered",
+    });
+    result
+}
+
+/// The order was refused as stale; asks for the fence that the engine knows.
+async fn stale(host: &Host, addr: SocketAddr) -> OrderResult {
+    match read_state(host, addr).await {
+        Some((_, fence)) => OrderResult::Stale(fence),
+        None => OrderResult::Refused,
+    }
+}
