Count the age of a confirmation from the question

Cause: a new check of the fuzz, that a host which is not stale has a document the store told to someone in the last 15 s, failed by up to 0.4 s: the age counted from the arrival of the store's answer or from the decision of a starting host, and a second question to a peer replaced the time of the first.

Change: answers of the store and of peers confirm a document as of the time at which the question was sent; one question is open to a peer at a time. The faults of a case last 24 s instead of 16 s, so that hosts become stale. The models of both fuzz tests are split into smaller files. Two contract tests answered questions that had not been asked; they now use the asked peer and adverts.

--- a/crates/config/src/versions/changes.rs
+++ b/crates/config/src/versions/changes.rs
@@ -26,7 +26,7 @@
             // The answer to the first request answers the repeated one too.
             return;
         }
-        let read = self.new_id();
+        let read = self.new_call(now);
         self.pending.push(Pending {
             change,
             expected,
@@ -60,7 +60,7 @@
             if let Step::Paused(until) = self.pending[index].step
                 && now >= until
             {
-                let read = self.new_id();
+                let read = self.new_call(now);
                 self.pending[index].step = Step::Reading(read);
                 out.push(Action::ReadStore { read });
             }
@@ -91,11 +91,12 @@
         &mut self,
         now: Millis,
         write: u64,
+        sent: Millis,
         result: WriteResult,
         out: &mut Vec<Action>,
     ) {
         if self.repair == Some(write) {
-            self.repair_ended(now, write, result, out);
+            self.repair_ended(now, write, sent, result, out);
             return;
         }
         let step = Step::Writing(write);
@@ -104,9 +105,9 @@
             return;
         };
         match result {
-            WriteResult::Committed => self.committed(now, index, out),
+            WriteResult::Committed => self.committed(index, sent, out),
             WriteResult::Conflict(row) => {
-                self.row_seen(now, write, row.as_ref(), out);
+                self.row_seen(now, write, sent, row.as_ref(), out);
                 self.judge_change(now, index, row.as_ref(), out);
             }
             WriteResult::Unavailable => self.pending[index].pause(now),
@@ -117,14 +118,14 @@
         }
     }
 
-    fn committed(&mut self, now: Millis, index: usize, out: &mut Vec<Action>) {
+    fn committed(&mut self, index: usize, sent: Millis, out: &mut Vec<Action>) {
         let pending = self.pending.remove(index);
         let Some(document) = pending.written else {
             return;
         };
         let version = document.version;
         if version > self.version() {
-            self.put_in_force(now, document, Some(Millis::ZERO), out);
+            self.put_in_force(document, Some(sent), out);
         }
         out.push(Action::Reply {
             change: pending.change,
@@ -147,12 +148,18 @@
                 out.push(Action::Reply { change, outcome });
             }
             Verdict::Again => self.pending[index].pause(now),
-            Verdict::Write => self.write_change(index, row, out),
+            Verdict::Write => self.write_change(now, index, row, out),
         }
     }
 
-    fn write_change(&mut self, index: usize, row: Option<&Document>, out: &mut Vec<Action>) {
-        let write = self.new_id();
+    fn write_change(
+        &mut self,
+        now: Millis,
+        index: usize,
+        row: Option<&Document>,
+        out: &mut Vec<Action>,
+    ) {
+        let write = self.new_call(now);
         let pending = &mut self.pending[index];
         let document = match &pending.written {
             Some(document) => document.clone(),
--- a/crates/config/src/versions/event.rs
+++ b/crates/config/src/versions/event.rs
@@ -51,7 +51,8 @@
         version: Version,
         /// Digest of its document.
         digest: Fingerprint,
-        /// Time since its document was confirmed; `None` if never.
+        /// Time since its document was confirmed, with an allowance for the time in transit, since
+        /// otherwise two hosts could keep each other fresh; `None` if never.
         age: Option<Millis>,
     },
     /// A document from a source that is not asked for its confirmation. A starting host ignores
--- a/crates/config/src/versions/freshness.rs
+++ b/crates/config/src/versions/freshness.rs
@@ -13,15 +13,14 @@
 }
 
 impl Freshness {
-    /// Records a confirmation that was `age` old when it arrived.
-    pub fn confirm(&mut self, now: Millis, age: Millis) {
-        let at = now - age;
+    /// Records a confirmation as of `at`.
+    pub fn confirm(&mut self, at: Millis) {
         self.confirmed_at = Some(self.confirmed_at.map_or(at, |known| known.max(at)));
     }
 
     /// Replaces the confirmation when another document comes into force.
-    pub fn replace(&mut self, now: Millis, age: Option<Millis>) {
-        self.confirmed_at = age.map(|age| now - age);
+    pub fn replace(&mut self, confirmed_at: Option<Millis>) {
+        self.confirmed_at = confirmed_at;
     }
 
     /// Time since the last confirmation.
--- a/crates/config/src/versions/mod.rs
+++ b/crates/config/src/versions/mod.rs
@@ -18,7 +18,7 @@
 
 use apply::Pending;
 use freshness::Freshness;
-use peers::Advert;
+use peers::{Advert, Question};
 use start::Start;
 
 /// Shortest time between two polls of the store.
@@ -68,14 +68,16 @@
     peers: Vec<HostId>,
     next_peer: usize,
     adverts: Vec<Advert>,
-    /// Peers with an open question and its time, sorted by peer.
-    asked: Vec<(HostId, Millis)>,
+    /// Last question to each peer, sorted by peer.
+    asked: Vec<Question>,
     store_up: bool,
     poll: Option<u64>,
     next_poll: Millis,
     repair: Option<u64>,
     pending: Vec<Pending>,
     next_id: u64,
+    /// Calls of the store in progress and when they were sent, in ascending order of id.
+    sent: Vec<(u64, Millis)>,
     diverged: Option<(Version, Fingerprint)>,
 }
 
@@ -98,6 +100,7 @@
             repair: None,
             pending: Vec::new(),
             next_id: 0,
+            sent: Vec::new(),
             diverged: None,
         }
     }
@@ -140,14 +143,26 @@
         let mut out = Vec::new();
         match event {
             Event::Tick => self.tick(now, &mut out),
-            Event::StoreRead { read, document } => self.store_read(now, read, document, &mut out),
-            Event::ReadFailed { read } => self.read_failed(now, read, &mut out),
-            Event::WriteEnded { write, result } => self.write_ended(now, write, result, &mut out),
+            Event::StoreRead { read, document } => {
+                if let Some(sent) = self.end_call(read) {
+                    self.store_read(now, read, sent, document, &mut out);
+                }
+            }
+            Event::ReadFailed { read } => {
+                if self.end_call(read).is_some() {
+                    self.read_failed(now, read, &mut out);
+                }
+            }
+            Event::WriteEnded { write, result } => {
+                if let Some(sent) = self.end_call(write) {
+                    self.write_ended(now, write, sent, result, &mut out);
+                }
+            }
             Event::PeerAnswer {
                 peer,
                 document,
                 age,
-            } => self.peer_answer(now, peer, document, age, &mut out),
+            } => self.peer_answer(peer, document, age, &mut out),
             Event::PeerFailed { peer } => {
                 self.close_question(&peer);
                 if let Some(start) = &mut self.start {
@@ -160,7 +175,7 @@
                 digest,
                 age,
             } => self.advertised(now, peer, version, digest, age, &mut out),
-            Event::Offered(document) => self.offered(now, document, &mut out),
+            Event::Offered(document) => self.offered(document, &mut out),
             Event::Peers(peers) => self.set_peers(peers),
             Event::Apply {
                 change,
@@ -173,15 +188,24 @@
         out
     }
 
-    fn new_id(&mut self) -> u64 {
+    /// Id of a call of the store that is sent now.
+    fn new_call(&mut self, now: Millis) -> u64 {
         let id = self.next_id;
         self.next_id += 1;
+        self.sent.push((id, now));
         id
     }
 
+    /// When the call was sent. An answer confirms a document as of then, since it may have been
+    /// under way for long.
+    fn end_call(&mut self, id: u64) -> Option<Millis> {
+        let index = self.sent.binary_search_by_key(&id, |(id, _)| *id).ok()?;
+        Some(self.sent.remove(index).1)
+    }
+
     fn tick(&mut self, now: Millis, out: &mut Vec<Action>) {
         if now >= self.next_poll && self.poll.is_none() {
-            let read = self.new_id();
+            let read = self.new_call(now);
             self.poll = Some(read);
             self.next_poll = now + poll_interval(self.peers.len() + 1);
             out.push(Action::ReadStore { read });
@@ -193,12 +217,11 @@
 
     fn put_in_force(
         &mut self,
-        now: Millis,
         document: Document,
-        age: Option<Millis>,
+        confirmed_at: Option<Millis>,
         out: &mut Vec<Action>,
     ) {
-        self.freshness.replace(now, age);
+        self.freshness.replace(confirmed_at);
         self.current_from_read = self.next_id;
         self.current = Some(document.clone());
         out.push(Action::InForce(document));
@@ -213,7 +236,7 @@
         };
         self.start = None;
         if let Some(document) = chosen.document {
-            self.put_in_force(now, document, chosen.age, out);
+            self.put_in_force(document, chosen.confirmed_at, out);
         }
     }
 
--- a/crates/config/src/versions/peers.rs
+++ b/crates/config/src/versions/peers.rs
@@ -9,6 +9,16 @@
 /// Time between two questions to the same peer.
 const ASK_PAUSE: Millis = Millis(500);
 
+/// The last question to a peer.
+#[derive(Debug, Clone)]
+pub(super) struct Question {
+    pub peer: HostId,
+    pub at: Millis,
+    /// Whether it has not been answered. A peer is asked one question at a time, so that the time
+    /// of the question belongs to the answer.
+    pub open: bool,
+}
+
 /// What a peer advertised.
 #[derive(Debug, Clone)]
 pub(super) struct Advert {
@@ -20,22 +30,35 @@
 
 impl Versions {
     pub(super) fn ask(&mut self, now: Millis, peer: &HostId, out: &mut Vec<Action>) {
-        match self.asked.binary_search_by(|(known, _)| known.cmp(peer)) {
-            Ok(index) if now < self.asked[index].1 + ASK_PAUSE => return,
-            Ok(index) => self.asked[index].1 = now,
-            Err(index) => self.asked.insert(index, (peer.clone(), now)),
+        match self.asked.binary_search_by(|asked| asked.peer.cmp(peer)) {
+            Ok(index) => {
+                let asked = &mut self.asked[index];
+                if asked.open || now < asked.at + ASK_PAUSE {
+                    return;
+                }
+                asked.at = now;
+                asked.open = true;
+            }
+            Err(index) => {
+                let asked = Question {
+                    peer: peer.clone(),
+                    at: now,
+                    open: true,
+                };
+                self.asked.insert(index, asked);
+            }
         }
         out.push(Action::AskPeer(peer.clone()));
     }
 
-    /// Time at which the peer was asked. The entry stays, so that the peer is not asked again at
-    /// once.
+    /// When the peer was asked. The entry stays, so that the peer is not asked again at once.
     pub(super) fn close_question(&mut self, peer: &HostId) -> Option<Millis> {
         let index = self
             .asked
-            .binary_search_by(|(known, _)| known.cmp(peer))
+            .binary_search_by(|asked| asked.peer.cmp(peer))
             .ok()?;
-        Some(self.asked[index].1)
+        self.asked[index].open = false;
+        Some(self.asked[index].at)
     }
 
     pub(super) fn ask_starting_peers(&mut self, now: Millis, out: &mut Vec<Action>) {
@@ -80,23 +103,22 @@
         self.adverts
             .retain(|advert| peers.binary_search(&advert.peer).is_ok());
         self.asked
-            .retain(|(peer, _)| peers.binary_search(peer).is_ok());
+            .retain(|asked| asked.open || peers.binary_search(&asked.peer).is_ok());
         self.peers = peers;
     }
 
     pub(super) fn peer_answer(
         &mut self,
-        now: Millis,
         peer: HostId,
         document: Option<Document>,
         age: Option<Millis>,
         out: &mut Vec<Action>,
     ) {
         // The age counts from the question, because the answer may have been delayed.
-        let asked = self.close_question(&peer).unwrap_or(now);
-        let age = age.map(|age| age + (now - asked));
+        let asked = self.close_question(&peer);
+        let confirmed_at = asked.zip(age).map(|(asked, age)| asked - age);
         if let Some(start) = &mut self.start {
-            start.answered(peer, document, age);
+            start.answered(peer, document, confirmed_at);
             return;
         }
         let Some(document) = document else {
@@ -104,15 +126,15 @@
         };
         let own = self.version();
         if document.version > own {
-            self.put_in_force(now, document, age, out);
+            self.put_in_force(document, confirmed_at, out);
         } else if document.version == own {
-            self.confirmed_by_peer(now, document.version, document.digest(), age, out);
+            self.confirmed_by_peer(document.version, document.digest(), confirmed_at, out);
         }
     }
 
-    pub(super) fn offered(&mut self, now: Millis, document: Document, out: &mut Vec<Action>) {
+    pub(super) fn offered(&mut self, document: Document, out: &mut Vec<Action>) {
         if self.start.is_none() && document.version > self.version() {
-            self.put_in_force(now, document, None, out);
+            self.put_in_force(document, None, out);
         }
     }
 
@@ -129,7 +151,8 @@
             return;
         }
         if self.start.is_none() && version == self.version() {
-            self.confirmed_by_peer(now, version, digest, age, out);
+            let confirmed_at = age.map(|age| now - age);
+            self.confirmed_by_peer(version, digest, confirmed_at, out);
         }
         match self.adverts.iter_mut().find(|advert| advert.peer == peer) {
             Some(advert) => {
@@ -152,18 +175,17 @@
     /// decides at the next poll.
     pub(super) fn confirmed_by_peer(
         &mut self,
-        now: Millis,
         version: Version,
         digest: Fingerprint,
-        age: Option<Millis>,
+        confirmed_at: Option<Millis>,
         out: &mut Vec<Action>,
     ) {
         let Some(own) = &self.current else {
             return;
         };
         if own.digest() == digest {
-            if let Some(age) = age {
-                self.freshness.confirm(now, age);
+            if let Some(at) = confirmed_at {
+                self.freshness.confirm(at);
             }
             return;
         }
--- a/crates/config/src/versions/start.rs
+++ b/crates/config/src/versions/start.rs
@@ -16,8 +16,8 @@
     Open,
     /// It did not answer.
     Failed,
-    /// The row, or none.
-    Row(Option<Document>),
+    /// The row, or none, as of this time.
+    Row(Option<Document>, Millis),
 }
 
 /// Answers gathered by a starting host.
@@ -27,7 +27,7 @@
     seeded: bool,
     since: Option<Millis>,
     pub store: StoreAnswer,
-    /// Peers that answered, with their documents, sorted by id.
+    /// Peers that answered, with their documents and when those were confirmed, sorted by id.
     answers: Vec<(HostId, Option<Document>, Option<Millis>)>,
     /// Peers that did not answer, sorted.
     failed: Vec<HostId>,
@@ -37,8 +37,8 @@
 pub(super) struct Chosen {
     /// The newest document, if any was found.
     pub document: Option<Document>,
-    /// Age of its confirmation.
-    pub age: Option<Millis>,
+    /// When it was confirmed by the store.
+    pub confirmed_at: Option<Millis>,
 }
 
 impl Start {
@@ -52,14 +52,19 @@
         }
     }
 
-    pub fn answered(&mut self, peer: HostId, document: Option<Document>, age: Option<Millis>) {
+    pub fn answered(
+        &mut self,
+        peer: HostId,
+        document: Option<Document>,
+        confirmed_at: Option<Millis>,
+    ) {
         self.failed.retain(|failed| *failed != peer);
         match self
             .answers
             .binary_search_by(|(known, ..)| known.cmp(&peer))
         {
-            Ok(index) => self.answers[index] = (peer, document, age),
-            Err(index) => self.answers.insert(index, (peer, document, age)),
+            Ok(index) => self.answers[index] = (peer, document, confirmed_at),
+            Err(index) => self.answers.insert(index, (peer, document, confirmed_at)),
         }
     }
 
@@ -103,7 +108,7 @@
             StoreAnswer::Open => false,
             StoreAnswer::Failed => answered >= needed.max(1) && self.newest().is_some(),
             // Peers that do not answer must not keep the host from starting.
-            StoreAnswer::Row(_) => answered >= needed || tried == peers.len(),
+            StoreAnswer::Row(..) => answered >= needed || tried == peers.len(),
         };
         enough.then(|| self.choose())
     }
@@ -117,23 +122,23 @@
 
     fn choose(&self) -> Chosen {
         let from_peer = self.newest();
-        let stored = match &self.store {
-            StoreAnswer::Row(row) => row.clone(),
-            StoreAnswer::Open | StoreAnswer::Failed => None,
+        let (stored, read_at) = match &self.store {
+            StoreAnswer::Row(row, at) => (row.clone(), Some(*at)),
+            StoreAnswer::Open | StoreAnswer::Failed => (None, None),
         };
         let peer_version = from_peer.and_then(|(_, document, _)| document.as_ref());
         match (stored, peer_version) {
             (Some(stored), Some(other)) if other.version > stored.version => Chosen {
                 document: Some(other.clone()),
-                age: from_peer.and_then(|(.., age)| *age),
+                confirmed_at: from_peer.and_then(|(.., at)| *at),
             },
             (Some(stored), _) => Chosen {
                 document: Some(stored),
-                age: Some(Millis::ZERO),
+                confirmed_at: read_at,
             },
             (None, other) => Chosen {
                 document: other.cloned(),
-                age: from_peer.and_then(|(.., age)| *age),
+                confirmed_at: from_peer.and_then(|(.., at)| *at),
             },
         }
     }
--- a/crates/config/src/versions/store.rs
+++ b/crates/config/src/versions/store.rs
@@ -10,6 +10,7 @@
         &mut self,
         now: Millis,
         read: u64,
+        sent: Millis,
         document: Option<Document>,
         out: &mut Vec<Action>,
     ) {
@@ -18,9 +19,9 @@
         }
         self.store_answered(true, out);
         if let Some(start) = &mut self.start {
-            start.store = StoreAnswer::Row(document.clone());
+            start.store = StoreAnswer::Row(document.clone(), sent);
         } else {
-            self.row_seen(now, read, document.as_ref(), out);
+            self.row_seen(now, read, sent, document.as_ref(), out);
         }
         self.change_read(now, read, document.as_ref(), out);
     }
@@ -48,12 +49,13 @@
         }));
     }
 
-    /// Compares the row with the document in force. `read` is the id of the read or write that
-    /// returned it.
+    /// Compares the row with the document in force. `call` is the id of the read or write that
+    /// returned it, and `sent` is when that was sent.
     pub(super) fn row_seen(
         &mut self,
         now: Millis,
-        read: u64,
+        call: u64,
+        sent: Millis,
         row: Option<&Document>,
         out: &mut Vec<Action>,
     ) {
@@ -61,8 +63,8 @@
         let stored = row.map_or(Version(0), |row| row.version);
         if stored < own {
             // A read sent before the current document came into force says nothing about it.
-            if read >= self.current_from_read {
-                self.repair(row, out);
+            if call >= self.current_from_read {
+                self.repair(now, row, out);
             }
             return;
         }
@@ -74,26 +76,26 @@
             .as_ref()
             .is_some_and(|own| own.digest() == row.digest());
         if same {
-            self.freshness.confirm(now, Millis::ZERO);
+            self.freshness.confirm(sent);
             return;
         }
         if stored == own {
-            if read < self.current_from_read {
+            if call < self.current_from_read {
                 return;
             }
             self.notice_diverged(row, out);
         }
-        self.put_in_force(now, row.clone(), Some(Millis::ZERO), out);
+        self.put_in_force(row.clone(), Some(sent), out);
     }
 
-    pub(super) fn repair(&mut self, row: Option<&Document>, out: &mut Vec<Action>) {
+    pub(super) fn repair(&mut self, now: Millis, row: Option<&Document>, out: &mut Vec<Action>) {
         let Some(document) = self.current.clone() else {
             return;
         };
         if self.repair.is_some() {
             return;
         }
-        let write = self.new_id();
+        let write = self.new_call(now);
         self.repair = Some(write);
         out.push(Action::Notice(Notice::Repair {
             stored: row.map_or(Version(0), |row| row.version),
@@ -110,15 +112,16 @@
         &mut self,
         now: Millis,
         write: u64,
+        sent: Millis,
         result: WriteResult,
         out: &mut Vec<Action>,
     ) {
         self.repair = None;
         match result {
             WriteResult::Committed if write >= self.current_from_read => {
-                self.freshness.confirm(now, Millis::ZERO);
+                self.freshness.confirm(sent);
             }
-            WriteResult::Conflict(row) => self.row_seen(now, write, row.as_ref(), out),
+            WriteResult::Conflict(row) => self.row_seen(now, write, sent, row.as_ref(), out),
             // The next poll shows whether the repair is still needed.
             WriteResult::Committed | WriteResult::Unavailable | WriteResult::Unanswered => {}
         }
--- a/crates/config/tests/model/check.rs
+++ b/crates/config/tests/model/check.rs
@@ -1,7 +1,7 @@
 //! What must hold, checked against the table's log.
 
-use bv_config::{Document, Outcome};
-use bv_types::Version;
+use bv_config::{Document, Outcome, STALE_AFTER};
+use bv_types::{Millis, Version};
 
 use super::world::{Tally, World};
 
@@ -28,6 +28,29 @@
     );
 }
 
+/// A host that is not stale has a document that the store told to someone not long ago.
+pub fn freshness(world: &World) {
+    let now = Millis(world.now);
+    for (index, host) in world.hosts.iter().enumerate() {
+        let Some(versions) = host.versions.as_ref().filter(|v| !v.is_stale(now)) else {
+            continue;
+        };
+        let digest = versions.current().map(Document::digest);
+        let told = world.table.told.iter();
+        let told = told.filter(|(known, _)| Some(*known) == digest);
+        let last = told
+            .map(|(_, at)| Millis(*at))
+            .max()
+            .unwrap_or(Millis::ZERO);
+        assert!(
+            last + STALE_AFTER >= now,
+            "host {index} counts version {} as fresh, which the store last told {} ago",
+            versions.version(),
+            now - last
+        );
+    }
+}
+
 /// Checks the state after the faults have ended.
 pub fn end(world: &World, tally: &mut Tally) {
     let stored = world.table.row.as_ref();
--- a/crates/config/tests/model/mod.rs
+++ b/crates/config/tests/model/mod.rs
@@ -1,6 +1,7 @@
 //! Simulated table, network, hosts and operators around `Versions`, with a simple oracle.
 
 mod check;
+mod network;
 mod table;
 mod world;
 
--- a/crates/config/tests/model/table.rs
+++ b/crates/config/tests/model/table.rs
@@ -19,6 +19,8 @@
     past: Vec<Option<Document>>,
     /// Changes in the order in which they were accepted.
     pub log: Vec<Accepted>,
+    /// When the store last told a document, as the answer to a read or by accepting a write.
+    pub told: Vec<(Fingerprint, u64)>,
     /// How often the row was set back.
     pub restores: u64,
 }
@@ -68,6 +70,17 @@
         self.past.push(std::mem::replace(&mut self.row, old));
     }
 
+    /// Records that the store told this document at `now`.
+    pub fn tell(&mut self, document: Option<&Document>, now: u64) {
+        let Some(digest) = document.map(Document::digest) else {
+            return;
+        };
+        match self.told.iter_mut().find(|(known, _)| *known == digest) {
+            Some((_, at)) => *at = now,
+            None => self.told.push((digest, now)),
+        }
+    }
+
     pub fn accepted(&self, digest: Fingerprint) -> Option<&Accepted> {
         self.log
             .iter()
--- a/crates/config/tests/model/world.rs
+++ b/crates/config/tests/model/world.rs
@@ -1,17 +1,21 @@
 //! Hosts, operators and faults in simulated time.
 
 use arbtest::arbitrary::{Result, Unstructured};
-use bv_config::{Action, Document, Event, Outcome, Versions, WriteResult};
+use bv_config::{Action, Document, Event, Outcome, Versions};
 use bv_types::{Fingerprint, HostId, Millis, Version};
 use smol_str::{SmolStr, format_smolstr};
 
 use super::check;
+use super::network::Mail;
 use super::table::Table;
 
 const TICK: u64 = 200;
-const FAULTS_MS: u64 = 16_000;
+/// Above the freshness limit (15 s), so that hosts become stale in long outages.
+const FAULTS_MS: u64 = 24_000;
 /// Beyond the apply limit (10 s), the freshness limit (15 s) and some polls.
 const SETTLE_MS: u64 = 24_000;
+/// Added to an advertised age by the senders for the time in transit.
+const HOP_AGE: Millis = Millis(500);
 const SETTLED_DELAY_MS: u64 = 5;
 
 /// Which faults may occur.
@@ -50,47 +54,20 @@
     host: usize,
 }
 
-enum Mail {
-    ReadArrives {
-        host: usize,
-        process: u64,
-        read: u64,
-    },
-    WriteArrives {
-        host: usize,
-        process: u64,
-        write: u64,
-        document: Document,
-        expected: Option<Version>,
-        answered: bool,
-        restores: u64,
-    },
-    AskArrives {
-        from: usize,
-        process: u64,
-        peer: usize,
-    },
-    Deliver {
-        host: usize,
-        process: u64,
-        event: Event,
-    },
-}
-
 pub struct World<'a, 'b> {
-    u: &'a mut Unstructured<'b>,
+    pub(super) u: &'a mut Unstructured<'b>,
     pub faults: Faults,
     pub now: u64,
     pub hosts: Vec<Host>,
     pub table: Table,
     pub changes: Vec<Change>,
     pub notices: u64,
-    mail: Vec<(u64, Mail)>,
-    faulty: bool,
-    store_up: bool,
+    pub(super) mail: Vec<(u64, Mail)>,
+    pub(super) faulty: bool,
+    pub(super) store_up: bool,
     /// Pairs of hosts that cannot talk, one bit each.
-    cut: u64,
-    next_process: u64,
+    pub(super) cut: u64,
+    pub(super) next_process: u64,
 }
 
 impl<'a, 'b> World<'a, 'b> {
@@ -134,15 +111,15 @@
         Ok(())
     }
 
-    fn chance(&mut self, percent: u8) -> Result<bool> {
+    pub(super) fn chance(&mut self, percent: u8) -> Result<bool> {
         Ok(self.faulty && self.u.int_in_range(0..=99u8)? >= 100 - percent)
     }
 
-    fn pick(&mut self, count: usize) -> Result<usize> {
+    pub(super) fn pick(&mut self, count: usize) -> Result<usize> {
         self.u.int_in_range(0..=count - 1)
     }
 
-    fn delay(&mut self) -> Result<u64> {
+    pub(super) fn delay(&mut self) -> Result<u64> {
         match self.faulty {
             true => Ok(u64::from(self.u.int_in_range(1..=60u16)?) * 7),
             false => Ok(SETTLED_DELAY_MS),
@@ -245,7 +222,7 @@
             peer: self.hosts[from].id.clone(),
             version: document.version,
             digest: document.digest(),
-            age: versions.age(now),
+            age: versions.age(now).map(|age| age + HOP_AGE),
         };
         if from != to && self.connected(from, to) {
             self.deliver(to, self.hosts[to].process, event)?;
@@ -253,7 +230,7 @@
         Ok(())
     }
 
-    fn connected(&self, a: usize, b: usize) -> bool {
+    pub(super) fn connected(&self, a: usize, b: usize) -> bool {
         self.cut & (1 << (a.min(b) * 4 + a.max(b))) == 0
     }
 
@@ -283,90 +260,11 @@
             self.feed(host, Event::Peers(peers))?;
             self.feed(host, Event::Tick)?;
         }
+        check::freshness(self);
         Ok(())
     }
 
-    fn send(&mut self, mail: Mail) -> Result<()> {
-        let at = self.now + self.delay()?;
-        self.mail.push((at, mail));
-        Ok(())
-    }
-
-    fn deliver(&mut self, host: usize, process: u64, event: Event) -> Result<()> {
-        self.send(Mail::Deliver {
-            host,
-            process,
-            event,
-        })
-    }
-
-    fn receive(&mut self, mail: Mail) -> Result<()> {
-        match mail {
-            Mail::Deliver {
-                host,
-                process,
-                event,
-            } if self.hosts[host].process == process => self.feed(host, event),
-            Mail::Deliver { .. } => Ok(()),
-            Mail::ReadArrives {
-                host,
-                process,
-                read,
-            } => {
-                let event = match self.store_up {
-                    true => {
-                        let lag = match self.chance(15)? {
-                            true => self.u.int_in_range(1..=3usize)?,
-                            false => 0,
-                        };
-                        let document = self.table.read(lag);
-                        Event::StoreRead { read, document }
-                    }
-                    false => Event::ReadFailed { read },
-                };
-                self.deliver(host, process, event)
-            }
-            Mail::WriteArrives {
-                host,
-                process,
-                write,
-                document,
-                expected,
-                answered,
-                restores,
-            } => {
-                let result = match self.store_up {
-                    true => self.table.write(&document, expected, restores),
-                    false => WriteResult::Unavailable,
-                };
-                match answered {
-                    true => self.deliver(host, process, Event::WriteEnded { write, result }),
-                    false => Ok(()),
-                }
-            }
-            Mail::AskArrives {
-                from,
-                process,
-                peer,
-            } => self.answer(from, process, peer),
-        }
-    }
-
-    fn answer(&mut self, from: usize, process: u64, peer: usize) -> Result<()> {
-        let now = Millis(self.now);
-        let id = self.hosts[peer].id.clone();
-        let event = match &self.hosts[peer].versions {
-            Some(versions) if self.connected(from, peer) => Event::PeerAnswer {
-                peer: id,
-                document: versions.current().cloned(),
-                age: versions.age(now),
-            },
-            _ => Event::PeerFailed { peer: id },
-        };
-        self.deliver(from, process, event)
-    }
-
-    fn feed(&mut self, host: usize, event: Event) -> Result<()> {
+    pub(super) fn feed(&mut self, host: usize, event: Event) -> Result<()> {
         let now = Millis(self.now);
         let process = self.hosts[host].process;
         let Some(versions) = &mut self.hosts[host].versions else {
@@ -415,42 +313,7 @@
         }
     }
 
-    /// Some writes are answered as unanswered, whether or not they arrive, and at once or late.
-    fn send_write(
-        &mut self,
-        host: usize,
-        process: u64,
-        write: u64,
-        document: Document,
-        expected: Option<Version>,
-    ) -> Result<()> {
-        let lost = self.chance(25)?;
-        if lost {
-            let result = WriteResult::Unanswered;
-            self.deliver(host, process, Event::WriteEnded { write, result })?;
-            if self.chance(40)? {
-                return Ok(());
-            }
-        }
-        let late = match lost && self.chance(30)? {
-            true => u64::from(self.u.int_in_range(1..=20u8)?) * 100,
-            false => 0,
-        };
-        let at = self.now + late + self.delay()?;
-        let mail = Mail::WriteArrives {
-            host,
-            process,
-            write,
-            document,
-            expected,
-            answered: !lost,
-            restores: self.table.restores,
-        };
-        self.mail.push((at, mail));
-        Ok(())
-    }
-
-    fn told(&mut self, host: usize, change: &str, outcome: Outcome) {
+    pub(super) fn told(&mut self, host: usize, change: &str, outcome: Outcome) {
         let Some(change) = self.changes.iter_mut().find(|known| known.id == change) else {
             panic!("an outcome was given for a change that nobody asked for");
         };
--- a/crates/config/tests/version_order.rs
+++ b/crates/config/tests/version_order.rs
@@ -30,27 +30,31 @@
     (versions, read)
 }
 
-fn told(document: Document, age: Option<Millis>) -> Event {
+fn told(by: &str, document: Document, age: Option<Millis>) -> Event {
     Event::PeerAnswer {
-        peer: peer("a"),
+        peer: peer(by),
         document: Some(document),
         age,
     }
 }
 
+fn advert(document: &Document, age: Option<Millis>) -> Event {
+    Event::Advertised {
+        peer: peer("a"),
+        version: document.version,
+        digest: document.digest(),
+        age,
+    }
+}
+
 /// Guards against a revert from any source.
 #[test]
 fn lower_versions_are_ignored() {
     let (mut versions, read) = started();
     let four = document(4, "four");
-    let advert = Event::Advertised {
-        peer: peer("a"),
-        version: Version(4),
-        digest: four.digest(),
-        age: Some(Millis::ZERO),
-    };
+    let advert = advert(&four, Some(Millis::ZERO));
     let events = [
-        told(four.clone(), Some(Millis::ZERO)),
+        told("a", four.clone(), Some(Millis::ZERO)),
         advert,
         Event::Offered(four.clone()),
         Event::StoreRead {
@@ -97,7 +101,7 @@
     let diverged = Action::Notice(Notice::Diverged {
         version: Version(5),
     });
-    let actions = versions.handle(Millis(1_010), told(other.clone(), Some(Millis::ZERO)));
+    let actions = versions.handle(Millis(1_010), told("a", other.clone(), Some(Millis::ZERO)));
     assert_eq!(actions, [diverged]);
     let row = Event::StoreRead {
         read,
@@ -120,9 +124,10 @@
     };
     let actions = versions.handle(Millis(1_010), advert);
     assert_eq!(actions, [Action::AskPeer(peer("b"))]);
-    let actions = versions.handle(Millis(1_020), told(six.clone(), Some(Millis(40))));
+    let actions = versions.handle(Millis(1_020), told("b", six.clone(), Some(Millis(40))));
     assert_eq!(actions, [Action::InForce(six)]);
-    assert_eq!(versions.age(Millis(1_020)), Some(Millis(40)));
+    // The answer was under way for 10 ms at most.
+    assert_eq!(versions.age(Millis(1_020)), Some(Millis(50)));
 }
 
 /// Guards against two hosts that keep each other fresh without the store.
@@ -137,9 +142,9 @@
     for second_no in 2..=20 {
         let now = Millis(second_no * 1_000);
         let age = second.age(now);
-        let mut actions = versions.handle(now, told(five.clone(), age));
+        let mut actions = versions.handle(now, advert(&five, age));
         let age = versions.age(now);
-        second.handle(now, told(five.clone(), age));
+        second.handle(now, advert(&five, age));
         actions.extend(versions.handle(now, Event::Tick));
         notices += usize::from(actions.contains(&Action::Notice(Notice::Stale)));
         assert_eq!(versions.is_stale(now), now >= STALE_AFTER, "{now}");
--- /dev/null
+++ b/crates/lease/tests/model/engine.rs
@@ -0,0 +1,35 @@
+//! The oracle engine.
+
+use bv_lease::{EngineSpec, Order, OrderResult, Role};
+
+/// Records the orders that took effect.
+pub(super) struct Engine {
+    pub spec: EngineSpec,
+    pub role: Role,
+    pub applied: Vec<Order>,
+}
+
+impl Engine {
+    /// Carries out an order unless it knows a higher fence and checks it.
+    pub fn order(&mut self, order: Order) -> OrderResult {
+        let highest = self.applied.iter().map(|order| order.fence).max();
+        if let Some(highest) = highest.filter(|highest| order.fence < *highest) {
+            if self.spec.checks_fence {
+                return OrderResult::Stale(highest);
+            }
+            panic!(
+                "an order with fence {} took effect at {} after one with fence {highest}",
+                order.fence, self.spec.id
+            );
+        }
+        if let Some(last) = self.applied.last() {
+            assert!(
+                (order.fence, order.sequence) > (last.fence, last.sequence),
+                "{order:?} took effect after {last:?} of the same holder"
+            );
+        }
+        self.applied.push(order);
+        self.role = order.role;
+        OrderResult::Done
+    }
+}
