--- a/crates/server/src/host.rs
+++ b/crates/server/src/host.rs
@@ -21,7 +21,7 @@
 use crate::servers::Servers;
 use crate::shutdown::Shutdown;
 use crate::{
-    Settings, callers, conf, counters, leaving, limits, members, operate, peers, placement,
+    Settings, callers, conf, counters, leaving, limits, members, operate, orders, peers, placement,
     shutdown,
 };
 
@@ -164,6 +164,7 @@
     tokio::spawn(limits::maintain(host.clone()));
     tokio::spawn(claims::drive(host.clone()));
     tokio::spawn(placement::follow(host.clone()));
+    tokio::spawn(orders::follow(host.clone()));
     tokio::spawn(operate::serve(host.clone(), operator_listener, metrics));
     let serving = tokio::spawn(callers::serve(host.clone(), caller_listener));
     shutdown::run(&host, serving).await?;
