Pace generated words from the word before, and stall transfers off the link

Cause: each word slept its own gap, so timer rounding added 1 to 2 ms a word and an engine was slower than its pool says; planned slots came free late and exports were evicted. A stalled transfer also kept both links, which stopped every other transfer of the two engines.

Change: words are due at fixed times from the first; a stalled transfer holds memory at both ends and no link.

--- a/crates/lab/src/stand_in/engine/mod.rs
+++ b/crates/lab/src/stand_in/engine/mod.rs
@@ -308,13 +308,17 @@
     async fn import(&self, attempt: &str) -> Option<u64> {
         let export = self.exports.take(attempt)?;
         let bytes = export.tokens * self.pool.kv_per_token.0;
-        let _turn_in = self.link_in.lock().await;
-        let _turn_out = export.link.lock().await;
-        if self.hits(EngineFault::StallTransfer) {
-            tokio::time::sleep(STALL).await;
-        }
+        let transfer = async {
+            if self.hits(EngineFault::StallTransfer) {
+                // A stalled transfer keeps its memory at both ends and uses no bandwidth.
+                tokio::time::sleep(STALL).await;
+            }
+            let _turn_in = self.link_in.lock().await;
+            let _turn_out = export.link.lock().await;
+            sleep_ms(self.pool.link.millis_for(bytes as f64)).await;
+        };
         tokio::select! {
-            () = sleep_ms(self.pool.link.millis_for(bytes as f64)) => {}
+            () = transfer => {}
             () = export.hold.cancel.cancelled() => return None,
         }
         self.count().imported_tokens += export.computed;
@@ -346,9 +350,12 @@
     }
 
     async fn generate(self: Arc<Self>, generation: Arc<Generation>, hold: Hold) {
+        // Counted from the word before, so that late timers do not add up.
+        let mut next = tokio::time::Instant::now();
         for made in 1..=generation.output {
+            next += self.token_gap();
             tokio::select! {
-                () = tokio::time::sleep(self.token_gap()) => {}
+                () = tokio::time::sleep_until(next) => {}
                 () = hold.cancel.cancelled() => break,
             }
             generation.made.send_replace(made);
