Let callers that leave ask for outputs longer than the limit

Cause: the longest answers of the examples take 4 to 15 s, so memory held for a caller that is gone was mostly freed by the end of the answer before the 12 s limit.

Change: calls of waiting models whose caller closes early or goes silent ask for an output that takes 80% of the deadline in a full batch.

--- a/crates/lab/src/load/mod.rs
+++ b/crates/lab/src/load/mod.rs
@@ -9,7 +9,8 @@
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
-use bv_config::Inventory;
+use bv_config::{Class, Inventory, Model};
+use bv_types::Tokens;
 use fastrand::Rng;
 use tokio::task::JoinSet;
 
@@ -27,6 +28,8 @@
 /// Part of the run in which the burst of lookups takes place.
 const BURST_START: f64 = 0.4;
 const BURST_END: f64 = 0.6;
+/// Share of the deadline that the longest output takes.
+const LONGEST_SHARE: f64 = 0.8;
 const PROGRESS_INTERVAL: Duration = Duration::from_secs(1);
 
 /// What is offered.
@@ -150,7 +153,9 @@
         let mut stay = Stay::ToTheEnd;
         let mut crashes_engines = false;
         if let Call::Model {
-            prompt, streamed, ..
+            model,
+            prompt,
+            streamed,
         } = &mut call
         {
             crashes_engines = faults.crash_next.swap(false, Ordering::Relaxed);
@@ -159,6 +164,9 @@
             } else {
                 stay = faults.stay(rng);
             }
+            if stay != Stay::ToTheEnd && model.class == Class::Waiting {
+                model.max_output = longest_output(inventory, model);
+            }
             *streamed |= stay == Stay::GoesSilent;
         }
         Caller {
@@ -176,6 +184,14 @@
     }
 }
 
+/// An output that takes most of the deadline in a full batch. A caller that leaves asks for it, so
+/// that memory held for it is not freed by an early end.
+fn longest_output(inventory: &Inventory, model: &Model) -> Tokens {
+    let gap_ms = plan::full_batch_gap_ms(inventory, model);
+    let tokens = model.deadline.0 as f64 * LONGEST_SHARE / gap_ms;
+    Tokens(tokens as u64).max(model.max_output)
+}
+
 fn print_progress(start: Instant, report: &Report, open: usize) {
     eprintln!(
         "lab: {:>3} s: {} answered whole, {} not run, {} unknown, {} lost, {open} in progress",
--- a/crates/lab/src/load/plan.rs
+++ b/crates/lab/src/load/plan.rs
@@ -156,6 +156,13 @@
     *place = json!(value);
 }
 
+/// Time between two tokens when every slot is taken.
+pub(super) fn full_batch_gap_ms(inventory: &Inventory, model: &Model) -> f64 {
+    inventory.pool(&model.pool).map_or(1.0, |pool| {
+        pool.token_gap_ms + pool.token_gap_slope_ms * f64::from(pool.slots - 1)
+    })
+}
+
 /// Model calls a second that fill every decode slot.
 fn capacity(inventory: &Inventory) -> f64 {
     let mut slots = 0.0;
@@ -169,9 +176,7 @@
     }
     let mut hold_ms = 0.0;
     for model in &inventory.models {
-        let gap = inventory.pool(&model.pool).map_or(1.0, |pool| {
-            pool.token_gap_ms + pool.token_gap_slope_ms * f64::from(pool.slots - 1)
-        });
+        let gap = full_batch_gap_ms(inventory, model);
         hold_ms += gap * model.max_output.0 as f64 / inventory.models.len() as f64;
     }
     slots * 1000.0 / hold_ms.max(1.0)
