Report the longest hold after a loss and the latest work after a leaving mark

Cause: a count of 0 does not tell how near the bounds of 12 s and 3 s a run came.

The bound is 12 s.

--- a/crates/lab/src/deployment.rs
+++ b/crates/lab/src/deployment.rs
@@ -87,6 +87,8 @@
             report.prefill_tokens += counts.prefill_tokens;
             report.imported_tokens += counts.imported_tokens;
             report.work_after_leaving += counts.work_after_leaving;
+            let leaving = counts.leaving_longest_ms;
+            report.leaving_longest_ms = report.leaving_longest_ms.max(leaving);
             report.engine_crashes += counts.crashes;
         }
         for service in &self.services {
--- a/crates/lab/src/observe.rs
+++ b/crates/lab/src/observe.rs
@@ -20,6 +20,8 @@
     hosts: Vec<(String, Instant)>,
     /// Nonces of the attempts that hold memory now.
     held: Vec<String>,
+    /// Longest time for which memory was seen held after its owner was gone.
+    longest: Duration,
     /// Attempts already counted, sorted.
     counted: Vec<String>,
 }
@@ -57,8 +59,12 @@
         let mut seen = self.lock();
         seen.held = held.iter().map(|held| held.nonce.clone()).collect();
         for attempt in held {
-            let gone = seen.gone_at(attempt);
-            if gone.is_none_or(|at| at.elapsed() <= HELD_LIMIT) {
+            let Some(gone_at) = seen.gone_at(attempt) else {
+                continue;
+            };
+            let gone = gone_at.elapsed();
+            seen.longest = seen.longest.max(gone);
+            if gone <= HELD_LIMIT {
                 continue;
             }
             if let Err(index) = seen.counted.binary_search(&attempt.attempt) {
@@ -76,6 +82,11 @@
         self.lock().held.iter().any(|held| held == nonce)
     }
 
+    /// Longest time for which memory was seen held after its owner was gone.
+    pub fn longest_held(&self) -> Duration {
+        self.lock().longest
+    }
+
     /// Attempts that held memory for too long.
     pub fn held_after_gone(&self) -> u64 {
         self.lock().counted.len() as u64
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -89,6 +89,8 @@
     pub answered_twice: u64,
     /// Attempts that held engine memory 12 s after their caller or entry host was gone.
     pub held_after_gone: u64,
+    /// Longest time for which engine memory was seen held after its caller or host was gone.
+    pub held_longest_ms: u64,
     /// Requests cut by an entry host that drained on SIGTERM.
     pub cut_by_shutdown: u64,
     /// Times an entry host reported a lower configuration version than before.
@@ -103,6 +105,8 @@
     pub operator_races_broken: u64,
     /// Attempts started at a leaving backend server more than 3 s after its mark.
     pub work_after_leaving: u64,
+    /// Longest time from a leaving mark to new work at that engine.
+    pub leaving_longest_ms: u64,
     /// Calls of waiting models that ended without a whole answer and without "not run".
     pub accepted_waiting_lost: u64,
     /// Engine crashes, from faults and from requests.
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -93,6 +93,7 @@
     let (offered, ()) = tokio::join!(load.run(&deployment.inventory), rig.run(events));
     let mut report = deployment.report(offered);
     report.held_after_gone = observer.held_after_gone();
+    report.held_longest_ms = observer.longest_held().as_millis() as u64;
     monitor.add_to(&mut report);
     Ok(report)
 }
--- a/crates/lab/src/stand_in/engine/mod.rs
+++ b/crates/lab/src/stand_in/engine/mod.rs
@@ -50,6 +50,8 @@
     pub evicted: u64,
     /// Attempts started more than 3 s after the leaving mark.
     pub work_after_leaving: u64,
+    /// Longest time from the leaving mark to new work.
+    pub leaving_longest_ms: u64,
     /// Crashes.
     pub crashes: u64,
 }
@@ -261,10 +263,13 @@
     }
 
     fn note_new_work(&self) {
-        let late = |since: Instant| since.elapsed() > LEAVING_LIMIT;
-        if self.is_leaving().is_some_and(late) {
-            self.count().work_after_leaving += 1;
-        }
+        let Some(since) = self.is_leaving() else {
+            return;
+        };
+        let mut counts = self.count();
+        let ms = since.elapsed().as_millis() as u64;
+        counts.leaving_longest_ms = counts.leaving_longest_ms.max(ms);
+        counts.work_after_leaving += u64::from(since.elapsed() > LEAVING_LIMIT);
     }
 
     /// Computes a prompt and exports its KV cache; `None` if cancelled.
