Test that an outage of the table service is logged once

Change: a host without the table service runs for 5 s at level info; one line of the configuration may appear.

--- a/crates/lab/tests/operator_listener.rs
+++ b/crates/lab/tests/operator_listener.rs
@@ -160,10 +160,15 @@
 }
 
 /// Runs the daemon with these variables until it exits or `time` has passed; returns its output.
-fn daemon(variables: &[(&str, &str)], time: Duration, during: impl FnOnce()) -> String {
+fn daemon(
+    variables: &[(&str, &str)],
+    log_filter: &str,
+    time: Duration,
+    during: impl FnOnce(),
+) -> String {
     let mut child = Command::new(program("burdockvaled"))
         .envs(variables.iter().copied())
-        .env("BURDOCKVALE_LOG_FILTER", "trace")
+        .env("BURDOCKVALE_LOG_FILTER", log_filter)
         .stdin(Stdio::null())
         .stdout(Stdio::null())
         .stderr(Stdio::piped())
@@ -209,7 +214,7 @@
     let runtime = tokio::runtime::Handle::current();
     let keys = [OPERATOR_KEY, WRONG_KEY, cluster_key, STORE_KEY];
     let log = tokio::task::block_in_place(|| {
-        daemon(&variables, Duration::from_secs(2), || {
+        daemon(&variables, "trace", Duration::from_secs(2), || {
             for key in [OPERATOR_KEY, WRONG_KEY] {
                 let head = format!("GET /v1/status HTTP/1.1\r\nauthorization: Bearer {key}");
                 runtime.block_on(call(operator_addr, &head, ""));
@@ -222,6 +227,27 @@
     }
 }
 
+/// Guards against a log line for each poll during an outage, which would fill a day's log.
+#[test]
+fn outage_is_logged_once() {
+    let variables = [
+        ("BURDOCKVALE_HOST_ID", "a"),
+        ("BURDOCKVALE_ZONE", "lot-north"),
+        ("BURDOCKVALE_CALLER_ADDR", "127.0.0.1:0"),
+        ("BURDOCKVALE_PEER_ADDR", "127.0.0.1:0"),
+        ("BURDOCKVALE_OPERATOR_ADDR", "127.0.0.1:0"),
+        // Nothing listens on the discard port.
+        ("BURDOCKVALE_STORE_ADDR", "127.0.0.1:9"),
+        ("BURDOCKVALE_OPERATOR_KEY", OPERATOR_KEY),
+        ("BURDOCKVALE_CLUSTER_KEY", OPERATOR_KEY),
+        ("BURDOCKVALE_STORE_KEY", STORE_KEY),
+    ];
+    let log = daemon(&variables, "info", Duration::from_secs(5), || {});
+    let lines: Vec<&str> = log.lines().filter(|line| line.contains("conf: ")).collect();
+    assert_eq!(lines.len(), 1, "{lines:?}");
+    assert!(lines[0].contains("the table service does not answer"));
+}
+
 /// Guards against settings errors that show a key or do not name the setting.
 #[test]
 fn settings_errors() {
@@ -261,7 +287,7 @@
         let mut variables = valid.to_vec();
         variables.retain(|(name, _)| *name != variable);
         variables.push((variable, value));
-        let log = daemon(&variables, Duration::from_millis(300), || {});
+        let log = daemon(&variables, "trace", Duration::from_millis(300), || {});
         assert!(log.contains(flag), "{variable}: {log}");
         assert_eq!(
             !value.is_empty() && log.contains(value),
