--- a/crates/server/src/host.rs
+++ b/crates/server/src/host.rs
@@ -14,13 +14,14 @@
 use crate::conf::Conf;
 use crate::engine::EngineClient;
 use crate::leaving::Leaving;
+use crate::limits::TeamLimits;
 use crate::model::RetryBudget;
 use crate::peers::Peers;
 use crate::placement::Placement;
 use crate::servers::Servers;
 use crate::shutdown::Shutdown;
 use crate::{
-    Settings, callers, conf, counters, leaving, members, operate, orders, peers, placement,
+    Settings, callers, conf, counters, leaving, limits, members, operate, orders, peers, placement,
     shutdown,
 };
 
@@ -63,6 +64,7 @@
     pub(crate) placement: Placement,
     pub(crate) retries: RetryBudget,
     pub(crate) shutdown: Shutdown,
+    pub(crate) limits: TeamLimits,
     sequence: AtomicU64,
 }
 
@@ -94,6 +96,7 @@
             conf: Conf::new(clock.clone(), !settings.seeds.is_empty()),
             engines: EngineClient::new(settings.bind_ip),
             shutdown: Shutdown::default(),
+            limits: TeamLimits::default(),
             sequence: AtomicU64::new(0),
             clock,
             settings,
@@ -158,6 +161,7 @@
     tokio::spawn(members::follow(host.clone()));
     tokio::spawn(peers::follow(host.clone(), peer_socket));
     tokio::spawn(conf::follow(host.clone()));
+    tokio::spawn(limits::maintain(host.clone()));
     tokio::spawn(claims::drive(host.clone()));
     tokio::spawn(placement::follow(host.clone()));
     tokio::spawn(orders::follow(host.clone()));
