Remove the unasked offer of a configuration

Change: the event and its contract case are removed; documents come from the store or from a peer that was asked.

--- a/crates/config/src/versions/event.rs
+++ b/crates/config/src/versions/event.rs
@@ -55,9 +55,6 @@
         /// otherwise two hosts could keep each other fresh; `None` if never.
         age: Option<Millis>,
     },
-    /// A document from a source that is not asked for its confirmation. A starting host ignores
-    /// it, because it must hear the store and its peers first.
-    Offered(Document),
     /// The live peers, without this host.
     Peers(Vec<HostId>),
     /// An operator asks for a change; the text has been checked.
--- a/crates/config/src/versions/mod.rs
+++ b/crates/config/src/versions/mod.rs
@@ -175,7 +175,6 @@
                 digest,
                 age,
             } => self.advertised(now, peer, version, digest, age, &mut out),
-            Event::Offered(document) => self.offered(document, &mut out),
             Event::Peers(peers) => self.set_peers(peers),
             Event::Apply {
                 change,
--- a/crates/config/src/versions/peers.rs
+++ b/crates/config/src/versions/peers.rs
@@ -132,12 +132,6 @@
         }
     }
 
-    pub(super) fn offered(&mut self, document: Document, out: &mut Vec<Action>) {
-        if self.start.is_none() && document.version > self.version() {
-            self.put_in_force(document, None, out);
-        }
-    }
-
     pub(super) fn advertised(
         &mut self,
         now: Millis,
--- a/crates/config/tests/version_order.rs
+++ b/crates/config/tests/version_order.rs
@@ -56,7 +56,6 @@
     let events = [
         told("a", four.clone(), Some(Millis::ZERO)),
         advert,
-        Event::Offered(four.clone()),
         Event::StoreRead {
             read,
             document: Some(four),
