--- a/crates/lab/src/error.rs
+++ b/crates/lab/src/error.rs
@@ -50,6 +50,14 @@
         /// The system's error.
         source: std::io::Error,
     },
+    /// A signal handler cannot be installed.
+    #[error("installing the signal handler: {0}")]
+    #[diagnostic(code(lab::signal))]
+    Signal(std::io::Error),
+    /// A signal ended the run.
+    #[error("the run was ended by a signal")]
+    #[diagnostic(code(lab::interrupted))]
+    Interrupted,
     /// The daemon cannot be started.
     #[error("starting {path}: {source}", path = path.display())]
     #[diagnostic(
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -27,5 +27,5 @@
 pub use observe::{HELD_LIMIT, Observer};
 pub use relay::{Relay, RelayFaults};
 pub use report::{Report, Tally};
-pub use run::{RunSettings, measure};
+pub use run::{RunSettings, measure, measure_until_signal};
 pub use study::{Point, Spread, Study};
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -5,6 +5,7 @@
 
 use serde::Serialize;
 use serde_json::{Value, json};
+use tokio::signal::unix::{SignalKind, signal};
 
 use crate::deployment::CONFIG_KEY;
 use crate::monitor::Monitor;
@@ -48,6 +49,20 @@
     }
 }
 
+/// As [`measure`], but SIGINT and SIGTERM end the run and its entry hosts.
+///
+/// # Errors
+/// Fails as [`measure`] does, or if a signal ended the run.
+pub async fn measure_until_signal(settings: &RunSettings) -> Result<Report, LabError> {
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(LabError::Signal)?;
+    let mut terminate = signal(SignalKind::terminate()).map_err(LabError::Signal)?;
+    tokio::select! {
+        report = measure(settings) => report,
+        _ = interrupt.recv() => Err(LabError::Interrupted),
+        _ = terminate.recv() => Err(LabError::Interrupted),
+    }
+}
+
 /// Runs the load and returns the report.
 ///
 /// # Errors
