Resend a request that crashes engines until it is convicted

Cause: the caller stopped at the first refusal (no_backend while the engines restart), so a conviction was never reached.

--- a/crates/lab/src/faults/rig.rs
+++ b/crates/lab/src/faults/rig.rs
@@ -12,7 +12,7 @@
 use crate::fleet::Fleet;
 use crate::monitor::Monitor;
 use crate::relay::{Relay, RelayFaults};
-use crate::stand_in::{Engine, EngineFault, ServiceFault, StoreFault};
+use crate::stand_in::{Engine, EngineFault, Gate, ServiceFault, StoreFault};
 use crate::{CallerFaults, Deployment};
 
 /// Time for requests in progress when a host drains: the longest deadline of the examples.
@@ -171,7 +171,7 @@
         &engines[event.pick % engines.len()]
     }
 
-    fn server_gate(&self, event: FaultEvent) -> Option<&Arc<crate::stand_in::Gate>> {
+    fn server_gate(&self, event: FaultEvent) -> Option<&Arc<Gate>> {
         let gates = &self.deployment.server_gates;
         gates.get(event.pick % gates.len().max(1))
     }
--- a/crates/lab/src/load/caller.rs
+++ b/crates/lab/src/load/caller.rs
@@ -24,6 +24,10 @@
 const ANSWER_MARGIN: Duration = Duration::from_millis(250);
 /// Pause before a call is sent again.
 const RESEND_PAUSE: Duration = Duration::from_millis(100);
+/// Pause before a request that crashes engines is sent again; crashed engines are back by then.
+const CRASH_RESEND_PAUSE: Duration = Duration::from_millis(1_200);
+/// Reason by which the router refuses a request that crashes engines.
+const CONVICTED: &str = "crashes_engines";
 /// Longest time until a caller that closes early does so.
 const GONE_AFTER_MS: u64 = 2_000;
 /// Header by which the plain service tells the attempts of one call apart.
@@ -98,7 +102,11 @@
                 return;
             }
             record.resends += 1;
-            tokio::time::sleep(RESEND_PAUSE).await;
+            let pause = match self.crashes_engines {
+                true => CRASH_RESEND_PAUSE,
+                false => RESEND_PAUSE,
+            };
+            tokio::time::sleep(pause).await;
             host = self.balancer.choose(&mut self.rng, Some(host));
         }
     }
@@ -109,7 +117,8 @@
             Outcome::Unknown(_) | Outcome::Cut | Outcome::Lost
         );
         if self.crashes_engines {
-            return open && record.resends < MAX_CRASH_RESENDS;
+            let refused = matches!(&record.outcome, Outcome::NotRun(reason) if reason != CONVICTED);
+            return (open || refused) && record.resends < MAX_CRASH_RESENDS;
         }
         let allowed = match &self.call {
             Call::Once { .. } => true,
