--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -22,7 +22,7 @@
 pub use error::LabError;
 pub use faults::{Fault, FaultEvent, Rig, schedule};
 pub use fleet::Fleet;
-pub use hosts::{HostProcess, HostSpec, OPERATOR_KEY, STORE_KEY};
+pub use hosts::{CLUSTER_KEY, HostProcess, HostSpec, OPERATOR_KEY, STORE_KEY};
 pub use load::{CallerFaults, Load, LoadSettings, Offered};
 pub use observe::{HELD_LIMIT, Observer};
 pub use relay::{Relay, RelayFaults};
--- a/crates/server/src/members.rs
+++ b/crates/server/src/members.rs
@@ -24,6 +24,7 @@
     match event {
         PeerEvent::Joined(_) => {}
         PeerEvent::Dead(member) | PeerEvent::Left(member) => {
+            host.limits.host_dead(&member.host, member.incarnation);
             host.host_dead(member.host, member.incarnation);
         }
         PeerEvent::Rumour { .. } | PeerEvent::DeclaredDead { .. } => return,
--- a/crates/server/src/model/attempt.rs
+++ b/crates/server/src/model/attempt.rs
@@ -13,6 +13,7 @@
 use super::check::Call;
 use super::stream::{Decode, DecodeStream};
 use crate::engine::CallError;
+use crate::limits::TeamPermit;
 use crate::open_attempt::{OpenAttempt, address};
 use crate::placement::{self, Ask, GrantGuard, OpenGrant};
 use crate::{Host, crash};
@@ -42,6 +43,7 @@
     pub guard: GrantGuard,
     pub open: OpenAttempt,
     pub deadline: Millis,
+    pub _permit: Option<Arc<TeamPermit>>,
 }
 
 /// Runs one attempt up to its whole answer or the first event of its stream.
@@ -63,6 +65,7 @@
         grant,
         guard,
         deadline: ask.deadline,
+        _permit: call.permit.clone(),
     };
     let mut body = call.body.clone();
     body["request_id"] = json!(attempt.id.to_string());
--- a/crates/server/src/placement/ask.rs
+++ b/crates/server/src/placement/ask.rs
@@ -61,7 +61,7 @@
     let mut refusal = Refusal::NoBackend;
     for shard in ranked_shards(host, inventory, model, ask.prefix) {
         let mut answered = false;
-        for home in shards::homes(&shard, host.peers.alive())
+        for home in shards::homes(&shard, &host.peers.alive())
             .into_iter()
             .take(HOMES_ASKED)
         {
@@ -205,9 +205,10 @@
     ask: &Ask,
     shard: &SmolStr,
 ) -> Result<(GrantGuard, OpenGrant), Refusal> {
+    let is_leaving = |runner: &BackendId| host.leaving.lock().is_leaving(runner);
     let (prefill, decode) = host
         .placement
-        .place_blind(inventory, model, ask.prefix, &ask.avoid)
+        .place_blind(inventory, model, ask.prefix, &ask.avoid, is_leaving)
         .ok_or(Refusal::NoBackend)?;
     counters::blind_placement();
     let now = host.clock.now();
--- a/crates/server/src/plain.rs
+++ b/crates/server/src/plain.rs
@@ -9,19 +9,19 @@
 use bv_config::{Identity, Inventory, Route};
 use bv_ledger::{IdentityRule, Reply, ResentCall, row_key};
 use bv_retry::Outcome;
-use bv_types::{Refusal, RetryReason};
+use bv_types::{Refusal, RetryReason, Tokens};
 use bytes::Bytes;
 use hyper::StatusCode;
 use hyper::http::request::Parts;
 use smol_str::SmolStr;
 
 use crate::answer::OUTCOME_HEADER;
-pub(crate) use crate::body::MAX_BODY_BYTES;
 use crate::callers::PeerAddr;
 use crate::claims::Work;
+use crate::device::{device_of, team_of};
 use crate::engine::CallError;
 use crate::servers::Choice;
-use crate::{Host, answer, body, claims, counters, dispatch};
+use crate::{Host, answer, body, claims, counters, dispatch, limits};
 
 const FORWARDED_FOR: &str = "x-forwarded-for";
 
@@ -54,15 +54,18 @@
     let current = host.conf.current().ok_or(Refusal::NotConfigured)?;
     let inventory = current.inventory;
     let (mut parts, body) = req.into_parts();
-    let peer = parts.extensions.remove::<PeerAddr>();
-    let device = device_of(&inventory, &parts, peer);
-    if let Some(PeerAddr(addr)) = peer {
+    let device = device_of(&inventory, &parts);
+    if let Some(PeerAddr(addr)) = parts.extensions.remove::<PeerAddr>() {
         forwarded_for(&mut parts, addr);
     }
     let route = inventory
         .route(parts.method.as_str(), parts.uri.path())
         .ok_or(Refusal::NoRoute)?;
     let body = body::read(body).await?;
+    let _permit = match team_of(&inventory, &device) {
+        Some(team) => Some(limits::admit(&host, team, Tokens(0)).await?),
+        None => None,
+    };
     if route.idempotent {
         let run = run_idempotent(&host, &inventory, route, &parts, body);
         return tokio::time::timeout(route.deadline.duration(), run)
@@ -88,22 +91,6 @@
     }
 }
 
-/// Identity of the device: the first address in the balancer's header, else the peer's address.
-fn device_of(inventory: &Inventory, parts: &Parts, peer: Option<PeerAddr>) -> SmolStr {
-    let header = inventory.device_header.as_deref();
-    let named = header
-        .and_then(|name| parts.headers.get(name))
-        .and_then(|value| value.to_str().ok())
-        .and_then(|value| value.split(',').next())
-        .map(str::trim)
-        .filter(|value| !value.is_empty());
-    match (named, peer) {
-        (Some(named), _) => SmolStr::new(named),
-        (None, Some(PeerAddr(addr))) => SmolStr::new(addr.ip().to_string()),
-        (None, None) => SmolStr::default(),
-    }
-}
-
 /// Key of the row of a non-idempotent call.
 fn key_of(route: &Route, device: &str, parts: &Parts, body: &Bytes) -> Result<SmolStr, Refusal> {
     let mut header = None;
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -9,7 +9,7 @@
     /// Content.
     #[prost(
         oneof = "frame::Body",
-        tags = "2, 3, 4, 5, 16, 17, 18, 19, 20, 21, 22, 23"
+        tags = "2, 3, 4, 5, 16, 17, 18, 19, 20, 21, 22, 23, 32, 33, 34"
     )]
     pub body: Option<frame::Body>,
 }
@@ -55,6 +55,15 @@
         /// Answer without content.
         #[prost(message, tag = "23")]
         Done(super::Done),
+        /// Asks the home of a team for an allowance.
+        #[prost(message, tag = "32")]
+        TakeAllowance(super::TakeAllowance),
+        /// What the home of a team grants.
+        #[prost(message, tag = "33")]
+        Allowance(super::Allowance),
+        /// Gives tokens back to the home of a team; answered with an empty allowance.
+        #[prost(message, tag = "34")]
+        GiveBack(super::GiveBack),
     }
 }
 
@@ -238,3 +247,39 @@
 /// Answer without content.
 #[derive(Clone, Copy, PartialEq, prost::Message)]
 pub struct Done {}
+
+/// Asks the home of a team for an allowance.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct TakeAllowance {
+    /// Team id.
+    #[prost(string, tag = "1")]
+    pub team: String,
+    /// Requests that wait.
+    #[prost(uint64, tag = "2")]
+    pub requests: u64,
+    /// Tokens beyond those already granted.
+    #[prost(uint64, tag = "3")]
+    pub tokens: u64,
+}
+
+/// What the home of a team grants.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct Allowance {
+    /// Requests that may start within a second.
+    #[prost(uint64, tag = "1")]
+    pub requests: u64,
+    /// Tokens that may be in progress until they are given back.
+    #[prost(uint64, tag = "2")]
+    pub tokens: u64,
+}
+
+/// Gives tokens back to the home of a team.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct GiveBack {
+    /// Team id.
+    #[prost(string, tag = "1")]
+    pub team: String,
+    /// Tokens that are no longer used.
+    #[prost(uint64, tag = "2")]
+    pub tokens: u64,
+}
