--- a/crates/lab/src/deployment.rs
+++ b/crates/lab/src/deployment.rs
@@ -90,6 +90,7 @@
             let leaving = counts.leaving_longest_ms;
             report.leaving_longest_ms = report.leaving_longest_ms.max(leaving);
             report.engine_crashes += counts.crashes;
+            report.request_crashes += counts.request_crashes;
         }
         for service in &self.services {
             report.double_runs += service.double_runs();
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -111,6 +111,8 @@
     pub accepted_waiting_lost: u64,
     /// Engine crashes, from faults and from requests.
     pub engine_crashes: u64,
+    /// Engine crashes caused by a request; 3 are enough to convict it.
+    pub request_crashes: u64,
     /// Reads of the table service in its busiest second.
     pub store_reads_per_s: u64,
     /// Rows written to the table service in its busiest second.
--- a/crates/lab/src/stand_in/engine/mod.rs
+++ b/crates/lab/src/stand_in/engine/mod.rs
@@ -3,6 +3,7 @@
 mod batch;
 mod cache;
 mod calls;
+mod count;
 mod report;
 mod stream;
 
@@ -18,11 +19,13 @@
 use super::{Gate, Shares, Zones};
 use batch::{Batch, Entry, Hold, Step};
 use cache::{Export, PrefixCache};
+use count::FAULTS;
 use report::{Order, Samples};
 use stream::{Generation, Generations};
 
 pub use batch::HeldAttempt;
 pub use cache::Exports;
+pub use count::{EngineCounts, EngineFault};
 
 /// Bytes of a prompt in one token.
 pub(crate) const BYTES_PER_TOKEN: u64 = 4;
@@ -35,50 +38,6 @@
 /// Time a crashed engine needs to come back.
 const RESTART_TIME: Duration = Duration::from_secs(1);
 
-/// Counts of one engine.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct EngineCounts {
-    /// Tokens of prompts computed, without those found in the prefix cache.
-    pub prefill_tokens: u64,
-    /// Computed tokens whose KV cache was imported for decode.
-    pub imported_tokens: u64,
-    /// Attempts that were cancelled.
-    pub cancelled: u64,
-    /// Attempts that hold memory now.
-    pub held: u64,
-    /// Exports that were evicted before their import.
-    pub evicted: u64,
-    /// Attempts started more than 3 s after the leaving mark.
-    pub work_after_leaving: u64,
-    /// Longest time from the leaving mark to new work.
-    pub leaving_longest_ms: u64,
-    /// Crashes.
-    pub crashes: u64,
-}
-
-/// Faults of an engine, each with the share of calls it hits.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum EngineFault {
-    /// Prefill and decode take five times as long.
-    Slow,
-    /// A transfer makes no progress for 20 s.
-    StallTransfer,
-    /// A cancel is neither carried out nor answered.
-    LoseCancel,
-    /// An answer or event of another attempt arrives.
-    Crossed,
-    /// An answer ends early.
-    Truncated,
-    /// An answer starts 1 to 3 s late.
-    Late,
-    /// Events arrive twice.
-    Repeated,
-    /// Load reports are 2 s old.
-    StaleLoad,
-}
-
-const FAULTS: usize = 8;
-
 /// One engine; it serves prefill and decode, so that a role change needs no restart.
 #[derive(Debug)]
 pub struct Engine {
@@ -216,6 +175,7 @@
         if self.crashing.swap(true, Ordering::Relaxed) {
             return;
         }
+        self.count().request_crashes += 1;
         let engine = self.clone();
         tokio::spawn(async move {
             engine.crash();
