--- a/crates/config/src/versions/event.rs
+++ b/crates/config/src/versions/event.rs
@@ -51,12 +51,10 @@
         version: Version,
         /// Digest of its document.
         digest: Fingerprint,
-        /// Time since its document was confirmed; `None` if never.
+        /// Time since its document was confirmed, with an allowance for the time in transit, since
+        /// otherwise two hosts could keep each other fresh; `None` if never.
         age: Option<Millis>,
     },
-    /// A document from a source that is not asked for its confirmation. A starting host ignores
-    /// it, because it must hear the store and its peers first.
-    Offered(Document),
     /// The live peers, without this host.
     Peers(Vec<HostId>),
     /// An operator asks for a change; the text has been checked.
--- a/crates/lab/src/deployment.rs
+++ b/crates/lab/src/deployment.rs
@@ -87,7 +87,10 @@
             report.prefill_tokens += counts.prefill_tokens;
             report.imported_tokens += counts.imported_tokens;
             report.work_after_leaving += counts.work_after_leaving;
+            let leaving = counts.leaving_longest_ms;
+            report.leaving_longest_ms = report.leaving_longest_ms.max(leaving);
             report.engine_crashes += counts.crashes;
+            report.request_crashes += counts.request_crashes;
         }
         for service in &self.services {
             report.double_runs += service.double_runs();
--- a/crates/lab/src/stand_in/engine/mod.rs
+++ b/crates/lab/src/stand_in/engine/mod.rs
@@ -3,6 +3,7 @@
 mod batch;
 mod cache;
 mod calls;
+mod count;
 mod report;
 mod stream;
 
@@ -18,11 +19,13 @@
 use super::{Gate, Shares, Zones};
 use batch::{Batch, Entry, Hold, Step};
 use cache::{Export, PrefixCache};
+use count::FAULTS;
 use report::{Order, Samples};
 use stream::{Generation, Generations};
 
 pub use batch::HeldAttempt;
 pub use cache::Exports;
+pub use count::{EngineCounts, EngineFault};
 
 /// Bytes of a prompt in one token.
 pub(crate) const BYTES_PER_TOKEN: u64 = 4;
@@ -35,48 +38,6 @@
 /// Time a crashed engine needs to come back.
 const RESTART_TIME: Duration = Duration::from_secs(1);
 
-/// Counts of one engine.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct EngineCounts {
-    /// Tokens of prompts computed, without those found in the prefix cache.
-    pub prefill_tokens: u64,
-    /// Computed tokens whose KV cache was imported for decode.
-    pub imported_tokens: u64,
-    /// Attempts that were cancelled.
-    pub cancelled: u64,
-    /// Attempts that hold memory now.
-    pub held: u64,
-    /// Exports that were evicted before their import.
-    pub evicted: u64,
-    /// Attempts started more than 3 s after the leaving mark.
-    pub work_after_leaving: u64,
-    /// Crashes.
-    pub crashes: u64,
-}
-
-/// Faults of an engine, each with the share of calls it hits.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum EngineFault {
-    /// Prefill and decode take five times as long.
-    Slow,
-    /// A transfer makes no progress for 20 s.
-    StallTransfer,
-    /// A cancel is neither carried out nor answered.
-    LoseCancel,
-    /// An answer or event of another attempt arrives.
-    Crossed,
-    /// An answer ends early.
-    Truncated,
-    /// An answer starts 1 to 3 s late.
-    Late,
-    /// Events arrive twice.
-    Repeated,
-    /// Load reports are 2 s old.
-    StaleLoad,
-}
-
-const FAULTS: usize = 8;
-
 /// One engine; it serves prefill and decode, so that a role change needs no restart.
 #[derive(Debug)]
 pub struct Engine {
@@ -214,6 +175,7 @@
         if self.crashing.swap(true, Ordering::Relaxed) {
             return;
         }
+        self.count().request_crashes += 1;
         let engine = self.clone();
         tokio::spawn(async move {
             engine.crash();
@@ -261,10 +223,13 @@
     }
 
     fn note_new_work(&self) {
-        let late = |since: Instant| since.elapsed() > LEAVING_LIMIT;
-        if self.is_leaving().is_some_and(late) {
-            self.count().work_after_leaving += 1;
-        }
+        let Some(since) = self.is_leaving() else {
+            return;
+        };
+        let mut counts = self.count();
+        let ms = since.elapsed().as_millis() as u64;
+        counts.leaving_longest_ms = counts.leaving_longest_ms.max(ms);
+        counts.work_after_leaving += u64::from(since.elapsed() > LEAVING_LIMIT);
     }
 
     /// Computes a prompt and exports its KV cache; `None` if cancelled.
@@ -308,13 +273,17 @@
     async fn import(&self, attempt: &str) -> Option<u64> {
         let export = self.exports.take(attempt)?;
         let bytes = export.tokens * self.pool.kv_per_token.0;
-        let _turn_in = self.link_in.lock().await;
-        let _turn_out = export.link.lock().await;
-        if self.hits(EngineFault::StallTransfer) {
-            tokio::time::sleep(STALL).await;
-        }
+        let transfer = async {
+            if self.hits(EngineFault::StallTransfer) {
+                // A stalled transfer keeps its memory at both ends and uses no bandwidth.
+                tokio::time::sleep(STALL).await;
+            }
+            let _turn_in = self.link_in.lock().await;
+            let _turn_out = export.link.lock().await;
+            sleep_ms(self.pool.link.millis_for(bytes as f64)).await;
+        };
         tokio::select! {
-            () = sleep_ms(self.pool.link.millis_for(bytes as f64)) => {}
+            () = transfer => {}
             () = export.hold.cancel.cancelled() => return None,
         }
         self.count().imported_tokens += export.computed;
@@ -346,9 +315,12 @@
     }
 
     async fn generate(self: Arc<Self>, generation: Arc<Generation>, hold: Hold) {
+        // Counted from the word before, so that late timers do not add up.
+        let mut next = tokio::time::Instant::now();
         for made in 1..=generation.output {
+            next += self.token_gap();
             tokio::select! {
-                () = tokio::time::sleep(self.token_gap()) => {}
+                () = tokio::time::sleep_until(next) => {}
                 () = hold.cancel.cancelled() => break,
             }
             generation.made.send_replace(made);
--- a/crates/server/src/model/check.rs
+++ b/crates/server/src/model/check.rs
@@ -6,19 +6,18 @@
 use bv_config::{Inventory, Model};
 use bv_place::prefix_key;
 use bv_types::{Fingerprint, Millis, Refusal, Tokens};
-use hyper::http::request::Parts;
-use hyper::{HeaderMap, Version};
+use hyper::Version;
 use serde_json::{Value, json};
-use smol_str::{SmolStr, ToSmolStr};
+use smol_str::SmolStr;
 
-use crate::callers::PeerAddr;
+use crate::device::{device_of, team_of};
+use crate::limits::{self, TeamPermit};
 use crate::{Host, body};
 
 /// Bytes of JSON in one token of a prompt, on average over the workloads.
 const BYTES_PER_TOKEN: u64 = 4;
 
 /// A checked model call.
-#[derive(Debug)]
 pub(super) struct Call {
     pub inventory: Arc<Inventory>,
     pub model: Model,
@@ -28,6 +27,8 @@
     /// Whether events are sent only when all are there.
     pub buffered: bool,
     pub team: SmolStr,
+    /// Share of the team's limits; held until the answer has ended.
+    pub permit: Option<Arc<TeamPermit>>,
     pub prompt: Tokens,
     pub max_output: Tokens,
     pub prefix: u64,
@@ -39,7 +40,7 @@
 ///
 /// # Errors
 /// Returns the reason of the refusal.
-pub(super) async fn read(host: &Host, req: Request) -> Result<Call, Refusal> {
+pub(super) async fn read(host: &Arc<Host>, req: Request) -> Result<Call, Refusal> {
     let current = host.conf.current().ok_or(Refusal::NotConfigured)?;
     let inventory = current.inventory;
     let (parts, body) = req.into_parts();
@@ -55,12 +56,17 @@
     // The engine must not generate more than is reserved.
     body["max_tokens"] = json!(max_output.0);
     let messages = body["messages"].to_string();
+    let prompt = Tokens((messages.len() as u64 / BYTES_PER_TOKEN).max(1));
+    let device = device_of(&inventory, &parts);
+    // Callers without a team are told apart by their address.
+    let team = team_of(&inventory, &device).map_or(device.clone(), |team| team.id.as_str().into());
     let streamed = body["stream"].as_bool().unwrap_or(false);
     Ok(Call {
-        team: team(&inventory, &parts),
+        permit: permit(host, &inventory, &device, prompt, max_output).await?,
+        team,
         streamed,
         buffered: streamed && parts.version == Version::HTTP_10,
-        prompt: Tokens((messages.len() as u64 / BYTES_PER_TOKEN).max(1)),
+        prompt,
         max_output,
         prefix: prefix_key(messages.as_bytes()),
         fingerprint: Fingerprint::digest([model.id.as_str().as_bytes(), &raw[..]]),
@@ -78,25 +84,17 @@
     Tokens(asked.unwrap_or(model.max_output.0).max(1))
 }
 
-/// Team of the device, or its address, so that callers without a team are told apart.
-fn team(inventory: &Inventory, parts: &Parts) -> SmolStr {
-    let device = inventory
-        .device_header
-        .as_ref()
-        .and_then(|name| device(&parts.headers, name))
-        .or_else(|| {
-            let peer = parts.extensions.get::<PeerAddr>()?;
-            Some(peer.0.ip().to_smolstr())
-        })
-        .unwrap_or_default();
-    match inventory.device(&device) {
-        Some(device) => device.team.as_str().into(),
-        None => device,
-    }
-}
-
-/// The last address of the header, which the balancer has added itself.
-fn device(headers: &HeaderMap, name: &str) -> Option<SmolStr> {
-    let value = headers.get_all(name).iter().next_back()?.to_str().ok()?;
-    value.rsplit(',').next().map(|last| last.trim().into())
+async fn permit(
+    host: &Arc<Host>,
+    inventory: &Inventory,
+    device: &str,
+    prompt: Tokens,
+    max_output: Tokens,
+) -> Result<Option<Arc<TeamPermit>>, Refusal> {
+    let Some(team) = team_of(inventory, device) else {
+        return Ok(None);
+    };
+    let tokens = Tokens(prompt.0 + max_output.0);
+    let permit = limits::admit(host, team, tokens).await?;
+    Ok(Some(Arc::new(permit)))
 }
