Ask a silent home again and poll twice before a runner is unusable

On a machine with a load of 37 on 10 cores, 302 calls in 15 s at 130% load went to the second home, which grants the same slots again, and single late load reports made runners unusable (17 and 59 requests refused with no_backend). A timed-out call to a home is repeated once, a home that answers neither is passed over for 1 s, and a load report is asked for twice.

--- a/crates/server/src/placement/ask.rs
+++ b/crates/server/src/placement/ask.rs
@@ -13,10 +13,16 @@
 use super::grants::{GrantGuard, OpenGrant, send_release};
 use super::shards::class_of;
 use super::{Keeper, refusal_of, shards};
+use crate::peers::PeerCause;
 use crate::{Host, counters};
 
 /// Time within which a home must answer, if only that the request is queued.
 const FIRST_TIMEOUT: Millis = Millis(150);
+/// Time for a second call to the same home. Another home would not know its reservations and
+/// grant them again, so a short pause of a busy home must not lead there.
+const SECOND_TIMEOUT: Millis = Millis(350);
+/// Time for which a home that answered neither call is passed over.
+const SILENT_TIME: Millis = Millis(1_000);
 /// Time for which a home keeps the first call; a busy home needs the rest of the timeout.
 const FIRST_WAIT: Millis = Millis(20);
 /// Time for which a home keeps a further call for a queued request.
@@ -71,6 +77,9 @@
             .into_iter()
             .take(HOMES_ASKED)
         {
+            if host.placement.is_silent(&home, host.clock.now()) {
+                continue;
+            }
             match ask_home(host, model, ask, &shard, &home).await {
                 Reply::Granted(granted) => return Ok(*granted),
                 Reply::Denied(reason) => {
@@ -120,6 +129,7 @@
     };
     let mut wait = FIRST_WAIT;
     let mut timeout = FIRST_TIMEOUT;
+    let mut is_repeated = false;
     loop {
         let now = host.clock.now();
         let reserve = reserve(host, model, ask, shard, now, wait);
@@ -156,10 +166,18 @@
             Ok(Body::Queued(_)) => {
                 wait = NEXT_WAIT;
                 timeout = NEXT_WAIT + NEXT_MARGIN;
+                is_repeated = false;
             }
             Ok(_) => return Reply::Unreachable,
+            Err(err) if matches!(err.cause, PeerCause::Timeout(_)) && !is_repeated => {
+                debug!(%err, "place: asking the home again");
+                timeout = SECOND_TIMEOUT;
+                is_repeated = true;
+            }
             Err(err) => {
                 debug!(%err, "place: the home does not answer");
+                host.placement
+                    .note_silent(home, host.clock.now() + SILENT_TIME);
                 return Reply::Unreachable;
             }
         }
--- a/crates/server/src/placement/mod.rs
+++ b/crates/server/src/placement/mod.rs
@@ -11,7 +11,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use bv_place::Policy;
-use bv_types::{BackendId, Fingerprint, HostId, Refusal};
+use bv_types::{BackendId, Fingerprint, HostId, Millis, Refusal};
 use smol_str::SmolStr;
 
 pub(crate) use answer::{adopt, prefill_done, release, reserve};
@@ -40,6 +40,8 @@
     open: Mutex<Vec<OpenGrant>>,
     /// Grants without a home, by runner.
     blind: Mutex<Vec<(BackendId, u32)>>,
+    /// Homes that did not answer, and until when they are passed over.
+    silent: Mutex<Vec<(HostId, Millis)>>,
     /// Last known load of each shard in percent, sorted by key.
     loads: Mutex<Vec<(SmolStr, u32)>>,
 }
@@ -56,6 +58,7 @@
             homes: Mutex::default(),
             open: Mutex::default(),
             blind: Mutex::default(),
+            silent: Mutex::default(),
             loads: Mutex::default(),
         }
     }
@@ -73,6 +76,19 @@
             .collect()
     }
 
+    fn note_silent(&self, home: &HostId, until: Millis) {
+        let mut silent = lock(&self.silent);
+        silent.retain(|(known, _)| known != home);
+        silent.push((home.clone(), until));
+    }
+
+    fn is_silent(&self, home: &HostId, now: Millis) -> bool {
+        let silent = lock(&self.silent);
+        silent
+            .iter()
+            .any(|(known, until)| known == home && now < *until)
+    }
+
     fn note_load(&self, shard: &SmolStr, percent: u32) {
         let mut loads = lock(&self.loads);
         match loads.binary_search_by(|(key, _)| key.cmp(shard)) {
--- a/crates/server/src/placement/poll.rs
+++ b/crates/server/src/placement/poll.rs
@@ -18,6 +18,7 @@
 const POLL: Millis = Millis(250);
 /// Time for one load report.
 const POLL_TIMEOUT: Millis = Millis(200);
+const POLL_TRIES: u32 = 2;
 /// Ticks of the shards between two polls.
 const TICKS: u32 = 5;
 
@@ -57,9 +58,17 @@
         };
         let client = host.engines.clone();
         polls.spawn(async move {
-            let load = client.load(addr);
-            let load = tokio::time::timeout(POLL_TIMEOUT.duration(), load).await;
-            (runner.id, load.ok().and_then(Result::ok))
+            let mut load = None;
+            // A single late answer does not make a runner unusable.
+            for _ in 0..POLL_TRIES {
+                let answer = client.load(addr);
+                let answer = tokio::time::timeout(POLL_TIMEOUT.duration(), answer).await;
+                load = answer.ok().and_then(Result::ok);
+                if load.is_some() {
+                    break;
+                }
+            }
+            (runner.id, load)
         });
     }
     while let Some(Ok((runner, load))) = polls.join_next().await {
