Copy the grants of a home's own requests to the second in rank

When a paused entry host was itself the home of a shard, nobody else knew its grants, and its attempts held engine memory until their streams ended (the test host_gone saw it after 12 s). A host that is home of its own request now registers the grant with the second home in rank, which cancels it when the host is dead.

--- /dev/null
+++ b/crates/lab/tests/host_gone.rs
@@ -0,0 +1,88 @@
+//! Engine memory and streams when an entry host is gone, whichever part it had.
+
+mod common;
+#[allow(dead_code)]
+mod model;
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bv_lab::Deployment;
+use common::{send_signal, start_hosts};
+use model::{Answer, chat, deployment, request};
+use rustix::process::Signal;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+const HOSTS: usize = 3;
+/// About 30 s, so that no stream ends by itself within the bound.
+const LONG_OUTPUT: u64 = 1_400;
+const OUTPUT: u64 = 300;
+/// Bound of the design: detection in 8 s, 2 s of grace, and the cancels.
+const FREED_WITHIN: Duration = Duration::from_secs(12);
+
+async fn open_stream(addr: SocketAddr, nonce: &str) -> TcpStream {
+    let mut caller = TcpStream::connect(addr).await.unwrap();
+    let text = request("HTTP/1.1", nonce, LONG_OUTPUT, true);
+    caller.write_all(text.as_bytes()).await.unwrap();
+    caller
+}
+
+fn held(deployment: &Deployment, nonce: &str) -> bool {
+    let engines = deployment.engines.iter();
+    let mut attempts = engines.flat_map(|engine| engine.held_attempts());
+    attempts.any(|attempt| attempt.nonce == nonce)
+}
+
+async fn wait_held(deployment: &Deployment, nonce: &str, wanted: bool, limit: Duration) {
+    let start = Instant::now();
+    while held(deployment, nonce) != wanted {
+        assert!(
+            start.elapsed() < limit,
+            "{nonce} is held {} after {limit:?}",
+            !wanted
+        );
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Pauses one host with an open stream; the streams of the others must go on.
+async fn paused(index: usize) {
+    let deployment = deployment().await;
+    let hosts = start_hosts(&deployment, HOSTS).await;
+    let caller = open_stream(hosts[index].spec.caller_addr, "n9-0").await;
+    wait_held(&deployment, "n9-0", true, Duration::from_secs(5)).await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let others: Vec<_> = (0..HOSTS).filter(|other| *other != index).collect();
+    let calls = others.iter().map(|other| {
+        let addr = hosts[*other].spec.caller_addr;
+        async move {
+            (
+                *other,
+                chat(addr, &format!("n10-{other}"), OUTPUT, true).await,
+            )
+        }
+    });
+    let calls = futures_util::future::join_all(calls);
+    let pause = async {
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        send_signal(&hosts[index], Signal::STOP);
+        wait_held(&deployment, "n9-0", false, FREED_WITHIN).await;
+        send_signal(&hosts[index], Signal::CONT);
+    };
+    let (answers, ()): (Vec<(usize, Answer)>, ()) = tokio::join!(calls, pause);
+    for (other, answer) in answers {
+        assert!(
+            answer.is_whole_stream(&format!("n10-{other}"), OUTPUT),
+            "{answer:?}"
+        );
+    }
+    drop(caller);
+}
+
+/// Guards against memory held for a host that does not run, as first, second or no home.
+#[tokio::test(flavor = "multi_thread")]
+async fn paused_hosts() {
+    // One of the three is the home of the only shard and one is the second in rank.
+    tokio::join!(paused(0), paused(1), paused(2));
+}
--- a/crates/server/src/placement/grants.rs
+++ b/crates/server/src/placement/grants.rs
@@ -35,6 +35,8 @@
     pub slot_ready: bool,
     /// Whether decode has started.
     pub decoding: bool,
+    /// Host that knows the grant too, because this host is itself the home.
+    pub(super) copied_to: Option<HostId>,
     /// Digest of the request.
     pub fingerprint: Fingerprint,
     /// The request as it was granted.
@@ -56,8 +58,12 @@
 }
 
 impl GrantGuard {
-    pub(super) fn new(host: &Arc<Host>, grant: OpenGrant) -> Self {
+    pub(super) fn new(host: &Arc<Host>, mut grant: OpenGrant) -> Self {
         let attempt = grant.attempt.clone();
+        grant.copied_to = copy_holder(host, &grant);
+        if let Some(second) = grant.copied_to.clone() {
+            tokio::spawn(send_copy(host.clone(), second, grant.clone()));
+        }
         lock(&host.placement.open).push(grant);
         GrantGuard {
             host: host.clone(),
@@ -90,6 +96,10 @@
         };
         let grant = open.swap_remove(at);
         drop(open);
+        if let Some(second) = grant.copied_to.clone() {
+            let (shard, attempt) = (grant.shard(), grant.attempt.clone());
+            send_release(&self.host, second, shard, attempt);
+        }
         match grant.keeper.clone() {
             Keeper::Blind => {
                 let placement = &self.host.placement;
@@ -137,18 +147,42 @@
     }
 }
 
-async fn send_adopt(host: Arc<Host>, home: HostId, grant: OpenGrant) {
-    let shard = grant.shard();
-    let elapsed = (host.clock.now() - grant.at).0;
-    let mut reserve = grant.reserve;
+/// Second home in rank, if this host is the first. Nobody else would know the grants of a host
+/// that is home of its own requests, and cancel them when it dies.
+fn copy_holder(host: &Host, grant: &OpenGrant) -> Option<HostId> {
+    let this = &host.settings.host_id;
+    if grant.keeper != Keeper::Home(this.clone()) {
+        return None;
+    }
+    let ranked = shards::homes(&grant.shard(), &host.peers.alive());
+    ranked.into_iter().find(|home| home != this)
+}
+
+async fn send_copy(host: Arc<Host>, second: HostId, mut grant: OpenGrant) {
+    // The copy lasts until the release or the deadline, whatever becomes of the prefill.
+    grant.decoding = true;
+    let call = adopt(host.clock.now(), &grant);
+    if let Err(err) = host.peers.call(&second, call, CALL_TIMEOUT).await {
+        debug!(%err, "place: copying a grant failed");
+    }
+}
+
+fn adopt(now: Millis, grant: &OpenGrant) -> Body {
+    let elapsed = (now - grant.at).0;
+    let mut reserve = grant.reserve.clone();
     reserve.deadline_ms = reserve.deadline_ms.saturating_sub(elapsed);
     reserve.first_token_ms = reserve.first_token_ms.saturating_sub(elapsed);
-    let call = Body::Adopt(Adopt {
+    Body::Adopt(Adopt {
         request: Some(reserve),
         prefill: grant.prefill.to_string(),
         decode: grant.decode.to_string(),
         decoding: grant.decoding,
-    });
+    })
+}
+
+async fn send_adopt(host: Arc<Host>, home: HostId, grant: OpenGrant) {
+    let shard = grant.shard();
+    let call = adopt(host.clock.now(), &grant);
     match host.peers.call(&home, call, CALL_TIMEOUT).await {
         Ok(Body::Done(_)) => {}
         Ok(_) => return,
