Let the deadline decide on urgent streams

Urgent streams were refused when the first token was predicted late, although they would have met their deadline. The first-token target now refuses waiting streams only.

--- a/crates/server/src/model/attempt.rs
+++ b/crates/server/src/model/attempt.rs
@@ -85,8 +85,10 @@
 
 fn ask(call: &Call, attempt: AttemptId, avoid: &[BackendId]) -> Ask {
     let deadline = call.arrived + call.model.deadline;
-    // Only a stream shows its first token, and a repeated attempt is better late than not.
-    let first_token_by = match call.streamed && !call.buffered && attempt.attempt == 0 {
+    // Only a stream shows its first token, and a repeated attempt is better late than not, as is an
+    // urgent answer: its deadline decides, since it takes little of the capacity.
+    let is_due = call.streamed && !call.buffered && attempt.attempt == 0;
+    let first_token_by = match is_due && call.model.class == Class::Waiting {
         true => call.arrived + call.model.first_token,
         false => deadline,
     };
