Refuse requests that crash engines

Cause: a request that crashes engines was retried and resent without end; the blame part was not connected. Change: homes follow which request runs on which runner, blame those in flight when a runner's process changes or refuses connections, keep suspects on separate runners, and share scores and convictions as rumours. The reserve and release messages carry the request's digest and how an attempt ended.

--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -55,6 +55,7 @@
 //!     token_gap: Millis(71),
 //!     deadline: now + Millis::from_secs(5),
 //!     avoid: Vec::new(),
+//!     suspect: false,
 //! };
 //! let actions = shard.handle(now, Event::Reserve(request));
 //! let [Action::Grant(grant)] = &actions[..] else { panic!("{actions:?}") };
--- a/crates/place/src/planned.rs
+++ b/crates/place/src/planned.rs
@@ -3,7 +3,7 @@
 use bv_types::{Millis, Tokens};
 
 use crate::affinity::score;
-use crate::hold::Phase;
+use crate::hold::{Hold, Phase};
 use crate::predict::ceil;
 use crate::runner::{Runner, Usage};
 use crate::shard::Shard;
@@ -104,7 +104,11 @@
 
     /// Usable runners; those on which the request failed only if there are no others.
     fn candidates(&self, role: Role, request: &Request) -> Vec<usize> {
-        let all: Vec<usize> = self.usable(role).map(|(index, _)| index).collect();
+        let all: Vec<usize> = self
+            .usable(role)
+            .map(|(index, _)| index)
+            .filter(|index| !request.suspect || !self.holds_suspect(*index))
+            .collect();
         let failed = |index: &usize| request.avoid.contains(&self.runners[*index].spec.id);
         let others: Vec<usize> = all.iter().copied().filter(|i| !failed(i)).collect();
         match others.is_empty() {
@@ -113,6 +117,20 @@
         }
     }
 
+    /// Whether a suspect prefills or decodes on a runner, or will do so.
+    fn holds_suspect(&self, index: usize) -> bool {
+        self.runners.iter().enumerate().any(|(decode, runner)| {
+            let here = |hold: &Hold| match hold.phase {
+                Phase::Prefill => hold.prefill == index || decode == index,
+                Phase::Ready | Phase::Decode => decode == index,
+            };
+            runner
+                .holds
+                .iter()
+                .any(|hold| hold.request.suspect && here(hold))
+        })
+    }
+
     /// Quick check that leaves out full runners before pairs are examined.
     fn may_fit(&self, request: &Request, usage: &Usage, max_batch: u32) -> bool {
         let waiting = request.class == Class::Waiting;
--- a/crates/place/src/spec.rs
+++ b/crates/place/src/spec.rs
@@ -100,6 +100,9 @@
     pub deadline: Millis,
     /// Runners on which earlier attempts failed; used only if there are no others.
     pub avoid: Vec<BackendId>,
+    /// Whether it was in flight when an engine crashed; such requests do not share a runner, so
+    /// that a further crash points to one of them.
+    pub suspect: bool,
 }
 
 impl Request {
--- a/crates/place/tests/common/mod.rs
+++ b/crates/place/tests/common/mod.rs
@@ -92,6 +92,7 @@
         token_gap: Millis(71),
         deadline: now + Millis::from_secs(30),
         avoid: Vec::new(),
+        suspect: false,
     }
 }
 
--- a/crates/server/src/crash.rs
+++ b/crates/server/src/crash.rs
@@ -1,18 +1,83 @@
-//! Engine crashes and the requests that cause them.
+//! Requests that crash engines: blame over all entry hosts.
 
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use bv_blame::{Action, Blame, Event, Score};
+use bv_member::Rumour;
 use bv_types::{BackendId, Fingerprint};
-use tracing::warn;
+use tracing::{info, warn};
 
 use crate::{Host, counters};
 
+/// Blame kept by this host, for the runners of its shards and from other hosts.
+#[derive(Debug, Default)]
+pub(crate) struct Crashes(Mutex<Blame>);
+
+impl Crashes {
+    fn lock(&self) -> MutexGuard<'_, Blame> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 /// Notes that the connection to a runner was lost while attempts were in flight there.
-pub(crate) fn engine_crashed(host: &Host, runner: &BackendId) {
-    let in_flight = host.placement.in_flight(runner);
-    warn!(%runner, in_flight = in_flight.len(), "model: lost the engine");
+pub(crate) fn engine_lost(runner: &BackendId) {
+    warn!(%runner, "model: lost the engine");
     counters::engine_crashed();
 }
 
 /// Whether requests with this content are refused because they crash engines.
-pub(crate) fn is_convicted(_host: &Host, _fingerprint: &Fingerprint) -> bool {
-    false
+pub(crate) fn is_convicted(host: &Host, request: &Fingerprint) -> bool {
+    let now = host.clock.now();
+    host.crashes.lock().is_convicted(now, *request)
+}
+
+/// Whether the request was in flight at a crash and has not finished since.
+pub(crate) fn is_suspect(host: &Host, request: Fingerprint) -> bool {
+    let now = host.clock.now();
+    host.crashes.lock().is_suspect(now, request)
+}
+
+/// Passes an event to the blame part and tells the other hosts what changed.
+pub(crate) fn handle(host: &Host, event: Event) {
+    let now = host.clock.now();
+    let actions = host.crashes.lock().handle(now, event);
+    for action in actions {
+        host.peers.add_rumour(match action {
+            Action::ShareScore { request, score } => {
+                info!(%request, score = score.0, "blame: score changed");
+                Rumour::Suspect {
+                    fingerprint: request,
+                    score: score.0,
+                }
+            }
+            Action::ShareConviction { request, until } => {
+                warn!(%request, "blame: request crashes engines and is refused");
+                Rumour::Convicted {
+                    fingerprint: request,
+                    until,
+                }
+            }
+        });
+    }
+}
+
+/// Takes over what another host found.
+pub(crate) fn hear(host: &Host, rumour: &Rumour) {
+    match *rumour {
+        Rumour::Suspect { fingerprint, score } => handle(
+            host,
+            Event::HeardScore {
+                request: fingerprint,
+                score: Score(score),
+            },
+        ),
+        Rumour::Convicted { fingerprint, until } => handle(
+            host,
+            Event::HeardConviction {
+                request: fingerprint,
+                until,
+            },
+        ),
+        Rumour::Config { .. } | Rumour::Leaving { .. } => {}
+    }
 }
--- a/crates/server/src/host.rs
+++ b/crates/server/src/host.rs
@@ -12,6 +12,7 @@
 
 use crate::claims::{self, Claims};
 use crate::conf::Conf;
+use crate::crash::Crashes;
 use crate::engine::EngineClient;
 use crate::leaving::Leaving;
 use crate::limits::TeamLimits;
@@ -65,6 +66,7 @@
     pub(crate) retries: RetryBudget,
     pub(crate) shutdown: Shutdown,
     pub(crate) limits: TeamLimits,
+    pub(crate) crashes: Crashes,
     sequence: AtomicU64,
 }
 
@@ -97,6 +99,7 @@
             engines: EngineClient::new(settings.bind_ip),
             shutdown: Shutdown::default(),
             limits: TeamLimits::default(),
+            crashes: Crashes::default(),
             sequence: AtomicU64::new(0),
             clock,
             settings,
--- a/crates/server/src/members.rs
+++ b/crates/server/src/members.rs
@@ -5,8 +5,8 @@
 use tokio::sync::broadcast::error::RecvError;
 use tracing::warn;
 
-use crate::Host;
 use crate::peers::PeerEvent;
+use crate::{Host, crash};
 
 /// Passes membership events on until the process ends.
 pub(crate) async fn follow(host: Arc<Host>) {
@@ -27,7 +27,8 @@
             host.limits.host_dead(&member.host, member.incarnation);
             host.host_dead(member.host, member.incarnation);
         }
-        PeerEvent::Rumour { .. } | PeerEvent::DeclaredDead { .. } => return,
+        PeerEvent::Rumour { rumour, .. } => return crash::hear(host, &rumour),
+        PeerEvent::DeclaredDead { .. } => return,
     }
     host.set_committers(host.peers.alive().len());
 }
--- a/crates/server/src/model/attempt.rs
+++ b/crates/server/src/model/attempt.rs
@@ -7,6 +7,7 @@
 use axum::response::{IntoResponse, Response};
 use bv_config::{Class, Model};
 use bv_types::{AttemptId, BackendId, Millis, Refusal, RetryReason};
+use bv_wire::AttemptEnd;
 use serde_json::{Value, json};
 use tracing::debug;
 
@@ -162,7 +163,7 @@
         let answer = self.host.engines.chat("decode", addr, &self.id, &body);
         match tokio::time::timeout(limit, answer).await {
             Ok(Ok(answer)) => {
-                self.open.finish();
+                self.finish();
                 Ok(axum::Json(answer).into_response())
             }
             Ok(Err(err)) => Err(self.failed(&runner, &err)),
@@ -190,11 +191,18 @@
         (self.deadline - self.host.clock.now()).duration()
     }
 
+    /// Notes that the whole answer has arrived and no engine memory is held.
+    pub fn finish(&mut self) {
+        self.open.finish();
+        self.guard.ended(AttemptEnd::Whole);
+    }
+
     /// Notes why a call to a runner failed.
-    pub fn failed(&self, runner: &BackendId, err: &CallError) -> Failure {
+    pub fn failed(&mut self, runner: &BackendId, err: &CallError) -> Failure {
         debug!(%err, attempt = %self.id, "model: attempt failed");
         if matches!(err, CallError::Lost { .. }) {
-            crash::engine_crashed(&self.host, runner);
+            crash::engine_lost(runner);
+            self.guard.ended(AttemptEnd::ConnectionLost);
         }
         broken(runner, err.reason())
     }
--- a/crates/server/src/model/stream.rs
+++ b/crates/server/src/model/stream.rs
@@ -45,7 +45,7 @@
 
 impl DecodeStream {
     /// Starts decode and reads the first event.
-    pub async fn start(attempt: Attempt, decode: Decode) -> Result<Self, Failure> {
+    pub async fn start(mut attempt: Attempt, decode: Decode) -> Result<Self, Failure> {
         let runner = attempt.grant.decode.clone();
         let client = &attempt.host.engines;
         let events = client.chat_stream("decode", decode.addr, &attempt.id, &decode.body, None);
@@ -103,7 +103,8 @@
             }
             tokio::time::sleep(RESUME_INTERVAL.duration()).await;
         }
-        let _ = self.attempt.failed(&self.attempt.grant.decode, &err);
+        let runner = self.attempt.grant.decode.clone();
+        let _ = self.attempt.failed(&runner, &err);
         Err(err)
     }
 
@@ -117,7 +118,7 @@
                 }
                 Ok(Event::Done(data)) => {
                     text.extend_from_slice(&data);
-                    self.attempt.open.finish();
+                    self.attempt.finish();
                     return Ok((EVENT_STREAM, text.freeze()).into_response());
                 }
                 Ok(Event::Data(_)) => {
@@ -167,7 +168,7 @@
                 Event::Done(data) => (data, true),
             };
             if done {
-                self.attempt.open.finish();
+                self.attempt.finish();
             }
             match tokio::time::timeout(WRITE_TIMEOUT, tx.send(Ok(data))).await {
                 Ok(Ok(())) if done => return Ok(()),
--- a/crates/server/src/placement/answer.rs
+++ b/crates/server/src/placement/answer.rs
@@ -3,26 +3,38 @@
 use std::sync::Arc;
 
 use bv_place::{Adoption, Class, Event, Request};
-use bv_types::{AttemptId, Millis, ParseError, Refusal, Tokens};
+use bv_types::{AttemptId, Fingerprint, Millis, ParseError, Refusal, Tokens};
 use bv_wire::frame::Body;
 use bv_wire::{Adopt, Deny, Done, Grant, PrefillDone, Queued, Release, Reserve, Unsupported};
 use tokio::sync::oneshot;
 
 use super::home::{Home, Verdict};
 use super::{lock, poll, shards};
-use crate::Host;
+use crate::{Host, crash};
 
 /// Longest time for which a call is kept open.
 const MAX_WAIT: Millis = Millis(2_000);
 
 /// Answers `Reserve` when the request is granted or refused, or when its waiting time has passed.
 pub(crate) async fn reserve(host: &Arc<Host>, call: Reserve) -> Body {
-    let Ok(request) = request(host.clock.now(), &call) else {
+    let Ok(mut request) = request(host.clock.now(), &call) else {
         return Body::Unsupported(Unsupported {});
     };
     let Some(home) = home(host, &call.shard).await else {
         return deny(Refusal::NoBackend, 0);
     };
+    if request.attempt.attempt > 0 {
+        // The attempt before may have crashed its engine, which the home must know before it
+        // chooses the next one; the regular poll comes up to 250 ms later.
+        poll::poll(host.clone(), home.clone()).await;
+    }
+    if let Some(content) = content(&call) {
+        if crash::is_convicted(host, &content) {
+            return deny(Refusal::CrashesEngines, home.load_percent());
+        }
+        request.suspect = crash::is_suspect(host, content);
+        home.note_request(&request.attempt, content);
+    }
     let attempt = request.attempt.clone();
     let answer = home.ask(host, attempt, Event::Reserve(request));
     wait(&home, call.wait_ms, answer).await
@@ -46,7 +58,7 @@
         return Body::Unsupported(Unsupported {});
     };
     if let Some(home) = find(host, &call.shard) {
-        home.handle(host, Event::Release(attempt));
+        home.end(host, attempt, call.end());
     }
     Body::Done(Done {})
 }
@@ -65,16 +77,13 @@
     let Some(home) = home(host, &reserve.shard).await else {
         return deny(Refusal::NoBackend, 0);
     };
-    let decoding = call.decoding;
-    home.handle(
-        host,
-        Event::Adopt(Adoption {
-            request,
-            prefill,
-            decode,
-            decoding,
-        }),
-    );
+    let adoption = Adoption {
+        request,
+        prefill,
+        decode,
+        decoding: call.decoding,
+    };
+    home.adopt(host, adoption, content(&reserve));
     Body::Done(Done {})
 }
 
@@ -134,6 +143,11 @@
     }
 }
 
+fn content(call: &Reserve) -> Option<Fingerprint> {
+    let bytes = call.fingerprint.as_slice().try_into().ok()?;
+    Some(Fingerprint(bytes))
+}
+
 fn request(now: Millis, call: &Reserve) -> Result<Request, ParseError> {
     Ok(Request {
         attempt: call.attempt.parse()?,
@@ -150,5 +164,6 @@
         token_gap: Millis(call.token_gap_ms),
         deadline: now + Millis(call.deadline_ms),
         avoid: call.avoid.iter().filter_map(|id| id.parse().ok()).collect(),
+        suspect: false,
     })
 }
--- a/crates/server/src/placement/ask.rs
+++ b/crates/server/src/placement/ask.rs
@@ -6,7 +6,7 @@
 use bv_place::{Class, score};
 use bv_types::{AttemptId, BackendId, Fingerprint, HostId, Millis, Refusal, RetryReason, Tokens};
 use bv_wire::frame::Body;
-use bv_wire::{PrefillDone, Reserve};
+use bv_wire::{AttemptEnd, PrefillDone, Reserve};
 use smol_str::SmolStr;
 use tracing::debug;
 
@@ -135,7 +135,6 @@
                     first_token: Millis(grant.first_token_ms),
                     slot_ready: grant.slot_ready,
                     decoding: false,
-                    fingerprint: ask.fingerprint,
                     reserve,
                     at: now,
                 };
@@ -168,7 +167,9 @@
 impl Drop for Withdraw<'_> {
     fn drop(&mut self) {
         if let Some(attempt) = self.attempt.take() {
-            send_release(self.host, self.home.clone(), self.shard.clone(), attempt);
+            let shard = self.shard.clone();
+            let end = AttemptEnd::Stopped;
+            send_release(self.host, self.home.clone(), shard, attempt, end);
         }
     }
 }
@@ -195,6 +196,7 @@
         deadline_ms: (ask.deadline - now).0,
         wait_ms: wait.0,
         avoid: ask.avoid.iter().map(ToString::to_string).collect(),
+        fingerprint: ask.fingerprint.0.to_vec(),
     }
 }
 
@@ -222,7 +224,6 @@
         first_token: left,
         slot_ready: true,
         decoding: false,
-        fingerprint: ask.fingerprint,
         reserve: reserve(host, model, ask, shard, now, Millis::ZERO),
         at: now,
     };
--- a/crates/server/src/placement/grants.rs
+++ b/crates/server/src/placement/grants.rs
@@ -2,9 +2,9 @@
 
 use std::sync::Arc;
 
-use bv_types::{AttemptId, BackendId, Fingerprint, HostId, Millis};
+use bv_types::{AttemptId, BackendId, HostId, Millis};
 use bv_wire::frame::Body;
-use bv_wire::{Adopt, Release, Reserve};
+use bv_wire::{Adopt, AttemptEnd, Release, Reserve};
 use smol_str::SmolStr;
 use tracing::debug;
 
@@ -35,8 +35,6 @@
     pub slot_ready: bool,
     /// Whether decode has started.
     pub decoding: bool,
-    /// Digest of the request.
-    pub fingerprint: Fingerprint,
     /// The request as it was granted.
     pub(super) reserve: Reserve,
     /// Time of the grant.
@@ -53,6 +51,7 @@
 pub(crate) struct GrantGuard {
     host: Arc<Host>,
     attempt: AttemptId,
+    end: AttemptEnd,
 }
 
 impl GrantGuard {
@@ -62,9 +61,15 @@
         GrantGuard {
             host: host.clone(),
             attempt,
+            end: AttemptEnd::Stopped,
         }
     }
 
+    /// Notes how the attempt ended, for the release.
+    pub fn ended(&mut self, end: AttemptEnd) {
+        self.end = end;
+    }
+
     /// Notes that decode starts.
     pub fn decoding(&self) {
         let mut open = lock(&self.host.placement.open);
@@ -95,17 +100,26 @@
                 let placement = &self.host.placement;
                 placement.release_blind([&grant.prefill, &grant.decode]);
             }
-            Keeper::Home(home) => send_release(&self.host, home, grant.shard(), grant.attempt),
+            Keeper::Home(home) => {
+                send_release(&self.host, home, grant.shard(), grant.attempt, self.end);
+            }
         }
     }
 }
 
 /// Tells a home that an attempt has ended or is withdrawn.
-pub(super) fn send_release(host: &Arc<Host>, home: HostId, shard: SmolStr, attempt: AttemptId) {
+pub(super) fn send_release(
+    host: &Arc<Host>,
+    home: HostId,
+    shard: SmolStr,
+    attempt: AttemptId,
+    end: AttemptEnd,
+) {
     let host = host.clone();
     let call = Body::Release(Release {
         shard: shard.to_string(),
         attempt: attempt.to_string(),
+        end: end.into(),
     });
     tokio::spawn(async move {
         for _ in 0..RELEASE_TRIES {
@@ -164,5 +178,5 @@
     }
     drop(open);
     // The attempt ended while the message was under way.
-    send_release(&host, home, shard, grant.attempt);
+    send_release(&host, home, shard, grant.attempt, AttemptEnd::Stopped);
 }
--- a/crates/server/src/placement/home.rs
+++ b/crates/server/src/placement/home.rs
@@ -2,13 +2,15 @@
 
 use std::sync::{Arc, Mutex};
 
-use bv_place::{Action, Event, Grant, Policy, Shard, ShardSpec};
-use bv_types::{AttemptId, Millis, Refusal};
+use bv_place::{Action, Adoption, Event, Grant, Policy, Shard, ShardSpec};
+use bv_types::{AttemptId, BackendId, Fingerprint, Millis, Refusal};
+use bv_wire::AttemptEnd;
 use smol_str::SmolStr;
 use tokio::sync::{OnceCell, oneshot};
 
+use super::flights::Flights;
 use super::lock;
-use crate::{Host, open_attempt};
+use crate::{Host, crash, open_attempt};
 
 /// Answer to a waiting call.
 #[derive(Debug, Clone)]
@@ -32,6 +34,7 @@
 struct State {
     shard: Shard,
     spec: ShardSpec,
+    flights: Flights,
     /// Calls that wait for an answer, one for each attempt.
     waiters: Vec<(AttemptId, oneshot::Sender<Verdict>)>,
 }
@@ -44,6 +47,7 @@
             state: Mutex::new(State {
                 shard: Shard::new(spec.clone(), policy),
                 spec,
+                flights: Flights::default(),
                 waiters: Vec::new(),
             }),
         }
@@ -70,6 +74,35 @@
         rx
     }
 
+    /// Notes the content of a request before it asks for runners.
+    pub fn note_request(&self, attempt: &AttemptId, request: Fingerprint) {
+        lock(&self.state).flights.asked(attempt, request);
+    }
+
+    /// Takes over a grant of an earlier home.
+    pub fn adopt(&self, host: &Arc<Host>, adoption: Adoption, request: Option<Fingerprint>) {
+        let mut state = lock(&self.state);
+        if let Some(request) = request {
+            let blame = state.flights.adopted(&adoption, request);
+            report(host, blame);
+        }
+        state.handle(host, Event::Adopt(adoption));
+    }
+
+    /// Ends a grant or withdraws a queued request.
+    pub fn end(&self, host: &Arc<Host>, attempt: AttemptId, end: AttemptEnd) {
+        let mut state = lock(&self.state);
+        let blame = state.flights.end(host.clock.now(), &attempt, end);
+        report(host, blame);
+        state.handle(host, Event::Release(attempt));
+    }
+
+    /// Notes that a runner refuses connections, so that its process has ended.
+    pub fn crashed(&self, host: &Arc<Host>, runner: &BackendId) {
+        let blame = lock(&self.state).flights.crashed(runner);
+        report(host, blame);
+    }
+
     /// Puts changed runners or facts in force.
     pub fn configure(&self, spec: ShardSpec, policy: Policy) {
         let mut state = lock(&self.state);
@@ -99,19 +132,51 @@
 impl State {
     fn handle(&mut self, host: &Arc<Host>, event: Event) {
         let now: Millis = host.clock.now();
+        self.follow_runners(host, now, &event);
         for action in self.shard.handle(now, event) {
             match action {
                 Action::Grant(grant) => {
                     let attempt = grant.attempt.clone();
+                    report(host, self.flights.granted(&grant));
                     self.answer(&attempt, Verdict::Grant(grant));
                 }
-                Action::Deny { attempt, reason } => self.answer(&attempt, Verdict::Deny(reason)),
-                Action::Proceed(attempt) => self.answer(&attempt, Verdict::Proceed),
-                Action::Cancel { runner, attempt } => open_attempt::cancel(host, runner, attempt),
+                Action::Deny { attempt, reason } => {
+                    self.flights.forget(&attempt);
+                    self.answer(&attempt, Verdict::Deny(reason));
+                }
+                Action::Proceed(attempt) => {
+                    report(host, self.flights.decoding(&attempt));
+                    self.answer(&attempt, Verdict::Proceed);
+                }
+                Action::Cancel { runner, attempt } => {
+                    let end = self.flights.end(now, &attempt, AttemptEnd::Stopped);
+                    report(host, end);
+                    open_attempt::cancel(host, runner, attempt);
+                }
             }
         }
     }
 
+    /// Follows which runner works on a request, and which runners have crashed.
+    fn follow_runners(&mut self, host: &Host, now: Millis, event: &Event) {
+        match event {
+            Event::Report {
+                runner,
+                report: load,
+            } => {
+                report(host, self.flights.seen(runner, load.incarnation));
+            }
+            Event::PrefillDone(attempt) => report(host, self.flights.prefilled(attempt)),
+            Event::Tick => {
+                for ended in self.flights.expire(now) {
+                    crash::handle(host, ended);
+                }
+                crash::handle(host, bv_blame::Event::Tick);
+            }
+            _ => {}
+        }
+    }
+
     /// Answers a waiting call; if none waits, the shard repeats the answer when asked again.
     fn answer(&mut self, attempt: &AttemptId, verdict: Verdict) {
         if let Some(at) = self.waiters.iter().position(|(id, _)| id == attempt) {
@@ -121,3 +186,9 @@
         self.waiters.retain(|(_, tx)| !tx.is_closed());
     }
 }
+
+fn report(host: &Host, blame: Option<bv_blame::Event>) {
+    if let Some(event) = blame {
+        crash::handle(host, event);
+    }
+}
--- a/crates/server/src/placement/mod.rs
+++ b/crates/server/src/placement/mod.rs
@@ -3,6 +3,7 @@
 mod answer;
 mod ask;
 mod blind;
+mod flights;
 mod grants;
 mod home;
 mod poll;
@@ -11,7 +12,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use bv_place::Policy;
-use bv_types::{BackendId, Fingerprint, HostId, Refusal};
+use bv_types::{BackendId, HostId, Refusal};
 use smol_str::SmolStr;
 
 pub(crate) use answer::{adopt, prefill_done, release, reserve};
@@ -60,19 +61,6 @@
         }
     }
 
-    /// Digests of this host's requests that are at a runner now.
-    pub fn in_flight(&self, runner: &BackendId) -> Vec<Fingerprint> {
-        let at_runner = |grant: &&OpenGrant| match grant.decoding {
-            true => grant.decode == *runner,
-            false => grant.prefill == *runner,
-        };
-        let open = lock(&self.open);
-        open.iter()
-            .filter(at_runner)
-            .map(|g| g.fingerprint)
-            .collect()
-    }
-
     fn note_load(&self, shard: &SmolStr, percent: u32) {
         let mut loads = lock(&self.loads);
         match loads.binary_search_by(|(key, _)| key.cmp(shard)) {
--- a/crates/server/src/placement/poll.rs
+++ b/crates/server/src/placement/poll.rs
@@ -13,6 +13,7 @@
 use super::home::Home;
 use super::{grants, lock, shards};
 use crate::Host;
+use crate::engine::CallError;
 
 /// Time between load reports of a runner.
 const POLL: Millis = Millis(250);
@@ -59,10 +60,15 @@
         polls.spawn(async move {
             let load = client.load(addr);
             let load = tokio::time::timeout(POLL_TIMEOUT.duration(), load).await;
-            (runner.id, load.ok().and_then(Result::ok))
+            // A refusal within the time for a report comes from a host whose engine has ended.
+            let ended = matches!(load, Ok(Err(CallError::Refused { .. })));
+            (runner.id, load.ok().and_then(Result::ok), ended)
         });
     }
-    while let Some(Ok((runner, load))) = polls.join_next().await {
+    while let Some(Ok((runner, load, ended))) = polls.join_next().await {
+        if ended {
+            home.crashed(&host, &runner);
+        }
         let report = load.as_ref().and_then(report_of);
         if let Some(report) = &report {
             host.backend_seen(&runner, report.incarnation, report.leaving);
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -10,7 +10,7 @@
 pub use codec::{CodecError, DatagramCodec, FrameCodec, MAX_DATAGRAM_BYTES, MAX_FRAME_BYTES};
 pub use datagram::{Datagram, DatagramKind, News, Peer, PeerStatus, Sealed, news};
 pub use message::{
-    Adopt, Allowance, Config, ConfigChange, Deny, Done, Frame, GetConfig, GiveBack, Grant, Hello,
-    PrefillDone, Queued, Release, Reserve, TakeAllowance, Unsupported, frame,
+    Adopt, Allowance, AttemptEnd, Config, ConfigChange, Deny, Done, Frame, GetConfig, GiveBack,
+    Grant, Hello, PrefillDone, Queued, Release, Reserve, TakeAllowance, Unsupported, frame,
 };
 pub use seal::{SealError, open, seal};
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -162,6 +162,9 @@
     /// Runners on which earlier attempts failed.
     #[prost(string, repeated, tag = "13")]
     pub avoid: Vec<String>,
+    /// Digest of model and body, 16 bytes.
+    #[prost(bytes = "vec", tag = "14")]
+    pub fingerprint: Vec<u8>,
 }
 
 /// A pair of runners for an attempt.
@@ -216,6 +219,18 @@
     pub wait_ms: u64,
 }
 
+/// How an attempt ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, prost::Enumeration)]
+#[repr(i32)]
+pub enum AttemptEnd {
+    /// It was withdrawn, cancelled or failed.
+    Stopped = 0,
+    /// Its whole answer arrived.
+    Whole = 1,
+    /// The connection to its runner was lost.
+    ConnectionLost = 2,
+}
+
 /// An attempt has ended or is withdrawn.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Release {
@@ -225,6 +240,9 @@
     /// Attempt id.
     #[prost(string, tag = "2")]
     pub attempt: String,
+    /// How it ended.
+    #[prost(enumeration = "AttemptEnd", tag = "3")]
+    pub end: i32,
 }
 
 /// A grant of an earlier home.
