Hold any failed request until its runner shows whether it crashed

Cause: with crash-request the crashing prefill ended with a status instead of a lost connection, so that it was not in flight any more when the crash was seen. Change: every failure at a runner but a refused connection waits for the sign of a crash. A host that leaves is no longer reported to the ledger as dead, because it still records outcomes.

--- a/crates/server/src/members.rs
+++ b/crates/server/src/members.rs
@@ -23,10 +23,12 @@
 fn handle(host: &Arc<Host>, event: PeerEvent) {
     match event {
         PeerEvent::Joined(_) => {}
-        PeerEvent::Dead(member) | PeerEvent::Left(member) => {
+        PeerEvent::Dead(member) => {
             host.limits.host_dead(&member.host, member.incarnation);
             host.host_dead(member.host, member.incarnation);
         }
+        // A host that leaves still records the outcomes of its calls.
+        PeerEvent::Left(member) => host.limits.host_dead(&member.host, member.incarnation),
         PeerEvent::Rumour { rumour, .. } => return crash::hear(host, &rumour),
         PeerEvent::DeclaredDead { .. } => return,
     }
--- a/crates/server/src/model/attempt.rs
+++ b/crates/server/src/model/attempt.rs
@@ -202,7 +202,10 @@
         debug!(%err, attempt = %self.id, "model: attempt failed");
         if matches!(err, CallError::Lost { .. }) {
             crash::engine_lost(runner);
-            self.guard.ended(AttemptEnd::ConnectionLost);
+        }
+        // A refused connection carried nothing that could have crashed the engine.
+        if !matches!(err, CallError::Refused { .. }) {
+            self.guard.ended(AttemptEnd::Failed);
         }
         broken(runner, err.reason())
     }
--- a/crates/server/src/placement/flights.rs
+++ b/crates/server/src/placement/flights.rs
@@ -5,7 +5,7 @@
 use bv_types::{AttemptId, BackendId, Fingerprint, Incarnation, Millis};
 use bv_wire::AttemptEnd;
 
-/// Time for which a request whose connection was lost waits for the sign of a crash.
+/// Time for which a request that failed at its runner waits for the sign of a crash.
 const CRASH_SIGN: Millis = Millis(5_000);
 
 #[derive(Debug)]
@@ -15,8 +15,8 @@
     decode: BackendId,
     /// Runner that works on it now.
     on: Option<BackendId>,
-    /// End of the wait after its connection was lost.
-    lost_until: Option<Millis>,
+    /// End of the wait after it failed.
+    failed_until: Option<Millis>,
 }
 
 /// Requests in flight on the runners of one shard.
@@ -50,7 +50,7 @@
             request,
             decode: grant.decode.clone(),
             on: Some(grant.prefill.clone()),
-            lost_until: None,
+            failed_until: None,
         });
         Some(started(&grant.prefill, request))
     }
@@ -70,7 +70,7 @@
             request,
             decode: adoption.decode.clone(),
             on: Some(on.clone()),
-            lost_until: None,
+            failed_until: None,
         });
         Some(started(on, request))
     }
@@ -92,13 +92,13 @@
         Some(started(&flight.decode, flight.request))
     }
 
-    /// Notes the end of an attempt. After a lost connection the request stays in flight until the
-    /// runner shows whether it has crashed.
+    /// Notes the end of an attempt. After a failure the request stays in flight until the runner
+    /// shows whether it has crashed.
     pub fn end(&mut self, now: Millis, attempt: &AttemptId, end: AttemptEnd) -> Option<Event> {
         self.forget(attempt);
         let at = self.flights.iter().position(|f| f.attempt == *attempt)?;
-        if end == AttemptEnd::ConnectionLost {
-            self.flights[at].lost_until = Some(now + CRASH_SIGN);
+        if end == AttemptEnd::Failed {
+            self.flights[at].failed_until = Some(now + CRASH_SIGN);
             return None;
         }
         let flight = self.flights.swap_remove(at);
@@ -129,7 +129,7 @@
 
     /// Ends requests whose runner showed no sign of a crash.
     pub fn expire(&mut self, now: Millis) -> Vec<Event> {
-        let is_over = |f: &mut Flight| f.lost_until.is_some_and(|until| until <= now);
+        let is_over = |f: &mut Flight| f.failed_until.is_some_and(|until| until <= now);
         self.flights
             .extract_if(.., is_over)
             .filter_map(|f| Some(ended(f.on?, f.request, false)))
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -227,8 +227,8 @@
     Stopped = 0,
     /// Its whole answer arrived.
     Whole = 1,
-    /// The connection to its runner was lost.
-    ConnectionLost = 2,
+    /// It failed at its runner, which may have crashed.
+    Failed = 2,
 }
 
 /// An attempt has ended or is withdrawn.
