--- a/crates/lab/src/monitor.rs
+++ b/crates/lab/src/monitor.rs
@@ -204,7 +204,7 @@
             Some((config["version"].as_u64()?, change))
         });
         monitor.lock().version(index, config);
-        if polls % METRICS_EVERY == 0
+        if polls.is_multiple_of(METRICS_EVERY)
             && let Some(text) = operator.get(&fleet, index, "/metrics").await
         {
             let tally = read_retries(&String::from_utf8_lossy(&text));
--- a/crates/server/src/placement/ask.rs
+++ b/crates/server/src/placement/ask.rs
@@ -13,14 +13,26 @@
 use super::grants::{GrantGuard, OpenGrant, send_release};
 use super::shards::class_of;
 use super::{Keeper, refusal_of, shards};
+use crate::peers::PeerCause;
 use crate::{Host, counters};
 
 /// Time within which a home must answer, if only that the request is queued.
 const FIRST_TIMEOUT: Millis = Millis(150);
-/// Time for which a home keeps the first call; less than the timeout by a round trip.
-const FIRST_WAIT: Millis = Millis(100);
+/// Time for a second call to the same home. Another home would not know its reservations and
+/// grant them again, so a short pause of a busy home must not lead there.
+const SECOND_TIMEOUT: Millis = Millis(350);
+/// Time for which a home that answered neither call is passed over.
+const SILENT_TIME: Millis = Millis(1_000);
+/// Time for which a home keeps the first call; a busy home needs the rest of the timeout.
+const FIRST_WAIT: Millis = Millis(20);
 /// Time for which a home keeps a further call for a queued request.
 const NEXT_WAIT: Millis = Millis(1_000);
+/// Time beyond the wait within which a home must answer a further call. The home is known to work,
+/// and a second home would not know its reservations.
+const NEXT_MARGIN: Millis = Millis(500);
+/// Time for which a home keeps the report of a prefill that waits for its slot.
+const SLOT_WAIT: Millis = Millis(100);
+const SLOT_RETRY: Millis = Millis(20);
 /// Homes asked in order of rank before placement without a home.
 const HOMES_ASKED: usize = 2;
 /// Load above which the second shard in rank is used if it has less.
@@ -65,6 +77,9 @@
             .into_iter()
             .take(HOMES_ASKED)
         {
+            if host.placement.is_silent(&home, host.clock.now()) {
+                continue;
+            }
             match ask_home(host, model, ask, &shard, &home).await {
                 Reply::Granted(granted) => return Ok(*granted),
                 Reply::Denied(reason) => {
@@ -113,11 +128,12 @@
         attempt: Some(ask.attempt.clone()),
     };
     let mut wait = FIRST_WAIT;
+    let mut timeout = FIRST_TIMEOUT;
+    let mut is_repeated = false;
     loop {
         let now = host.clock.now();
         let reserve = reserve(host, model, ask, shard, now, wait);
         let call = Body::Reserve(reserve.clone());
-        let timeout = wait + (FIRST_TIMEOUT - FIRST_WAIT);
         match host.peers.call(home, call, timeout).await {
             Ok(Body::Grant(grant)) => {
                 host.placement.note_load(shard, grant.load_percent);
@@ -135,6 +151,7 @@
                     first_token: Millis(grant.first_token_ms),
                     slot_ready: grant.slot_ready,
                     decoding: false,
+                    copied_to: None,
                     reserve,
                     at: now,
                 };
@@ -146,10 +163,21 @@
                 host.placement.note_load(shard, deny.load_percent);
                 return Reply::Denied(refusal_of(&deny.reason));
             }
-            Ok(Body::Queued(_)) => wait = NEXT_WAIT,
+            Ok(Body::Queued(_)) => {
+                wait = NEXT_WAIT;
+                timeout = NEXT_WAIT + NEXT_MARGIN;
+                is_repeated = false;
+            }
             Ok(_) => return Reply::Unreachable,
+            Err(err) if matches!(err.cause, PeerCause::Timeout(_)) && !is_repeated => {
+                debug!(%err, "place: asking the home again");
+                timeout = SECOND_TIMEOUT;
+                is_repeated = true;
+            }
             Err(err) => {
                 debug!(%err, "place: the home does not answer");
+                host.placement
+                    .note_silent(home, host.clock.now() + SILENT_TIME);
                 return Reply::Unreachable;
             }
         }
@@ -224,6 +252,7 @@
         first_token: left,
         slot_ready: true,
         decoding: false,
+        copied_to: None,
         reserve: reserve(host, model, ask, shard, now, Millis::ZERO),
         at: now,
     };
@@ -270,17 +299,17 @@
         if left == Millis::ZERO {
             return Err(RetryReason::PrefillEvicted);
         }
-        let wait = left.min(FIRST_WAIT);
+        let wait = left.min(SLOT_WAIT);
         let call = prefill_done(grant, wait);
-        let timeout = wait + (FIRST_TIMEOUT - FIRST_WAIT);
+        let timeout = left.min(SLOT_WAIT + FIRST_TIMEOUT);
         match host.peers.call(&home, call, timeout).await {
             Ok(Body::Queued(_)) => {}
             Ok(_) => return Ok(()),
+            // The call may be repeated. The grant moves to another home if this one is dead.
             Err(err) => {
-                // The slot is most often there; waiting for the home would waste the prefill.
                 debug!(%err, "place: the home does not answer after prefill");
                 counters::retried(RetryReason::HomeUnreachable);
-                return Ok(());
+                tokio::time::sleep(SLOT_RETRY.duration()).await;
             }
         }
     }
--- a/crates/server/src/placement/poll.rs
+++ b/crates/server/src/placement/poll.rs
@@ -19,6 +19,7 @@
 const POLL: Millis = Millis(250);
 /// Time for one load report.
 const POLL_TIMEOUT: Millis = Millis(200);
+const POLL_TRIES: u32 = 2;
 /// Ticks of the shards between two polls.
 const TICKS: u32 = 5;
 
@@ -58,11 +59,20 @@
         };
         let client = host.engines.clone();
         polls.spawn(async move {
-            let load = client.load(addr);
-            let load = tokio::time::timeout(POLL_TIMEOUT.duration(), load).await;
-            // A refusal within the time for a report comes from a host whose engine has ended.
-            let ended = matches!(load, Ok(Err(CallError::Refused { .. })));
-            (runner.id, load.ok().and_then(Result::ok), ended)
+            let mut load = None;
+            let mut ended = false;
+            // A single late answer does not make a runner unusable.
+            for _ in 0..POLL_TRIES {
+                let answer = client.load(addr);
+                let answer = tokio::time::timeout(POLL_TIMEOUT.duration(), answer).await;
+                // A refusal within the time for a report comes from a host whose engine has ended.
+                ended = matches!(answer, Ok(Err(CallError::Refused { .. })));
+                load = answer.ok().and_then(Result::ok);
+                if load.is_some() || ended {
+                    break;
+                }
+            }
+            (runner.id, load, ended)
         });
     }
     while let Some(Ok((runner, load, ended))) = polls.join_next().await {
