Report goodput of the model calls on their own

Cause: two thirds of the offered requests are plain calls, which hides a loss of model goodput at high load.

Change: fields `model_requests`, `model_in_time` and `model_goodput_ratio`, also in `report`.

--- a/crates/lab/src/load/mod.rs
+++ b/crates/lab/src/load/mod.rs
@@ -223,6 +223,12 @@
             self.cut_while_draining.push(record.nonce.clone());
         }
         let before_deadline = is_before_deadline(&record);
+        let in_time = before_deadline && meets_targets(&record);
+        report.in_time += u64::from(in_time);
+        if matches!(record.call, Call::Model { .. }) {
+            report.model_requests += 1;
+            report.model_in_time += u64::from(in_time);
+        }
         if record.call.is_urgent_lookup() {
             report.urgent += 1;
             report.urgent_in_time += u64::from(before_deadline);
@@ -233,10 +239,7 @@
             report.accepted_waiting_lost += 1;
         }
         match &record.outcome {
-            Outcome::Whole { .. } => {
-                report.answered_whole += 1;
-                report.in_time += u64::from(before_deadline && meets_targets(&record));
-            }
+            Outcome::Whole { .. } => report.answered_whole += 1,
             Outcome::NotRun(reason) => {
                 report.refused_not_run += 1;
                 report.refusals.add(reason, 1);
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -55,6 +55,10 @@
     pub answered_whole: u64,
     /// Whole answers within both latency targets; within the deadline for plain services.
     pub in_time: u64,
+    /// Model calls among the requests.
+    pub model_requests: u64,
+    /// Model calls answered whole within both latency targets.
+    pub model_in_time: u64,
     /// Requests told "not run".
     pub refused_not_run: u64,
     /// Requests told "outcome unknown" as the last word.
@@ -148,6 +152,11 @@
         ratio(self.in_time, self.requests, 0.0)
     }
 
+    /// Share of the model calls answered whole within both latency targets.
+    pub fn model_goodput_ratio(&self) -> f64 {
+        ratio(self.model_in_time, self.model_requests, 0.0)
+    }
+
     /// Share of the urgent calls answered whole before their deadline.
     pub fn urgent_in_time_ratio(&self) -> f64 {
         ratio(self.urgent_in_time, self.urgent, 1.0)
@@ -180,6 +189,7 @@
     pub fn value(&self) -> Value {
         let mut value = serde_json::to_value(self).unwrap_or_default();
         value["goodput_ratio"] = json!(self.goodput_ratio());
+        value["model_goodput_ratio"] = json!(self.model_goodput_ratio());
         value["urgent_in_time_ratio"] = json!(self.urgent_in_time_ratio());
         value["wasted_prefill_ratio"] = json!(self.wasted_prefill_ratio());
         value["violations"] = json!(self.violations());
--- a/crates/lab/src/study.rs
+++ b/crates/lab/src/study.rs
@@ -45,6 +45,8 @@
     pub runs: usize,
     /// Share of requests within both latency targets.
     pub goodput_ratio: Spread,
+    /// Share of model calls within both latency targets.
+    pub model_goodput_ratio: Spread,
     /// Share of urgent calls before their deadline.
     pub urgent_in_time_ratio: Spread,
     /// Share of prompt tokens whose result reached no decode.
@@ -105,6 +107,7 @@
             Point {
                 runs: runs.len(),
                 goodput_ratio: spread("goodput_ratio"),
+                model_goodput_ratio: spread("model_goodput_ratio"),
                 urgent_in_time_ratio: spread("urgent_in_time_ratio"),
                 wasted_prefill_ratio: spread("wasted_prefill_ratio"),
                 violations: runs
