--- a/crates/place/examples/decision_cost.rs
+++ b/crates/place/examples/decision_cost.rs
@@ -199,6 +199,7 @@
         token_gap: Millis(71),
         deadline: now + Millis(30_000),
         avoid: Vec::new(),
+        suspect: false,
     }
 }
 
--- a/crates/server/src/crash.rs
+++ b/crates/server/src/crash.rs
@@ -1,41 +1,83 @@
-//! Engine crashes and the requests that cause them.
+//! Requests that crash engines: blame over all entry hosts.
 
-use std::sync::Arc;
+use std::sync::{Mutex, MutexGuard, PoisonError};
 
-use bv_types::{BackendId, Fingerprint, Millis};
-use tracing::warn;
+use bv_blame::{Action, Blame, Event, Score};
+use bv_member::Rumour;
+use bv_types::{BackendId, Fingerprint};
+use tracing::{info, warn};
 
-use crate::open_attempt::address;
 use crate::{Host, counters};
 
-/// Time for a runner to show that it is alive.
-const PROBE_TIMEOUT: Millis = Millis(300);
-
-/// Finds out whether a runner to which a connection was lost has crashed.
-///
-/// A connection may also break while the engine runs on, and the requests there are not to blame.
-pub(crate) fn connection_lost(host: &Arc<Host>, runner: &BackendId) {
-    let in_flight = host.placement.in_flight(runner);
-    let (host, runner) = (host.clone(), runner.clone());
-    tokio::spawn(async move {
-        let Some(addr) = address(&host, &runner) else {
-            return;
-        };
-        let load = host.engines.load(addr);
-        let answer = tokio::time::timeout(PROBE_TIMEOUT.duration(), load).await;
-        if !matches!(answer, Ok(Ok(_))) {
-            engine_crashed(&host, &runner, &in_flight);
-        }
-    });
+/// Blame kept by this host, for the runners of its shards and from other hosts.
+#[derive(Debug, Default)]
+pub(crate) struct Crashes(Mutex<Blame>);
+
+impl Crashes {
+    fn lock(&self) -> MutexGuard<'_, Blame> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
-/// Notes that a runner crashed with these requests in flight.
-fn engine_crashed(_host: &Host, runner: &BackendId, in_flight: &[Fingerprint]) {
-    warn!(%runner, in_flight = in_flight.len(), "model: engine crashed");
+/// Notes that the connection to a runner was lost while attempts were in flight there.
+pub(crate) fn engine_lost(runner: &BackendId) {
+    warn!(%runner, "model: lost the engine");
     counters::engine_crashed();
 }
 
 /// Whether requests with this content are refused because they crash engines.
-pub(crate) fn is_convicted(_host: &Host, _fingerprint: &Fingerprint) -> bool {
-    false
+pub(crate) fn is_convicted(host: &Host, request: &Fingerprint) -> bool {
+    let now = host.clock.now();
+    host.crashes.lock().is_convicted(now, *request)
+}
+
+/// Whether the request was in flight at a crash and has not finished since.
+pub(crate) fn is_suspect(host: &Host, request: Fingerprint) -> bool {
+    let now = host.clock.now();
+    host.crashes.lock().is_suspect(now, request)
+}
+
+/// Passes an event to the blame part and tells the other hosts what changed.
+pub(crate) fn handle(host: &Host, event: Event) {
+    let now = host.clock.now();
+    let actions = host.crashes.lock().handle(now, event);
+    for action in actions {
+        host.peers.add_rumour(match action {
+            Action::ShareScore { request, score } => {
+                info!(%request, score = score.0, "blame: score changed");
+                Rumour::Suspect {
+                    fingerprint: request,
+                    score: score.0,
+                }
+            }
+            Action::ShareConviction { request, until } => {
+                warn!(%request, "blame: request crashes engines and is refused");
+                Rumour::Convicted {
+                    fingerprint: request,
+                    until,
+                }
+            }
+        });
+    }
+}
+
+/// Takes over what another host found.
+pub(crate) fn hear(host: &Host, rumour: &Rumour) {
+    match *rumour {
+        Rumour::Suspect { fingerprint, score } => handle(
+            host,
+            Event::HeardScore {
+                request: fingerprint,
+                score: Score(score),
+            },
+        ),
+        Rumour::Convicted { fingerprint, until } => handle(
+            host,
+            Event::HeardConviction {
+                request: fingerprint,
+                until,
+            },
+        ),
+        Rumour::Config { .. } | Rumour::Leaving { .. } => {}
+    }
 }
--- a/crates/server/src/members.rs
+++ b/crates/server/src/members.rs
@@ -5,8 +5,8 @@
 use tokio::sync::broadcast::error::RecvError;
 use tracing::warn;
 
-use crate::Host;
 use crate::peers::PeerEvent;
+use crate::{Host, crash};
 
 /// Passes membership events on until the process ends.
 pub(crate) async fn follow(host: Arc<Host>) {
@@ -23,11 +23,14 @@
 fn handle(host: &Arc<Host>, event: PeerEvent) {
     match event {
         PeerEvent::Joined(_) => {}
-        PeerEvent::Dead(member) | PeerEvent::Left(member) => {
+        PeerEvent::Dead(member) => {
             host.limits.host_dead(&member.host, member.incarnation);
             host.host_dead(member.host, member.incarnation);
         }
-        PeerEvent::Rumour { .. } | PeerEvent::DeclaredDead { .. } => return,
+        // A host that leaves still records the outcomes of its calls.
+        PeerEvent::Left(member) => host.limits.host_dead(&member.host, member.incarnation),
+        PeerEvent::Rumour { rumour, .. } => return crash::hear(host, &rumour),
+        PeerEvent::DeclaredDead { .. } => return,
     }
     host.set_committers(host.peers.alive().len());
 }
--- a/crates/server/src/placement/ask.rs
+++ b/crates/server/src/placement/ask.rs
@@ -6,7 +6,7 @@
 use bv_place::{Class, score};
 use bv_types::{AttemptId, BackendId, Fingerprint, HostId, Millis, Refusal, RetryReason, Tokens};
 use bv_wire::frame::Body;
-use bv_wire::{PrefillDone, Reserve};
+use bv_wire::{AttemptEnd, PrefillDone, Reserve};
 use smol_str::SmolStr;
 use tracing::debug;
 
@@ -152,7 +152,6 @@
                     slot_ready: grant.slot_ready,
                     decoding: false,
                     copied_to: None,
-                    fingerprint: ask.fingerprint,
                     reserve,
                     at: now,
                 };
@@ -196,7 +195,9 @@
 impl Drop for Withdraw<'_> {
     fn drop(&mut self) {
         if let Some(attempt) = self.attempt.take() {
-            send_release(self.host, self.home.clone(), self.shard.clone(), attempt);
+            let shard = self.shard.clone();
+            let end = AttemptEnd::Stopped;
+            send_release(self.host, self.home.clone(), shard, attempt, end);
         }
     }
 }
@@ -223,6 +224,7 @@
         deadline_ms: (ask.deadline - now).0,
         wait_ms: wait.0,
         avoid: ask.avoid.iter().map(ToString::to_string).collect(),
+        fingerprint: ask.fingerprint.0.to_vec(),
     }
 }
 
@@ -251,7 +253,6 @@
         slot_ready: true,
         decoding: false,
         copied_to: None,
-        fingerprint: ask.fingerprint,
         reserve: reserve(host, model, ask, shard, now, Millis::ZERO),
         at: now,
     };
--- a/crates/server/src/placement/grants.rs
+++ b/crates/server/src/placement/grants.rs
@@ -2,9 +2,9 @@
 
 use std::sync::Arc;
 
-use bv_types::{AttemptId, BackendId, Fingerprint, HostId, Millis};
+use bv_types::{AttemptId, BackendId, HostId, Millis};
 use bv_wire::frame::Body;
-use bv_wire::{Adopt, Release, Reserve};
+use bv_wire::{Adopt, AttemptEnd, Release, Reserve};
 use smol_str::SmolStr;
 use tracing::debug;
 
@@ -37,8 +37,6 @@
     pub decoding: bool,
     /// Host that knows the grant too, because this host is itself the home.
     pub(super) copied_to: Option<HostId>,
-    /// Digest of the request.
-    pub fingerprint: Fingerprint,
     /// The request as it was granted.
     pub(super) reserve: Reserve,
     /// Time of the grant.
@@ -55,6 +53,7 @@
 pub(crate) struct GrantGuard {
     host: Arc<Host>,
     attempt: AttemptId,
+    end: AttemptEnd,
 }
 
 impl GrantGuard {
@@ -68,9 +67,15 @@
         GrantGuard {
             host: host.clone(),
             attempt,
+            end: AttemptEnd::Stopped,
         }
     }
 
+    /// Notes how the attempt ended, for the release.
+    pub fn ended(&mut self, end: AttemptEnd) {
+        self.end = end;
+    }
+
     /// Notes that decode starts.
     pub fn decoding(&self) {
         let mut open = lock(&self.host.placement.open);
@@ -98,24 +103,33 @@
         drop(open);
         if let Some(second) = grant.copied_to.clone() {
             let (shard, attempt) = (grant.shard(), grant.attempt.clone());
-            send_release(&self.host, second, shard, attempt);
+            send_release(&self.host, second, shard, attempt, self.end);
         }
         match grant.keeper.clone() {
             Keeper::Blind => {
                 let placement = &self.host.placement;
                 placement.release_blind([&grant.prefill, &grant.decode]);
             }
-            Keeper::Home(home) => send_release(&self.host, home, grant.shard(), grant.attempt),
+            Keeper::Home(home) => {
+                send_release(&self.host, home, grant.shard(), grant.attempt, self.end);
+            }
         }
     }
 }
 
 /// Tells a home that an attempt has ended or is withdrawn.
-pub(super) fn send_release(host: &Arc<Host>, home: HostId, shard: SmolStr, attempt: AttemptId) {
+pub(super) fn send_release(
+    host: &Arc<Host>,
+    home: HostId,
+    shard: SmolStr,
+    attempt: AttemptId,
+    end: AttemptEnd,
+) {
     let host = host.clone();
     let call = Body::Release(Release {
         shard: shard.to_string(),
         attempt: attempt.to_string(),
+        end: end.into(),
     });
     tokio::spawn(async move {
         for _ in 0..RELEASE_TRIES {
@@ -198,5 +212,5 @@
     }
     drop(open);
     // The attempt ended while the message was under way.
-    send_release(&host, home, shard, grant.attempt);
+    send_release(&host, home, shard, grant.attempt, AttemptEnd::Stopped);
 }
--- a/crates/server/src/placement/poll.rs
+++ b/crates/server/src/placement/poll.rs
@@ -13,6 +13,7 @@
 use super::home::Home;
 use super::{grants, lock, shards};
 use crate::Host;
+use crate::engine::CallError;
 
 /// Time between load reports of a runner.
 const POLL: Millis = Millis(250);
@@ -59,19 +60,25 @@
         let client = host.engines.clone();
         polls.spawn(async move {
             let mut load = None;
+            let mut ended = false;
             // A single late answer does not make a runner unusable.
             for _ in 0..POLL_TRIES {
                 let answer = client.load(addr);
                 let answer = tokio::time::timeout(POLL_TIMEOUT.duration(), answer).await;
+                // A refusal within the time for a report comes from a host whose engine has ended.
+                ended = matches!(answer, Ok(Err(CallError::Refused { .. })));
                 load = answer.ok().and_then(Result::ok);
-                if load.is_some() {
+                if load.is_some() || ended {
                     break;
                 }
             }
-            (runner.id, load)
+            (runner.id, load, ended)
         });
     }
-    while let Some(Ok((runner, load))) = polls.join_next().await {
+    while let Some(Ok((runner, load, ended))) = polls.join_next().await {
+        if ended {
+            home.crashed(&host, &runner);
+        }
         let report = load.as_ref().and_then(report_of);
         if let Some(report) = &report {
             host.backend_seen(&runner, report.incarnation, report.leaving);
