Share the limits of HTTP connections and read events in a module of their own

Change: server::http_limits builds both; server::events holds the reader of streamed answers. No behaviour changes.

--- a/crates/server/src/callers.rs
+++ b/crates/server/src/callers.rs
@@ -14,8 +14,7 @@
 use hyper::Version;
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderValue};
-use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
-use hyper_util::server::conn::auto;
+use hyper_util::rt::TokioIo;
 use hyper_util::server::graceful::GracefulShutdown;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::io::AsyncWriteExt;
@@ -24,14 +23,14 @@
 use tower::ServiceExt;
 use tracing::{debug, warn};
 
+use crate::http_limits::HttpLimits;
 use crate::{Host, counters, model, plain};
 
-/// Largest head of a request, in bytes.
-const MAX_HEAD_BYTES: usize = 16 << 10;
-/// Time to read the head of a request.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
-/// Requests in progress on one HTTP/2 connection.
-const MAX_STREAMS: u32 = 100;
+const HTTP_LIMITS: HttpLimits = HttpLimits {
+    streams: 100,
+    probe_after: KEEPALIVE_IDLE,
+    probe_timeout: USER_TIMEOUT,
+};
 /// Idle time after which a silent caller is probed.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(5);
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(2);
@@ -119,20 +118,8 @@
             Ok::<_, Infallible>(answer)
         }
     });
-    let mut builder = auto::Builder::new(TokioExecutor::new());
-    builder
-        .http1()
-        .timer(TokioTimer::new())
-        .header_read_timeout(HEAD_TIMEOUT)
-        .max_buf_size(MAX_HEAD_BYTES);
-    builder
-        .http2()
-        .timer(TokioTimer::new())
-        .max_concurrent_streams(MAX_STREAMS)
-        .max_header_list_size(MAX_HEAD_BYTES as u32)
-        .keep_alive_interval(KEEPALIVE_IDLE)
-        .keep_alive_timeout(USER_TIMEOUT);
-    let connection = builder
+    let connection = HTTP_LIMITS
+        .server()
         .serve_connection(TokioIo::new(stream), service)
         .into_owned();
     let watched = graceful.watch(connection);
--- a/crates/server/src/engine.rs
+++ b/crates/server/src/engine.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bv_types::{AttemptId, RetryReason};
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
@@ -14,12 +14,11 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use serde_json::{Value, json};
-use smol_str::SmolStr;
+
+use crate::events::EventStream;
 
 /// Largest answer of a backend server, in bytes.
 pub(crate) const MAX_ANSWER_BYTES: usize = 8 << 20;
-/// Largest event of a stream, in bytes.
-const MAX_EVENT_BYTES: usize = 64 << 10;
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 const CROSSED: &str = "the answer belongs to another attempt";
 const LAST_EVENT_ID: &str = "last-event-id";
@@ -210,14 +209,8 @@
             req.headers_mut().insert(LAST_EVENT_ID, id);
         }
         let answer = self.send_checked(step, peer, req).await?;
-        Ok(EventStream {
-            step,
-            peer,
-            attempt: attempt.to_string(),
-            body: answer.into_body(),
-            buf: BytesMut::new(),
-            last_event: last_event.map(SmolStr::new),
-        })
+        let body = answer.into_body();
+        Ok(EventStream::new(step, peer, attempt, body, last_event))
     }
 
     /// Asks an engine for its load.
@@ -247,140 +240,6 @@
     }
 }
 
-/// Events of a streamed chat completion.
-#[derive(Debug)]
-pub(crate) struct EventStream {
-    step: &'static str,
-    peer: SocketAddr,
-    attempt: String,
-    body: Incoming,
-    buf: BytesMut,
-    last_event: Option<SmolStr>,
-}
-
-/// One event of a stream.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) enum Event {
-    /// Data of this attempt without the event id, with its terminating blank line.
-    Data(Bytes),
-    /// The end of a whole stream, with its terminating blank line.
-    Done(Bytes),
-}
-
-impl EventStream {
-    /// Reads the next event.
-    ///
-    /// # Errors
-    /// Fails if the stream ends without its last event or carries another attempt's event.
-    pub async fn next(&mut self) -> Result<Event, CallError> {
-        loop {
-            if let Some(event) = self.take_event()? {
-                return Ok(event);
-            }
-            match self.body.frame().await {
-                Some(Ok(frame)) => {
-                    if let Ok(data) = frame.into_data() {
-                        self.buf.extend_from_slice(data.chunk());
-                    }
-                }
-                Some(Err(err)) => return Err(self.lost(err.to_string())),
-                None => return Err(self.lost("the stream ended early".to_owned())),
-            }
-        }
-    }
-
-    /// Id of the last event read, from which the stream can be resumed.
-    pub fn last_event(&self) -> Option<&str> {
-        self.last_event.as_deref()
-    }
-
-    /// The failure of a stream that has become silent.
-    pub fn stalled(&self) -> CallError {
-        self.lost("no event in time".to_owned())
-    }
-
-    fn take_event(&mut self) -> Result<Option<Event>, CallError> {
-        loop {
-            let Some(end) = self.buf.windows(2).position(|pair| pair == b"\n\n") else {
-                if self.buf.len() > MAX_EVENT_BYTES {
-                    return Err(self.malformed("an event is too long"));
-                }
-                return Ok(None);
-            };
-            let event = self.buf.split_to(end + 2).freeze();
-            // An event without data is a comment that keeps the connection open.
-            let Some(data) = field(&event, b"data:") else {
-                continue;
-            };
-            if self.is_repeated(&event) {
-                crate::counters::dropped("repeated");
-                continue;
-            }
-            return self.check_event(&event, data).map(Some);
-        }
-    }
-
-    /// Whether an event of this stream with this or a later id has been read.
-    fn is_repeated(&self, event: &[u8]) -> bool {
-        let number = |id: &str| id.parse::<u64>().ok();
-        let id = field(event, b"id:").and_then(|id| std::str::from_utf8(id).ok());
-        let (Some(id), Some(last)) = (id, self.last_event.as_deref()) else {
-            return false;
-        };
-        match (number(id), number(last)) {
-            (Some(id), Some(last)) => id <= last,
-            _ => id == last,
-        }
-    }
-
-    fn check_event(&mut self, event: &[u8], data: &[u8]) -> Result<Event, CallError> {
-        if data == b"[DONE]" {
-            return Ok(Event::Done(data_event(data)));
-        }
-        let json: Value =
-            serde_json::from_slice(data).map_err(|_| self.malformed("an event is not JSON"))?;
-        if json["id"].as_str() != Some(self.attempt.as_str()) {
-            return Err(crossed(self.step, self.peer));
-        }
-        if let Some(id) = field(event, b"id:") {
-            self.last_event = Some(SmolStr::new(String::from_utf8_lossy(id)));
-        }
-        Ok(Event::Data(data_event(data)))
-    }
-
-    fn lost(&self, detail: String) -> CallError {
-        CallError::Lost {
-            step: self.step,
-            peer: self.peer,
-            detail,
-        }
-    }
-
-    fn malformed(&self, detail: &'static str) -> CallError {
-        CallError::Malformed {
-            step: self.step,
-            peer: self.peer,
-            detail,
-        }
-    }
-}
-
-/// Value of the first line of an event that starts with a field name.
-fn field<'a>(event: &'a [u8], name: &[u8]) -> Option<&'a [u8]> {
-    event
-        .split(|byte| *byte == b'\n')
-        .find_map(|line| line.strip_prefix(name))
-        .map(<[u8]>::trim_ascii)
-}
-
-fn data_event(data: &[u8]) -> Bytes {
-    let mut event = BytesMut::with_capacity(data.len() + 8);
-    event.extend_from_slice(b"data: ");
-    event.extend_from_slice(data);
-    event.extend_from_slice(b"\n\n");
-    event.freeze()
-}
-
 fn json_request(peer: SocketAddr, path: &str, body: &Value) -> Request<Full<Bytes>> {
     let mut req = Request::new(Full::new(Bytes::from(body.to_string())));
     *req.method_mut() = hyper::Method::POST;
@@ -405,7 +264,7 @@
     })
 }
 
-fn crossed(step: &'static str, peer: SocketAddr) -> CallError {
+pub(crate) fn crossed(step: &'static str, peer: SocketAddr) -> CallError {
     crate::counters::dropped("crossed");
     CallError::Malformed {
         step,
--- /dev/null
+++ b/crates/server/src/events.rs
@@ -0,0 +1,167 @@
+//! Events of streamed answers.
+
+use std::net::SocketAddr;
+
+use bv_types::AttemptId;
+use bytes::{Buf, Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use serde_json::Value;
+use smol_str::SmolStr;
+
+use crate::engine::{CallError, crossed};
+
+/// Largest event of a stream, in bytes.
+const MAX_EVENT_BYTES: usize = 64 << 10;
+
+/// Events of a streamed chat completion.
+#[derive(Debug)]
+pub(crate) struct EventStream {
+    step: &'static str,
+    peer: SocketAddr,
+    attempt: String,
+    body: Incoming,
+    buf: BytesMut,
+    last_event: Option<SmolStr>,
+}
+
+/// One event of a stream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Event {
+    /// Data of this attempt without the event id, with its terminating blank line.
+    Data(Bytes),
+    /// The end of a whole stream, with its terminating blank line.
+    Done(Bytes),
+}
+
+impl EventStream {
+    /// Reads the events of an attempt; `last_event` is the id after which it was resumed.
+    pub fn new(
+        step: &'static str,
+        peer: SocketAddr,
+        attempt: &AttemptId,
+        body: Incoming,
+        last_event: Option<&str>,
+    ) -> Self {
+        EventStream {
+            step,
+            peer,
+            attempt: attempt.to_string(),
+            body,
+            buf: BytesMut::new(),
+            last_event: last_event.map(SmolStr::new),
+        }
+    }
+
+    /// Reads the next event.
+    ///
+    /// # Errors
+    /// Fails if the stream ends without its last event or carries another attempt's event.
+    pub async fn next(&mut self) -> Result<Event, CallError> {
+        loop {
+            if let Some(event) = self.take_event()? {
+                return Ok(event);
+            }
+            match self.body.frame().await {
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        self.buf.extend_from_slice(data.chunk());
+                    }
+                }
+                Some(Err(err)) => return Err(self.lost(err.to_string())),
+                None => return Err(self.lost("the stream ended early".to_owned())),
+            }
+        }
+    }
+
+    /// Id of the last event read, from which the stream can be resumed.
+    pub fn last_event(&self) -> Option<&str> {
+        self.last_event.as_deref()
+    }
+
+    /// The failure of a stream that has become silent.
+    pub fn stalled(&self) -> CallError {
+        self.lost("no event in time".to_owned())
+    }
+
+    fn take_event(&mut self) -> Result<Option<Event>, CallError> {
+        loop {
+            let Some(end) = self.buf.windows(2).position(|pair| pair == b"\n\n") else {
+                if self.buf.len() > MAX_EVENT_BYTES {
+                    return Err(self.malformed("an event is too long"));
+                }
+                return Ok(None);
+            };
+            let event = self.buf.split_to(end + 2).freeze();
+            // An event without data is a comment that keeps the connection open.
+            let Some(data) = field(&event, b"data:") else {
+                continue;
+            };
+            if self.is_repeated(&event) {
+                crate::counters::dropped("repeated");
+                continue;
+            }
+            return self.check_event(&event, data).map(Some);
+        }
+    }
+
+    /// Whether an event of this stream with this or a later id has been read.
+    fn is_repeated(&self, event: &[u8]) -> bool {
+        let number = |id: &str| id.parse::<u64>().ok();
+        let id = field(event, b"id:").and_then(|id| std::str::from_utf8(id).ok());
+        let (Some(id), Some(last)) = (id, self.last_event.as_deref()) else {
+            return false;
+        };
+        match (number(id), number(last)) {
+            (Some(id), Some(last)) => id <= last,
+            _ => id == last,
+        }
+    }
+
+    fn check_event(&mut self, event: &[u8], data: &[u8]) -> Result<Event, CallError> {
+        if data == b"[DONE]" {
+            return Ok(Event::Done(data_event(data)));
+        }
+        let json: Value =
+            serde_json::from_slice(data).map_err(|_| self.malformed("an event is not JSON"))?;
+        if json["id"].as_str() != Some(self.attempt.as_str()) {
+            return Err(crossed(self.step, self.peer));
+        }
+        if let Some(id) = field(event, b"id:") {
+            self.last_event = Some(SmolStr::new(String::from_utf8_lossy(id)));
+        }
+        Ok(Event::Data(data_event(data)))
+    }
+
+    fn lost(&self, detail: String) -> CallError {
+        CallError::Lost {
+            step: self.step,
+            peer: self.peer,
+            detail,
+        }
+    }
+
+    fn malformed(&self, detail: &'static str) -> CallError {
+        CallError::Malformed {
+            step: self.step,
+            peer: self.peer,
+            detail,
+        }
+    }
+}
+
+/// Value of the first line of an event that starts with a field name.
+fn field<'a>(event: &'a [u8], name: &[u8]) -> Option<&'a [u8]> {
+    event
+        .split(|byte| *byte == b'\n')
+        .find_map(|line| line.strip_prefix(name))
+        .map(<[u8]>::trim_ascii)
+}
+
+fn data_event(data: &[u8]) -> Bytes {
+    let mut event = BytesMut::with_capacity(data.len() + 8);
+    event.extend_from_slice(b"data: ");
+    event.extend_from_slice(data);
+    event.extend_from_slice(b"\n\n");
+    event.freeze()
+}
--- a/crates/server/src/model/stream.rs
+++ b/crates/server/src/model/stream.rs
@@ -16,7 +16,8 @@
 
 use super::attempt::{Attempt, Failure, broken};
 use crate::counters;
-use crate::engine::{CallError, Event, EventStream, MAX_ANSWER_BYTES};
+use crate::engine::{CallError, MAX_ANSWER_BYTES};
+use crate::events::{Event, EventStream};
 
 const EVENT_STREAM: [(header::HeaderName, &str); 1] = [(header::CONTENT_TYPE, "text/event-stream")];
 /// Longest silence of a running stream; it is far above any time between tokens.
