Let a report read earlier reports

Cause: loads measured side by side end in one report each; a plot needs all of them. A test reads a report back. Conclusion: one plot can be made from reports of several processes.

--- a/crates/lab/src/commands/report.rs
+++ b/crates/lab/src/commands/report.rs
@@ -14,7 +14,8 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "report")]
 pub struct ReportRuns {
-    /// output of an earlier run; may be given several times, and then nothing is run
+    /// output of an earlier run, or an earlier report.json; may be given several times, and then
+    /// nothing is run
     #[argh(option)]
     pub read: Vec<PathBuf>,
     /// placement policy; may be given several times (default planned)
--- a/crates/lab/src/study.rs
+++ b/crates/lab/src/study.rs
@@ -2,13 +2,13 @@
 
 use std::path::Path;
 
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
 use crate::LabError;
 
 /// Median and range over the runs of one point.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
 pub struct Spread {
     /// Median; the mean of the two middle values if their number is even.
     pub median: f64,
@@ -35,7 +35,7 @@
 }
 
 /// Runs of one policy at one load.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Point {
     /// Placement policy.
     pub policy: String,
@@ -55,17 +55,20 @@
     pub violations: u64,
 }
 
-/// Runs as printed by `burdockvale-lab run`.
+/// Runs as printed by `burdockvale-lab run`, and points of earlier reports.
 #[derive(Debug, Clone, Default)]
-pub struct Study(Vec<Value>);
+pub struct Study {
+    runs: Vec<Value>,
+    earlier: Vec<Point>,
+}
 
 impl Study {
     /// Adds one run.
     pub fn add(&mut self, run: Value) {
-        self.0.push(run);
+        self.runs.push(run);
     }
 
-    /// Adds the run whose JSON object is the last line of a file.
+    /// Adds the run or the report whose JSON object is the last line of a file.
     ///
     /// # Errors
     /// Fails if the file cannot be read or holds no run.
@@ -81,6 +84,10 @@
         let last = text.lines().rev().find(|line| !line.trim().is_empty());
         let run: Value = serde_json::from_str(last.unwrap_or_default())
             .map_err(|_| no_run("the last line is not JSON"))?;
+        if let Ok(points) = Vec::<Point>::deserialize(&run["points"]) {
+            self.earlier.extend(points);
+            return Ok(());
+        }
         if !run["run"]["policy"].is_string() || !run["run"]["load"].is_u64() {
             return Err(no_run("the object has no field `run` with policy and load"));
         }
@@ -88,18 +95,18 @@
         Ok(())
     }
 
-    /// One point for each policy and load, sorted.
+    /// One point for each policy and load, sorted; points of earlier reports stay as they are.
     pub fn points(&self) -> Vec<Point> {
         let key = |run: &Value| {
             let policy = run["run"]["policy"].as_str().unwrap_or_default().to_owned();
             (policy, run["run"]["load"].as_u64().unwrap_or_default())
         };
-        let mut keys: Vec<(String, u64)> = self.0.iter().map(key).collect();
+        let mut keys: Vec<(String, u64)> = self.runs.iter().map(key).collect();
         keys.sort();
         keys.dedup();
         let point = |(policy, load): (String, u64)| {
             let runs: Vec<&Value> = self
-                .0
+                .runs
                 .iter()
                 .filter(|run| key(run) == (policy.clone(), load))
                 .collect();
@@ -118,6 +125,9 @@
                 load,
             }
         };
-        keys.into_iter().map(point).collect()
+        let mut points: Vec<Point> = keys.into_iter().map(point).collect();
+        points.extend(self.earlier.iter().cloned());
+        points.sort_by(|a, b| (&a.policy, a.load).cmp(&(&b.policy, b.load)));
+        points
     }
 }
--- a/crates/lab/tests/run_reports.rs
+++ b/crates/lab/tests/run_reports.rs
@@ -53,6 +53,23 @@
     assert!((points[2].wasted_prefill_ratio.median - 0.1).abs() < 1e-9);
 }
 
+/// Guards against an earlier report that is refused or changed when it is read again.
+#[test]
+fn earlier_report() {
+    let mut study = Study::default();
+    study.add(run("planned", 100, 9));
+    let text = json!({"points": study.points()}).to_string();
+    let path = std::env::temp_dir().join(format!("bv-report-{}.json", std::process::id()));
+    std::fs::write(&path, text).unwrap();
+    let mut again = Study::default();
+    again.add(run("planned", 70, 10));
+    again.read(&path).unwrap();
+    let _ = std::fs::remove_file(&path);
+    let loads: Vec<u64> = again.points().iter().map(|point| point.load).collect();
+    assert_eq!(loads, [70, 100]);
+    assert_eq!(again.points()[1], study.points()[0]);
+}
+
 /// Guards against a report field that disappears from the last line of a run.
 #[test]
 fn report_fields() {
