Name an unaffected write plainly and move the plots' legends

Cause: the table client called a write whose condition held 'innocent', and a legend covered a line of the plot. Change: Refused::Unaffected; legends stand at the left, where no load is measured. Conclusion: names and plots only.

--- a/crates/lab/src/plot.rs
+++ b/crates/lab/src/plot.rs
@@ -72,6 +72,7 @@
     }
     chart
         .configure_series_labels()
+        .position(SeriesLabelPosition::MiddleLeft)
         .background_style(WHITE.mix(0.8))
         .border_style(BLACK)
         .draw()?;
--- a/crates/server/src/conf/follow.rs
+++ b/crates/server/src/conf/follow.rs
@@ -97,7 +97,7 @@
         Ok(Transacted::Committed) => WriteResult::Committed,
         Ok(Transacted::Refused(refused)) => match refused.into_iter().next() {
             Some(Refused::Conflict(row)) => conflict(host, row),
-            Some(Refused::Innocent) | None => WriteResult::Unavailable,
+            Some(Refused::Unaffected) | None => WriteResult::Unavailable,
         },
         Err(err @ StoreError::Unavailable { .. }) => {
             debug!(%err, "conf: write failed");
--- a/crates/server/src/orders/calls.rs
+++ b/crates/server/src/orders/calls.rs
@@ -72,7 +72,7 @@
         Ok(Transacted::Committed) => WriteResult::Committed,
         Ok(Transacted::Refused(refused)) => match refused.into_iter().next() {
             Some(Refused::Conflict(row)) => WriteResult::Conflict(row.as_ref().and_then(from_row)),
-            Some(Refused::Innocent) | None => WriteResult::Unavailable,
+            Some(Refused::Unaffected) | None => WriteResult::Unavailable,
         },
         Err(err @ StoreError::Unavailable { .. }) => {
             debug!(%err, "lease: write failed");
--- a/crates/server/src/rows.rs
+++ b/crates/server/src/rows.rs
@@ -62,7 +62,7 @@
 
 fn refused(row: Refused) -> RowResult {
     match row {
-        Refused::Innocent => RowResult::Held,
+        Refused::Unaffected => RowResult::Held,
         Refused::Conflict(row) => RowResult::Conflict(row.map(stored)),
     }
 }
--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -196,7 +196,7 @@
         .iter()
         .map(|reason| match reason["Code"].as_str() {
             Some(CONFLICT_CODE) => Refused::Conflict(reason.get("Item").and_then(parse_row)),
-            _ => Refused::Innocent,
+            _ => Refused::Unaffected,
         })
         .collect();
     Some(Transacted::Refused(refused))
--- a/crates/store/src/table.rs
+++ b/crates/store/src/table.rs
@@ -53,7 +53,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Refused {
     /// The condition of this write held; it may be sent again.
-    Innocent,
+    Unaffected,
     /// The condition did not hold; the row as it is, or none.
     Conflict(Option<Row>),
 }
