Build the condition of a write from the expected version in one place

Cause: the configuration and the leases each turned an expected version into a condition. Change: From<Option<Version>> for Condition in bv-store; both use it. No behaviour changes. Measured: clippy and docs without warnings; apply_changes (8 tests) and engine_orders (1 test) pass. Conclusion: one rule for both; the mapping of the results still stands in two places.

--- a/crates/server/src/conf/follow.rs
+++ b/crates/server/src/conf/follow.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use bv_config::{Action, Document, Event, WriteResult};
-use bv_store::{Condition, Refused, Row, StoreError, Transacted, Write};
+use bv_store::{Refused, Row, StoreError, Transacted, Write};
 use bv_types::{HostId, Millis, Version};
 use bv_wire::GetConfig;
 use bv_wire::frame::Body;
@@ -87,10 +87,7 @@
 async fn write_store(host: &Host, document: &Document, expected: Option<Version>) -> WriteResult {
     let write = Write {
         row: row::to_row(document),
-        condition: match expected {
-            Some(version) => Condition::Version(version),
-            None => Condition::Absent,
-        },
+        condition: expected.into(),
         expires: None,
     };
     match host.table.transact(&[write]).await {
--- a/crates/server/src/orders/calls.rs
+++ b/crates/server/src/orders/calls.rs
@@ -5,7 +5,7 @@
 use bv_lease::{
     EngineState, Event, LeaseRow, ORDER_TIMEOUT, Order, OrderResult, Stored, WriteResult,
 };
-use bv_store::{Condition, Refused, Row, StoreError, Transacted, Write};
+use bv_store::{Refused, Row, StoreError, Transacted, Write};
 use bv_types::{Fence, Millis, PoolId, Version};
 use serde_json::{Value, json};
 use smol_str::{SmolStr, format_smolstr};
@@ -62,10 +62,7 @@
             version: stored.version,
             body,
         },
-        condition: match expected {
-            Some(version) => Condition::Version(version),
-            None => Condition::Absent,
-        },
+        condition: expected.into(),
         expires: None,
     };
     match host.table.transact(&[write]).await {
--- a/crates/store/src/table.rs
+++ b/crates/store/src/table.rs
@@ -29,6 +29,13 @@
     Version(Version),
 }
 
+impl From<Option<Version>> for Condition {
+    /// The row has this version, or does not exist.
+    fn from(expected: Option<Version>) -> Self {
+        expected.map_or(Condition::Absent, Condition::Version)
+    }
+}
+
 /// A conditional write of one row.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Write {
