--- /dev/null
+++ b/crates/admit/src/fleet.rs
@@ -0,0 +1,185 @@
+//! All backend servers, as one host sees them.
+
+use bv_types::{BackendId, Millis, ServiceId, Tokens};
+use fastrand::Rng;
+
+use crate::health::Fault;
+use crate::server::{Report, Send, Server};
+
+/// Names one send.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SendId(u64);
+
+/// What a send asks of its server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Work {
+    /// Tokens that the server reads or keeps; 0 for plain calls.
+    pub tokens: Tokens,
+    /// Time without an answer after which the server counts as stuck.
+    pub stuck_after: Millis,
+}
+
+/// How a send ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ended {
+    /// The server answered; `error` if it failed the request itself.
+    Answered {
+        /// Whether the server failed the request.
+        error: bool,
+    },
+    /// The server refused to run the request.
+    Full,
+    /// The send failed.
+    Failed(Fault),
+    /// The caller left or the host gave the send up.
+    Cancelled,
+}
+
+/// Usual time that one request of a service takes at its server.
+#[derive(Debug, Clone)]
+struct Pace {
+    service: ServiceId,
+    call_ms: f64,
+    prefill_per_ms: f64,
+}
+
+/// Start values, replaced by what is observed; only the first requests of a process use them.
+const START_CALL_MS: f64 = 20.0;
+const START_PREFILL_PER_MS: f64 = 30.0;
+/// Weight of the newest observation of a service's pace.
+const PACE_WEIGHT: f64 = 0.05;
+
+/// Backend servers by id, with the requests that this host has in progress there.
+#[derive(Debug)]
+pub struct Fleet {
+    servers: Vec<Server>,
+    paces: Vec<Pace>,
+    next_send: u64,
+    pub(crate) rng: Rng,
+}
+
+impl Fleet {
+    /// An empty fleet; equal choices are made by numbers from `seed`.
+    pub fn new(seed: u64) -> Self {
+        Fleet {
+            servers: Vec::new(),
+            paces: Vec::new(),
+            next_send: 0,
+            rng: Rng::with_seed(seed),
+        }
+    }
+
+    /// Records a send.
+    pub fn begin(&mut self, now: Millis, id: &BackendId, work: Work) -> SendId {
+        self.next_send += 1;
+        let send = SendId(self.next_send);
+        self.server(id).sends.push(Send {
+            id: send,
+            at: now,
+            work,
+        });
+        send
+    }
+
+    /// Records a sign of progress of a send, such as an event of its stream.
+    pub fn progress(&mut self, now: Millis, id: &BackendId, send: SendId) {
+        if let Some(send) = self.server(id).sends.iter_mut().find(|s| s.id == send) {
+            send.at = now;
+        }
+    }
+
+    /// Records the end of a send. Ends that come twice are ignored.
+    pub fn end(&mut self, now: Millis, id: &BackendId, send: SendId, ended: Ended) {
+        let server = self.server(id);
+        let Some(at) = server.sends.iter().position(|s| s.id == send) else {
+            return;
+        };
+        server.sends.remove(at);
+        match ended {
+            Ended::Answered { error } => server.health.answer(error),
+            Ended::Failed(fault) => server.health.fault(now, fault),
+            Ended::Full | Ended::Cancelled => {}
+        }
+    }
+
+    /// Takes the load over that a server reported.
+    pub fn report(&mut self, now: Millis, id: &BackendId, report: Report) {
+        self.server(id).report(now, report);
+    }
+
+    /// Records how long a plain call took.
+    pub fn observe_call(&mut self, service: &ServiceId, took: Millis) {
+        let pace = self.pace_mut(service);
+        pace.call_ms += (took.0 as f64 - pace.call_ms) * PACE_WEIGHT;
+    }
+
+    /// Records how long the reading of a prompt took at a server without other work.
+    pub fn observe_prefill(&mut self, service: &ServiceId, tokens: Tokens, took: Millis) {
+        let rate = tokens.0 as f64 / took.0.max(1) as f64;
+        let pace = self.pace_mut(service);
+        pace.prefill_per_ms += (rate - pace.prefill_per_ms) * PACE_WEIGHT;
+    }
+
+    /// Requests of this host at a server.
+    pub fn own_sends(&self, id: &BackendId) -> usize {
+        self.find(id).map_or(0, |server| server.sends.len())
+    }
+
+    /// Requests of this host at all servers.
+    pub fn total_sends(&self) -> usize {
+        self.servers.iter().map(|server| server.sends.len()).sum()
+    }
+
+    /// Forgets servers without work that `is_known` does not know.
+    pub fn retain(&mut self, is_known: impl Fn(&BackendId) -> bool) {
+        self.servers
+            .retain(|server| !server.sends.is_empty() || is_known(&server.id));
+    }
+
+    pub(crate) fn call_ms(&self, service: &ServiceId) -> f64 {
+        self.pace(service).map_or(START_CALL_MS, |p| p.call_ms)
+    }
+
+    pub(crate) fn prefill_per_ms(&self, service: &ServiceId) -> f64 {
+        self.pace(service)
+            .map_or(START_PREFILL_PER_MS, |p| p.prefill_per_ms)
+    }
+
+    pub(crate) fn find(&self, id: &BackendId) -> Option<&Server> {
+        let at = self.servers.binary_search_by(|s| s.id.cmp(id)).ok()?;
+        Some(&self.servers[at])
+    }
+
+    fn server(&mut self, id: &BackendId) -> &mut Server {
+        let at = match self.servers.binary_search_by(|s| s.id.cmp(id)) {
+            Ok(at) => at,
+            Err(at) => {
+                self.servers.insert(at, Server::new(id.clone()));
+                at
+            }
+        };
+        &mut self.servers[at]
+    }
+
+    fn pace(&self, service: &ServiceId) -> Option<&Pace> {
+        let at = self.paces.binary_search_by(|p| p.service.cmp(service));
+        at.ok().map(|at| &self.paces[at])
+    }
+
+    fn pace_mut(&mut self, service: &ServiceId) -> &mut Pace {
+        let found = self.paces.binary_search_by(|p| p.service.cmp(service));
+        let at = match found {
+            Ok(at) => at,
+            Err(at) => {
+                let pace = Pace {
+                    service: service.clone(),
+                    call_ms: START_CALL_MS,
+                    prefill_per_ms: START_PREFILL_PER_MS,
+                };
+                self.paces.insert(at, pace);
+                at
+            }
+        };
+        &mut self.paces[at]
+    }
+}
--- /dev/null
+++ b/crates/edge/src/counters.rs
@@ -0,0 +1,91 @@
+//! Metrics of the host.
+
+use bv_types::Millis;
+use http::StatusCode;
+use metrics::{counter, describe_counter, describe_gauge, describe_histogram, gauge, histogram};
+use metrics_exporter_prometheus::{BuildError, Matcher, PrometheusBuilder, PrometheusHandle};
+
+const ANSWERED: &str = "burdockvale_answered_total";
+const REFUSED: &str = "burdockvale_refused_total";
+const RETRIES: &str = "burdockvale_retries_total";
+const BROKEN: &str = "burdockvale_streams_broken_total";
+const HANDLES: &str = "burdockvale_handles_freed_total";
+const LATENCY: &str = "burdockvale_latency_seconds";
+const STORE_CALLS: &str = "burdockvale_store_calls_total";
+const PEER_CALLS: &str = "burdockvale_peer_calls_total";
+const BAD_ROWS: &str = "burdockvale_unreadable_rows_total";
+const CONFIG_VERSION: &str = "burdockvale_config_version";
+const SERVERS: &str = "burdockvale_backend_servers";
+const LOGS_DROPPED: &str = "burdockvale_log_lines_dropped_total";
+
+/// Upper bounds of the latency histogram, in seconds.
+const LATENCY_BUCKETS: [f64; 9] = [0.025, 0.05, 0.1, 0.2, 0.4, 1.0, 2.0, 5.0, 15.0];
+
+/// Installs the recorder.
+pub(crate) fn install() -> Result<PrometheusHandle, BuildError> {
+    let builder = PrometheusBuilder::new()
+        .set_buckets_for_metric(Matcher::Full(LATENCY.to_owned()), &LATENCY_BUCKETS)?;
+    let recorder = builder.build_recorder();
+    let handle = recorder.handle();
+    // In tests several hosts share the first one's recorder.
+    let _ = metrics::set_global_recorder(recorder);
+    describe_counter!(ANSWERED, "Answers of backend servers, by status.");
+    describe_counter!(REFUSED, "Requests without a server's answer, by reason.");
+    describe_counter!(RETRIES, "Sends that were repeated, by reason.");
+    describe_counter!(BROKEN, "Streams that ended early, by reason.");
+    describe_counter!(HANDLES, "Unused prompts that were freed, by success.");
+    describe_histogram!(LATENCY, "Time to the answer or to the first event.");
+    describe_counter!(STORE_CALLS, "Calls of the store, by table and result.");
+    describe_counter!(PEER_CALLS, "Questions to other hosts, by result.");
+    describe_counter!(BAD_ROWS, "Rows of the store that cannot be read, by table.");
+    describe_gauge!(CONFIG_VERSION, "Version of the configuration in force.");
+    describe_gauge!(SERVERS, "Backend servers that may receive work.");
+    describe_counter!(LOGS_DROPPED, "Log lines left out to bound their rate.");
+    Ok(handle)
+}
+
+pub(crate) fn answered(status: StatusCode, took: Millis) {
+    counter!(ANSWERED, "status" => status.as_u16().to_string()).increment(1);
+    histogram!(LATENCY).record(took.0 as f64 / 1_000.0);
+}
+
+pub(crate) fn refused(reason: &'static str) {
+    counter!(REFUSED, "reason" => reason).increment(1);
+}
+
+pub(crate) fn retry(reason: &'static str) {
+    counter!(RETRIES, "reason" => reason).increment(1);
+}
+
+pub(crate) fn stream_broken(reason: &'static str) {
+    counter!(BROKEN, "reason" => reason).increment(1);
+}
+
+pub(crate) fn handle_freed(freed: bool) {
+    counter!(HANDLES, "freed" => if freed { "yes" } else { "no" }).increment(1);
+}
+
+pub(crate) fn store_call(table: &'static str, ok: bool) {
+    counter!(STORE_CALLS, "table" => table, "result" => if ok { "ok" } else { "failed" })
+        .increment(1);
+}
+
+pub(crate) fn peer_call(ok: bool) {
+    counter!(PEER_CALLS, "result" => if ok { "ok" } else { "failed" }).increment(1);
+}
+
+pub(crate) fn unreadable_row(table: &'static str) {
+    counter!(BAD_ROWS, "table" => table).increment(1);
+}
+
+pub(crate) fn config_version(version: u64) {
+    gauge!(CONFIG_VERSION).set(version as f64);
+}
+
+pub(crate) fn servers(count: usize) {
+    gauge!(SERVERS).set(count as f64);
+}
+
+pub(crate) fn log_dropped() {
+    counter!(LOGS_DROPPED).increment(1);
+}
--- /dev/null
+++ b/crates/edge/src/edge.rs
@@ -0,0 +1,160 @@
+//! The host's shared parts.
+
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use bv_admit::{Ended, SendId, Work};
+use bv_platform::{PlatformSettings, StoreClient};
+use bv_retry::BudgetTerms;
+use bv_types::{BackendId, Clock, Millis};
+
+use crate::logs::LogBudget;
+use crate::send::Pool;
+use crate::state::State;
+
+/// Everything that tasks of the process share.
+#[derive(Debug)]
+pub(crate) struct Edge {
+    pub settings: PlatformSettings,
+    pub clock: Clock,
+    pub store: StoreClient,
+    pub pool: Pool,
+    pub logs: LogBudget,
+    state: Mutex<State>,
+    stopping: AtomicBool,
+    in_progress: AtomicUsize,
+    connections: AtomicUsize,
+}
+
+impl Edge {
+    pub fn new(settings: PlatformSettings) -> Self {
+        let clock = Clock::system();
+        let store = StoreClient::new(settings.store_addr);
+        let state = Mutex::new(State::new(fastrand::u64(..)));
+        Edge {
+            logs: LogBudget::new(clock.now()),
+            settings,
+            clock,
+            store,
+            state,
+            pool: Pool::default(),
+            stopping: AtomicBool::new(false),
+            in_progress: AtomicUsize::new(0),
+            connections: AtomicUsize::new(0),
+        }
+    }
+
+    pub fn now(&self) -> Millis {
+        self.clock.now()
+    }
+
+    /// The state; it is consistent after each step, also when a task ended in the middle of one.
+    pub fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Terms of the retry budget.
+    pub fn budget_terms(&self) -> BudgetTerms {
+        BudgetTerms {
+            ratio: self.settings.retry_ratio,
+            extra: self.settings.retry_extra,
+            window: self.settings.retry_window,
+        }
+    }
+
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    pub fn stop(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether the balancer may send callers here.
+    pub fn is_ready(&self) -> bool {
+        !self.is_stopping() && self.state().is_ready()
+    }
+
+    /// Requests that are not answered yet.
+    pub fn in_progress(&self) -> usize {
+        self.in_progress.load(Ordering::Relaxed)
+    }
+
+    /// Open connections of callers.
+    pub fn connections(&self) -> usize {
+        self.connections.load(Ordering::Relaxed)
+    }
+}
+
+/// Counts a request until it is dropped.
+#[derive(Debug)]
+pub(crate) struct InProgress(Arc<Edge>);
+
+impl InProgress {
+    pub fn new(edge: &Arc<Edge>) -> Self {
+        edge.in_progress.fetch_add(1, Ordering::Relaxed);
+        InProgress(edge.clone())
+    }
+}
+
+impl Drop for InProgress {
+    fn drop(&mut self) {
+        self.0.in_progress.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Counts a caller's connection until it is dropped.
+#[derive(Debug)]
+pub(crate) struct Connected(Arc<Edge>);
+
+impl Connected {
+    pub fn new(edge: &Arc<Edge>) -> Self {
+        edge.connections.fetch_add(1, Ordering::Relaxed);
+        Connected(edge.clone())
+    }
+}
+
+impl Drop for Connected {
+    fn drop(&mut self) {
+        self.0.connections.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// A send that counts at its server until it ends; dropped without an end, it was cancelled.
+#[derive(Debug)]
+pub(crate) struct Attempt {
+    edge: Arc<Edge>,
+    server: BackendId,
+    send: SendId,
+}
+
+impl Attempt {
+    pub fn begin(edge: &Arc<Edge>, server: &BackendId, work: Work) -> Self {
+        let send = edge.state().fleet.begin(edge.now(), server, work);
+        Attempt {
+            edge: edge.clone(),
+            server: server.clone(),
+            send,
+        }
+    }
+
+    /// Records a sign of progress.
+    pub fn progress(&self) {
+        let now = self.edge.now();
+        self.edge.state().fleet.progress(now, &self.server, self.send);
+    }
+
+    /// Records how the send ended.
+    pub fn end(self, ended: Ended) {
+        let now = self.edge.now();
+        self.edge.state().fleet.end(now, &self.server, self.send, ended);
+    }
+}
+
+impl Drop for Attempt {
+    fn drop(&mut self) {
+        let now = self.edge.now();
+        let mut state = self.edge.state();
+        state.fleet.end(now, &self.server, self.send, Ended::Cancelled);
+    }
+}
--- /dev/null
+++ b/crates/edge/src/events.rs
@@ -0,0 +1,67 @@
+//! Splitting of an event stream into whole events.
+
+use bytes::{Bytes, BytesMut};
+
+/// Largest event; larger ones end the stream.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
+/// Whole events that were cut off the front of a stream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Events {
+    /// The bytes of the events.
+    pub bytes: Bytes,
+    /// Ids of the events that have one, in order.
+    pub ids: Vec<u64>,
+}
+
+/// Buffers the part of a stream that is not a whole event yet.
+#[derive(Debug, Default)]
+pub(crate) struct EventReader {
+    buf: BytesMut,
+}
+
+impl EventReader {
+    /// Adds bytes of the stream.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.buf.extend_from_slice(bytes);
+    }
+
+    /// Takes all whole events.
+    pub fn take(&mut self) -> Option<Events> {
+        let end = last_event_end(&self.buf)?;
+        let bytes = self.buf.split_to(end).freeze();
+        let ids = bytes.split(|b| *b == b'\n').filter_map(event_id).collect();
+        Some(Events { bytes, ids })
+    }
+
+    /// Whether a part of an event is left.
+    pub fn has_part(&self) -> bool {
+        !self.buf.is_empty()
+    }
+
+    /// Whether the part of an event is larger than any event may be.
+    pub fn is_overlong(&self) -> bool {
+        self.buf.len() > MAX_EVENT_BYTES
+    }
+
+    /// Forgets a part of an event.
+    pub fn clear(&mut self) {
+        self.buf.clear();
+    }
+}
+
+/// Position after the last empty line.
+fn last_event_end(buf: &[u8]) -> Option<usize> {
+    let is_line_end = |at: usize| buf[at] == b'\n';
+    (1..buf.len()).rev().find_map(|at| {
+        let ends_line = is_line_end(at);
+        let is_empty_line = ends_line
+            && (is_line_end(at - 1) || (at >= 2 && buf[at - 1] == b'\r' && is_line_end(at - 2)));
+        is_empty_line.then_some(at + 1)
+    })
+}
+
+fn event_id(line: &[u8]) -> Option<u64> {
+    let text = std::str::from_utf8(line.strip_prefix(b"id:")?).ok()?;
+    text.trim().parse().ok()
+}
--- /dev/null
+++ b/crates/edge/src/follow.rs
@@ -0,0 +1,244 @@
+//! Following the store: configuration, backend servers and hosts.
+
+use std::sync::Arc;
+
+use bv_platform::{HostRow, StoreError, Table};
+use bv_route::Offer;
+use bv_types::Millis;
+use tracing::{info, warn};
+
+use crate::counters;
+use crate::edge::Edge;
+use crate::hosts::Hosts;
+
+/// Longest wait of a call for changes. A connection may fall silent without a reset; its call ends
+/// at most a second later, well within the bounds for leaving servers and for the configuration.
+const CHANGE_WAIT: Millis = Millis(2_000);
+/// Shortest time between two calls for changes of the servers: rows written together are read
+/// together.
+const SERVERS_PAUSE: Millis = Millis(150);
+/// Pause after a failed call; random up to twice as long, so that hosts do not call together.
+const FAILURE_PAUSE: Millis = Millis(120);
+/// Time without an answer of the store after which other hosts are asked.
+const ASK_PEERS_AFTER: Millis = Millis(500);
+/// Time between two questions to other hosts.
+const PEER_INTERVAL: Millis = Millis(300);
+/// Time without an answer of the store from which its return is the end of an outage: entries may
+/// have lapsed meanwhile.
+const OUTAGE: Millis = Millis(1_500);
+/// Interval of the host's own row.
+const HOST_ROW_INTERVAL: Millis = Millis(10_000);
+
+/// How the calls for one table went.
+#[derive(Debug)]
+struct Health {
+    table: &'static str,
+    failing_since: Option<Millis>,
+    last_answer: Millis,
+}
+
+impl Health {
+    fn new(table: &'static str, now: Millis) -> Self {
+        Health {
+            table,
+            failing_since: None,
+            last_answer: now,
+        }
+    }
+
+    /// Records an answer; true if an outage ends with it.
+    fn answered(&mut self, now: Millis) -> bool {
+        counters::store_call(self.table, true);
+        let was_failing = self.failing_since.take();
+        if let Some(since) = was_failing {
+            let down_ms = (now - since).0;
+            info!(table = self.table, down_ms, "store: answers again");
+        }
+        let silent = now - self.last_answer;
+        self.last_answer = now;
+        was_failing.is_some() && silent >= OUTAGE
+    }
+
+    async fn failed(&mut self, now: Millis, err: &StoreError) {
+        counters::store_call(self.table, false);
+        if self.failing_since.is_none() {
+            self.failing_since = Some(now);
+            warn!(table = self.table, error = %err, "store: call failed");
+        }
+        let pause = FAILURE_PAUSE.0 + fastrand::u64(..=FAILURE_PAUSE.0);
+        tokio::time::sleep(Millis(pause).duration()).await;
+    }
+}
+
+/// Follows the configuration.
+pub(crate) async fn config(edge: Arc<Edge>) {
+    let mut health = Health::new("config", edge.now());
+    let mut reread = true;
+    loop {
+        let after = edge.state().known.config_version.filter(|_| !reread);
+        let began = edge.now();
+        let result = match after {
+            Some(version) => edge.store.changes(Table::Config, version, CHANGE_WAIT).await,
+            None => edge.store.read_all(Table::Config).await,
+        };
+        let now = edge.now();
+        match result {
+            Ok(rows) => {
+                health.answered(now);
+                reread = false;
+                // The store had no newer version when it answered, which was after the call began.
+                let applied = edge.state().apply_config(began, &rows);
+                match applied {
+                    Ok(offer) => note_offer(&edge, offer, "store"),
+                    Err(err) => {
+                        counters::unreadable_row("config");
+                        warn!(error = %err, "configuration: row ignored");
+                    }
+                }
+                if edge.state().in_force.table().is_none() {
+                    tokio::time::sleep(FAILURE_PAUSE.duration()).await;
+                }
+            }
+            Err(StoreError::HistoryGone) => {
+                info!("configuration: the store's history is gone, reading all");
+                reread = true;
+            }
+            Err(err) => health.failed(now, &err).await,
+        }
+    }
+}
+
+/// Logs a configuration that came into force.
+pub(crate) fn note_offer(edge: &Edge, offer: Offer, source: &'static str) {
+    if offer != Offer::Applied {
+        return;
+    }
+    let state = edge.state();
+    if let Some(table) = state.in_force.table() {
+        counters::config_version(table.version().0);
+        info!(
+            version = table.version().0,
+            routes = table.len(),
+            source,
+            "configuration: in force"
+        );
+    }
+}
+
+/// Follows the backend servers.
+pub(crate) async fn servers(edge: Arc<Edge>) {
+    let mut health = Health::new("servers", edge.now());
+    let mut reread = true;
+    loop {
+        let after = edge.state().known.servers_version.filter(|_| !reread);
+        let result = match after {
+            Some(version) => edge.store.changes(Table::Servers, version, CHANGE_WAIT).await,
+            None => edge.store.read_all(Table::Servers).await,
+        };
+        let now = edge.now();
+        let rows = match result {
+            Ok(rows) => rows,
+            Err(StoreError::HistoryGone) => {
+                info!("servers: the store's history is gone, reading all");
+                reread = true;
+                continue;
+            }
+            Err(err) => {
+                health.failed(now, &err).await;
+                continue;
+            }
+        };
+        if health.answered(now) {
+            edge.state().roster.store_returned(now);
+        }
+        let mut errors = Vec::new();
+        {
+            let mut state = edge.state();
+            if after.is_none() {
+                errors = state.replace_servers(now, &rows);
+                reread = false;
+            } else {
+                for row in &rows.rows {
+                    match state.change_server(now, row) {
+                        Ok(bv_roster::Outcome::Unchanged | bv_roster::Outcome::Stale) => {}
+                        Ok(outcome) => info!(
+                            server = %row.key,
+                            version = row.version.0,
+                            outcome = ?outcome,
+                            "servers: changed"
+                        ),
+                        Err(err) => errors.push(err),
+                    }
+                }
+                state.known.servers_version = Some(rows.version);
+                state.forget(now);
+            }
+            counters::servers(state.roster.usable_count(now));
+        }
+        for err in errors {
+            counters::unreadable_row("servers");
+            warn!(error = %err, "servers: row ignored");
+        }
+        if after.is_some() && !rows.rows.is_empty() {
+            tokio::time::sleep(SERVERS_PAUSE.duration()).await;
+        }
+    }
+}
+
+/// Writes this host's row and reads those of the others.
+pub(crate) async fn hosts(edge: Arc<Edge>, peer_addr: std::net::SocketAddr) {
+    let mut health = Health::new("hosts", edge.now());
+    loop {
+        match exchange_hosts(&edge, peer_addr).await {
+            Ok(()) => {
+                health.answered(edge.now());
+                tokio::time::sleep(HOST_ROW_INTERVAL.duration()).await;
+            }
+            Err(err) => {
+                health.failed(edge.now(), &err).await;
+                // Hosts change rarely; a refusing store is not called more often for them.
+                tokio::time::sleep(ASK_PEERS_AFTER.duration()).await;
+            }
+        }
+    }
+}
+
+async fn exchange_hosts(edge: &Edge, peer_addr: std::net::SocketAddr) -> Result<(), StoreError> {
+    let own = &edge.settings.host;
+    let before = edge.store.read_all(Table::Hosts).await?;
+    let row = HostRow {
+        peer_addr,
+        written_at: before.store_time,
+    };
+    edge.store.write_host(own.as_str(), &row).await?;
+    let hosts = Hosts::read(own, &before);
+    edge.state().hosts = hosts;
+    Ok(())
+}
+
+/// Asks other hosts for rows while the store does not answer this one.
+pub(crate) async fn ask_peers(edge: Arc<Edge>) {
+    let mut turn = fastrand::usize(..1_000);
+    loop {
+        tokio::time::sleep(PEER_INTERVAL.duration()).await;
+        let now = edge.now();
+        let peer = {
+            let state = edge.state();
+            let limit = CHANGE_WAIT + ASK_PEERS_AFTER;
+            let is_current = state.in_force.age(now).is_some_and(|age| age < limit);
+            if is_current {
+                continue;
+            }
+            turn += 1;
+            state.hosts.peer(turn)
+        };
+        let Some(peer) = peer else { continue };
+        match crate::peers::ask(&edge, peer).await {
+            Ok(()) => counters::peer_call(true),
+            Err(err) => {
+                counters::peer_call(false);
+                tracing::debug!(peer = %peer, error = %err, "peer: no answer");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/guard.rs
@@ -0,0 +1,197 @@
+//! Checks of request heads that the HTTP library is lenient about.
+//!
+//! The library accepts bare line feeds, and drops a length that follows chunked encoding. Another
+//! parser may see another end of such a request, so that a second request could hide in its body.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::task::{Context, Poll};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+/// Longest part of a header line that is kept; the names looked for are shorter.
+const KEPT_LINE: usize = 24;
+
+/// What the bytes of one head were.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct Verdict {
+    bare_line_end: bool,
+    lengths: u8,
+    chunked: u8,
+}
+
+impl Verdict {
+    /// Whether all parsers agree on the end of the request.
+    pub fn is_strict(self) -> bool {
+        !self.bare_line_end && self.lengths + self.chunked <= 1
+    }
+}
+
+#[derive(Debug)]
+enum Phase {
+    /// The next bytes belong to a head.
+    Head {
+        verdict: Verdict,
+        line: Vec<u8>,
+        line_bytes: usize,
+        after_cr: bool,
+        has_request_line: bool,
+    },
+    /// A head was read; what follows is its body.
+    Read(Verdict),
+    /// The head was taken; what follows must not be another request.
+    Busy,
+}
+
+impl Phase {
+    fn head() -> Self {
+        Phase::Head {
+            verdict: Verdict::default(),
+            line: Vec::with_capacity(KEPT_LINE),
+            line_bytes: 0,
+            after_cr: false,
+            has_request_line: false,
+        }
+    }
+}
+
+/// State of one connection, shared by its reader and its service.
+#[derive(Debug, Clone)]
+pub(crate) struct HeadGuard(Arc<Mutex<Phase>>);
+
+impl HeadGuard {
+    pub fn new() -> Self {
+        HeadGuard(Arc::new(Mutex::new(Phase::head())))
+    }
+
+    /// Takes the verdict on the request that was just read. None if its head arrived before the
+    /// answer to the request before it was complete.
+    pub fn take(&self) -> Option<Verdict> {
+        let mut phase = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        match std::mem::replace(&mut *phase, Phase::Busy) {
+            Phase::Read(verdict) => Some(verdict),
+            Phase::Head { .. } | Phase::Busy => None,
+        }
+    }
+
+    /// Expects the next head from now on.
+    pub fn answered(&self) {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = Phase::head();
+    }
+
+    /// Looks at bytes that were read.
+    pub fn read(&self, bytes: &[u8]) {
+        let mut phase = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        for byte in bytes {
+            let done = match &mut *phase {
+                Phase::Head {
+                    verdict,
+                    line,
+                    line_bytes,
+                    after_cr,
+                    has_request_line,
+                } => {
+                    let was_cr = std::mem::replace(after_cr, *byte == b'\r');
+                    match byte {
+                        b'\n' if *line_bytes > 0 || *has_request_line => {
+                            verdict.bare_line_end |= !was_cr;
+                            let is_end = *line_bytes == 0;
+                            note_line(verdict, line);
+                            *has_request_line = true;
+                            line.clear();
+                            *line_bytes = 0;
+                            is_end.then_some(*verdict)
+                        }
+                        // Empty lines before a request are allowed.
+                        b'\n' => None,
+                        b'\r' => {
+                            verdict.bare_line_end |= was_cr;
+                            None
+                        }
+                        _ => {
+                            verdict.bare_line_end |= was_cr;
+                            *line_bytes += 1;
+                            if line.len() < KEPT_LINE {
+                                line.push(byte.to_ascii_lowercase());
+                            }
+                            None
+                        }
+                    }
+                }
+                Phase::Read(_) | Phase::Busy => return,
+            };
+            if let Some(verdict) = done {
+                *phase = Phase::Read(verdict);
+                return;
+            }
+        }
+    }
+}
+
+fn note_line(verdict: &mut Verdict, line: &[u8]) {
+    if line.starts_with(b"content-length") {
+        verdict.lengths = verdict.lengths.saturating_add(1);
+    }
+    if line.starts_with(b"transfer-encoding") {
+        verdict.chunked = verdict.chunked.saturating_add(1);
+    }
+}
+
+/// A connection whose incoming bytes pass the guard.
+#[derive(Debug)]
+pub(crate) struct Guarded<S> {
+    stream: S,
+    guard: HeadGuard,
+}
+
+impl<S> Guarded<S> {
+    pub fn new(stream: S, guard: HeadGuard) -> Self {
+        Guarded { stream, guard }
+    }
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for Guarded<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let result = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if let Poll::Ready(Ok(())) = &result {
+            self.guard.read(&buf.filled()[before..]);
+        }
+        result
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for Guarded<S> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
--- /dev/null
+++ b/crates/edge/src/hosts.rs
@@ -0,0 +1,41 @@
+//! Other hosts, as their rows in the store tell.
+
+use std::net::SocketAddr;
+
+use bv_platform::{HostRow, Rows};
+use bv_types::{HostId, Millis};
+
+/// Age above which the row of a host no longer counts; a host writes it every ten seconds.
+const ROW_LIFETIME: Millis = Millis(25_000);
+
+/// Live hosts, without this one.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Hosts {
+    others: Vec<SocketAddr>,
+}
+
+impl Hosts {
+    /// Reads the rows of all hosts; rows that cannot be read name no host.
+    pub fn read(own: &HostId, rows: &Rows) -> Self {
+        let is_other = |key: &str| key != own.as_str();
+        let others = rows.rows.iter().filter(|row| is_other(&row.key));
+        let live = others.filter_map(|row| {
+            let host = HostRow::decode(row.value.as_ref()?).ok()?;
+            (host.written_at + ROW_LIFETIME > rows.store_time).then_some(host.peer_addr)
+        });
+        Hosts {
+            others: live.collect(),
+        }
+    }
+
+    /// Number of live hosts, with this one.
+    pub fn count(&self) -> usize {
+        self.others.len() + 1
+    }
+
+    /// A host to ask; `turn` goes through them one by one.
+    pub fn peer(&self, turn: usize) -> Option<SocketAddr> {
+        let at = turn.checked_rem(self.others.len())?;
+        Some(self.others[at])
+    }
+}
--- /dev/null
+++ b/crates/edge/src/listen.rs
@@ -0,0 +1,167 @@
+//! Listeners for callers, the readiness check and metrics.
+
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use axum::Router;
+use axum::extract::State as Shared;
+use axum::routing::get;
+use bv_platform::READY_PATH;
+use bytes::Bytes;
+use http::{Response, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::{Body as HttpBody, Frame, SizeHint};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use metrics_exporter_prometheus::PrometheusHandle;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tracing::{debug, warn};
+
+use crate::answer::Body;
+use crate::edge::{Connected, Edge};
+use crate::guard::{Guarded, HeadGuard};
+use crate::serve::serve;
+
+/// Share of the file descriptors for callers' connections; each request needs up to two more.
+const CALLER_FILES: f64 = 0.4;
+/// Pause after a failed accept, so that a lack of descriptors does not become a busy loop.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Smallest buffer of the HTTP library.
+const MIN_HEAD_BUFFER: usize = 8 << 10;
+/// Time that data for a caller may stay unacknowledged.
+const CALLER_UNACKNOWLEDGED: Duration = Duration::from_secs(10);
+const CALLER_PROBE_AFTER: Duration = Duration::from_secs(5);
+
+/// Accepts callers until `closing` changes.
+pub(crate) async fn callers(edge: Arc<Edge>, listener: TcpListener, closing: watch::Receiver<bool>) {
+    let max = (edge.settings.max_files as f64 * CALLER_FILES) as usize;
+    let mut ended = closing.clone();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = ended.changed() => return,
+        };
+        match accepted {
+            // Dropping the connection resets nothing that was read.
+            Ok(_) if edge.connections() >= max => crate::counters::refused("too_many_connections"),
+            Ok((stream, peer)) => {
+                tokio::spawn(connection(edge.clone(), stream, peer, closing.clone()));
+            }
+            Err(err) => {
+                warn!(error = %err, "listener: accept failed");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn connection(
+    edge: Arc<Edge>,
+    stream: TcpStream,
+    peer: SocketAddr,
+    mut closing: watch::Receiver<bool>,
+) {
+    let _connected = Connected::new(&edge);
+    if let Err(err) = set_options(&stream) {
+        debug!(peer = %peer, error = %err, "caller: socket options not set");
+    }
+    let limits = edge.state().in_force.table().map(|table| table.limits());
+    let limits = limits.unwrap_or_default();
+    let guard = HeadGuard::new();
+    let service_guard = guard.clone();
+    let service_edge = edge.clone();
+    let service = service_fn(move |req| {
+        let guard = service_guard.clone();
+        let serving = serve(service_edge.clone(), guard.take(), req);
+        async move {
+            let response = serving.await;
+            Ok::<_, Infallible>(response.map(|body| Answered { body, guard }))
+        }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.idle_timeout.duration())
+        .max_buf_size((limits.max_head.0 as usize * 2).max(MIN_HEAD_BUFFER))
+        .serve_connection(TokioIo::new(Guarded::new(stream, guard)), service);
+    let mut connection = std::pin::pin!(connection);
+    let result = tokio::select! {
+        result = connection.as_mut() => result,
+        _ = closing.changed() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(err) = result {
+        debug!(peer = %peer, error = %err, "caller: connection ended");
+    }
+}
+
+fn set_options(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    socket.set_tcp_keepalive(&TcpKeepalive::new().with_time(CALLER_PROBE_AFTER))?;
+    socket.set_tcp_user_timeout(Some(CALLER_UNACKNOWLEDGED))
+}
+
+/// A body after which the connection's next request is expected.
+struct Answered {
+    body: Body,
+    guard: HeadGuard,
+}
+
+impl Drop for Answered {
+    fn drop(&mut self) {
+        self.guard.answered();
+    }
+}
+
+impl HttpBody for Answered {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        let frame = std::pin::pin!(self.body.frame());
+        std::future::Future::poll(frame, cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// Answers the balancer's readiness check.
+pub(crate) async fn readiness(edge: Arc<Edge>, listener: TcpListener) -> io::Result<()> {
+    let router = Router::new().route(READY_PATH, get(ready)).with_state(edge);
+    axum::serve(listener, router).await
+}
+
+async fn ready(Shared(edge): Shared<Arc<Edge>>) -> StatusCode {
+    match edge.is_ready() {
+        true => StatusCode::OK,
+        false => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
+
+/// Serves metrics.
+pub(crate) async fn metrics(listener: TcpListener, handle: PrometheusHandle) -> io::Result<()> {
+    let render = move || {
+        let handle = handle.clone();
+        async move { Response::new(handle.render()) }
+    };
+    axum::serve(listener, Router::new().route("/metrics", get(render))).await
+}
--- /dev/null
+++ b/crates/edge/src/logs.rs
@@ -0,0 +1,191 @@
+//! Structured log lines: one for each decision that touches a request.
+
+use std::net::SocketAddr;
+use std::sync::{Mutex, PoisonError};
+
+use bv_types::{BackendId, Millis};
+use http::StatusCode;
+use tracing::{debug, info, warn};
+
+use crate::answer::Failure;
+use crate::counters;
+use crate::edge::Edge;
+use crate::model::ModelCall;
+use crate::request::CallerRequest;
+use crate::send::SendError;
+use crate::serve::Unrouted;
+
+/// Lines a second that may be written for requests; a line costs about 30 µs of processor time.
+const LINES_PER_SEC: f64 = 60.0;
+/// Lines that may be written at once after a calm time.
+const LINES_BURST: f64 = 200.0;
+
+/// Bounds the rate of lines about requests; lines beyond it are counted instead.
+#[derive(Debug)]
+pub(crate) struct LogBudget(Mutex<(f64, Millis)>);
+
+impl LogBudget {
+    pub fn new(now: Millis) -> Self {
+        LogBudget(Mutex::new((LINES_BURST, now)))
+    }
+
+    fn take(&self, now: Millis) -> bool {
+        let mut budget = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let (left, at) = *budget;
+        let earned = (now - at).0 as f64 / 1_000.0 * LINES_PER_SEC;
+        let left = (left + earned).min(LINES_BURST);
+        let is_allowed = left >= 1.0;
+        *budget = (if is_allowed { left - 1.0 } else { left }, now);
+        if !is_allowed {
+            counters::log_dropped();
+        }
+        is_allowed
+    }
+
+    /// A server's answer was passed on.
+    pub fn answered(&self, now: Millis, req: &CallerRequest, status: StatusCode) {
+        if status.is_success() {
+            debug!(
+                id = %req.facts.request_id,
+                route = %req.route.name,
+                ms = (now - req.arrived).0,
+                "request: answered"
+            );
+            return;
+        }
+        if self.take(now) {
+            info!(
+                id = %req.facts.request_id,
+                route = %req.route.name,
+                config = req.table.version().0,
+                status = status.as_u16(),
+                ms = (now - req.arrived).0,
+                "request: server's own failure passed on"
+            );
+        }
+    }
+
+    /// A request ended without a server's answer.
+    pub fn failed(&self, now: Millis, req: &CallerRequest, failure: Failure) {
+        if self.take(now) {
+            info!(
+                id = %req.facts.request_id,
+                route = %req.route.name,
+                config = req.table.version().0,
+                service = %req.service,
+                status = failure.status().as_u16(),
+                reason = failure.code(),
+                ms = (now - req.arrived).0,
+                left_ms = req.remaining(now).0,
+                "request: failed"
+            );
+        }
+    }
+
+    /// A request was refused before it had a route.
+    pub fn refused(&self, now: Millis, refused: &Unrouted) {
+        if self.take(now) {
+            info!(
+                id = refused.request_id.as_deref().unwrap_or("unknown"),
+                status = refused.failure.status().as_u16(),
+                reason = refused.failure.code(),
+                config_age_ms = refused.config_age.map(|age| age.0),
+                "request: refused"
+            );
+        }
+    }
+
+    /// A send failed.
+    pub fn send_failed(
+        &self,
+        now: Millis,
+        req: &CallerRequest,
+        server: &BackendId,
+        err: &SendError,
+    ) {
+        if self.take(now) {
+            info!(
+                id = %req.facts.request_id,
+                route = %req.route.name,
+                server = %server,
+                reason = err.code(),
+                error = %err,
+                ms = (now - req.arrived).0,
+                "send: failed"
+            );
+        }
+    }
+
+    /// The KV cache of a prompt could not be freed.
+    pub fn handle_not_freed(&self, now: Millis, addr: SocketAddr, err: &str) {
+        if self.take(now) {
+            info!(peer = %addr, error = err, "handle: not freed, it ends by itself");
+        }
+    }
+
+    /// A stream was forwarded to its end.
+    pub fn stream_done(&self, edge: &Edge, call: &ModelCall, server: &BackendId) {
+        debug!(
+            id = %call.req.facts.request_id,
+            server = %server,
+            ms = (edge.now() - call.req.arrived).0,
+            "stream: complete"
+        );
+    }
+
+    /// A caller left a stream.
+    pub fn caller_gone(&self, edge: &Edge, call: &ModelCall, server: &BackendId) {
+        let now = edge.now();
+        if self.take(now) {
+            info!(
+                id = %call.req.facts.request_id,
+                server = %server,
+                ms = (now - call.req.arrived).0,
+                "stream: caller gone, server's connection closed"
+            );
+        }
+    }
+
+    /// A stream goes on at another server.
+    pub fn stream_resumes(
+        &self,
+        edge: &Edge,
+        call: &ModelCall,
+        server: &BackendId,
+        reason: &'static str,
+    ) {
+        let now = edge.now();
+        if self.take(now) {
+            info!(
+                id = %call.req.facts.request_id,
+                from = %server,
+                reason,
+                last_event = call.last_event,
+                "stream: goes on at another server"
+            );
+        }
+    }
+
+    /// A stream ended early.
+    pub fn stream_broken(
+        &self,
+        edge: &Edge,
+        call: &ModelCall,
+        server: &BackendId,
+        reason: &'static str,
+    ) {
+        let now = edge.now();
+        if self.take(now) {
+            warn!(
+                id = %call.req.facts.request_id,
+                route = %call.req.route.name,
+                server = %server,
+                reason,
+                last_event = call.last_event,
+                runs = call.runs,
+                ms = (now - call.req.arrived).0,
+                "stream: broken off"
+            );
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/run.rs
@@ -0,0 +1,139 @@
+//! Start of the process.
+
+use std::net::{IpAddr, SocketAddr};
+use std::path::PathBuf;
+use std::sync::Arc;
+
+use bv_platform::{DecodeError, PlatformSettings, SETTINGS_VARIABLE, read_settings};
+use miette::Diagnostic;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+use tracing::{info, warn};
+use tracing_subscriber::EnvFilter;
+
+use crate::edge::Edge;
+use crate::{counters, follow, listen, peers, stop};
+
+/// Port of the metrics page; `deploy/system.toml` names the same one.
+const METRICS_PORT: u16 = 9464;
+/// Lines that wait for a slow reader of the logs; further ones are dropped.
+const QUEUED_LINES: usize = 4_000;
+
+/// The process cannot start or go on.
+#[derive(Debug, thiserror::Error, Diagnostic)]
+pub enum EdgeError {
+    /// The settings cannot be used.
+    #[error("settings: {0}")]
+    #[diagnostic(code(edge::settings))]
+    Settings(#[from] DecodeError),
+    /// The path of the settings file is missing.
+    #[error("{SETTINGS_VARIABLE} is not set")]
+    #[diagnostic(
+        code(edge::settings),
+        help("set it to the path of the platform's settings file")
+    )]
+    NoSettings,
+    /// An address cannot be used.
+    #[error("listen on {addr} for {what}: {source}")]
+    #[diagnostic(code(edge::listen))]
+    Listen {
+        /// What the address is for.
+        what: &'static str,
+        /// The address.
+        addr: SocketAddr,
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// The process could not be set up.
+    #[error("start: {0}")]
+    #[diagnostic(code(edge::start))]
+    Start(#[from] std::io::Error),
+    /// Metrics could not be set up.
+    #[error("metrics: {0}")]
+    #[diagnostic(code(edge::metrics))]
+    Metrics(#[from] metrics_exporter_prometheus::BuildError),
+}
+
+/// Runs the host until SIGTERM. Blocks the calling thread, which does all the work.
+///
+/// # Errors
+/// The settings are missing or wrong, or an address cannot be used.
+pub fn run() -> Result<(), EdgeError> {
+    let path = std::env::var_os(SETTINGS_VARIABLE).ok_or(EdgeError::NoSettings)?;
+    let path = PathBuf::from(path);
+    let settings = read_settings(&path)?;
+    let (writer, _flush_at_end) = tracing_appender::non_blocking::NonBlockingBuilder::default()
+        .buffered_lines_limit(QUEUED_LINES)
+        .lossy(true)
+        .finish(std::io::stdout());
+    let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new("info"));
+    // A second subscriber exists only in tests.
+    let _ = tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_writer(writer)
+        .json()
+        .flatten_event(true)
+        .try_init();
+    tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?
+        .block_on(serve(path, settings))
+}
+
+async fn serve(path: PathBuf, settings: PlatformSettings) -> Result<(), EdgeError> {
+    let metrics = counters::install()?;
+    let ip = settings.ip;
+    let peer_addr = SocketAddr::new(ip, settings.first_peer_port);
+    info!(
+        host = %settings.host,
+        zone = %settings.zone,
+        store = %settings.store_addr,
+        version = env!("CARGO_PKG_VERSION"),
+        "start"
+    );
+    let callers = bind("callers", settings.caller_addr).await?;
+    let ready = bind("readiness", settings.ready_addr).await?;
+    let peers = bind("peers", peer_addr).await?;
+    let page = bind("metrics", metrics_addr(ip)).await?;
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut hangup = signal(SignalKind::hangup())?;
+    let edge = Arc::new(Edge::new(settings));
+    let (closing, closed) = watch::channel(false);
+    tokio::spawn(follow::config(edge.clone()));
+    tokio::spawn(follow::servers(edge.clone()));
+    tokio::spawn(follow::hosts(edge.clone(), peer_addr));
+    tokio::spawn(follow::ask_peers(edge.clone()));
+    tokio::spawn(peers::listen(edge.clone(), peers));
+    tokio::spawn(listen::readiness(edge.clone(), ready));
+    tokio::spawn(listen::metrics(page, metrics));
+    tokio::spawn(listen::callers(edge.clone(), callers, closed));
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = hangup.recv() => reload(&path, &edge),
+        }
+    }
+    stop::drain(&edge, &closing).await;
+    Ok(())
+}
+
+/// Reads the settings again. Addresses do not change while a process runs; the rest takes effect at
+/// the next start, and a file that cannot be used is reported now.
+fn reload(path: &std::path::Path, edge: &Edge) {
+    match read_settings(path) {
+        Ok(settings) if settings == edge.settings => info!("reload: settings unchanged"),
+        Ok(_) => info!("reload: settings changed, in force after the next start"),
+        Err(err) => warn!(error = %err, "reload: settings cannot be used"),
+    }
+}
+
+fn metrics_addr(ip: IpAddr) -> SocketAddr {
+    SocketAddr::new(ip, METRICS_PORT)
+}
+
+async fn bind(what: &'static str, addr: SocketAddr) -> Result<TcpListener, EdgeError> {
+    TcpListener::bind(addr)
+        .await
+        .map_err(|source| EdgeError::Listen { what, addr, source })
+}
--- /dev/null
+++ b/crates/edge/src/serve.rs
@@ -0,0 +1,180 @@
+//! Checks of a caller's request, and its way to the service.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bv_platform::{caller_facts, strip_request};
+use bv_types::{Millis, Refusal};
+use bytes::Bytes;
+use http::{Request, Response, header};
+use hyper::body::{Body as _, Incoming};
+
+use crate::answer::{Body, Failure, close};
+use crate::counters;
+use crate::edge::{Edge, InProgress};
+use crate::guard::Verdict;
+use crate::model::ModelCall;
+use crate::plain::call;
+use crate::relay::stream;
+use crate::request::CallerRequest;
+
+/// Longest time for the body of a request that names no deadline of its own.
+const BODY_TIMEOUT: Millis = Millis(10_000);
+/// Age of the configuration, in times of the bound for a change, above which an unknown route may
+/// be a new one.
+const STALE_BOUNDS: u64 = 1;
+
+/// Serves one request.
+pub(crate) async fn serve(
+    edge: Arc<Edge>,
+    verdict: Option<Verdict>,
+    req: Request<Incoming>,
+) -> Response<Body> {
+    let in_progress = InProgress::new(&edge);
+    let arrived = edge.now();
+    let mut response = match accept(&edge, verdict, req, arrived).await {
+        Ok(req) => run(&edge, req, in_progress).await,
+        Err(refused) => {
+            edge.logs.refused(edge.now(), &refused);
+            counters::refused(refused.failure.code());
+            refused.failure.response()
+        }
+    };
+    if edge.is_stopping() {
+        close(&mut response);
+    }
+    response
+}
+
+/// A request that was refused before it had a route.
+#[derive(Debug)]
+pub(crate) struct Unrouted {
+    pub failure: Failure,
+    pub request_id: Option<smol_str::SmolStr>,
+    pub config_age: Option<Millis>,
+}
+
+impl From<Refusal> for Unrouted {
+    fn from(reason: Refusal) -> Self {
+        Unrouted {
+            failure: Failure::refused(reason),
+            request_id: None,
+            config_age: None,
+        }
+    }
+}
+
+async fn accept(
+    edge: &Arc<Edge>,
+    verdict: Option<Verdict>,
+    req: Request<Incoming>,
+    arrived: Millis,
+) -> Result<CallerRequest, Unrouted> {
+    if !verdict.is_some_and(Verdict::is_strict) {
+        return Err(Refusal::BadRequest.into());
+    }
+    let (parts, body) = req.into_parts();
+    let facts = caller_facts(&parts.headers).ok_or(Refusal::BadRequest)?;
+    let refuse = |reason: Refusal, config_age: Option<Millis>| Unrouted {
+        failure: Failure::refused(reason),
+        request_id: Some(facts.request_id.clone()),
+        config_age,
+    };
+    let (table, age) = {
+        let state = edge.state();
+        (state.in_force.table().cloned(), state.in_force.age(arrived))
+    };
+    let table = table.ok_or_else(|| refuse(Refusal::NotConfigured, None))?;
+    if !edge.state().is_ready() {
+        return Err(refuse(Refusal::NotConfigured, age));
+    }
+    let host = parts
+        .headers
+        .get(header::HOST)
+        .and_then(|host| host.to_str().ok())
+        .ok_or_else(|| refuse(Refusal::BadRequest, age))?;
+    let route = match table.find(host, parts.uri.path()) {
+        Some(route) => route.clone(),
+        None => {
+            // A host that may have missed a change cannot say that the route does not exist.
+            let bound = Millis(edge.settings.config_apply.0 * STALE_BOUNDS);
+            let is_stale = age.is_none_or(|age| age > bound);
+            let reason = match is_stale {
+                true => Refusal::NotConfigured,
+                false => Refusal::NoRoute,
+            };
+            return Err(refuse(reason, age));
+        }
+    };
+    let service = route
+        .target(fastrand::u64(..))
+        .cloned()
+        .ok_or_else(|| refuse(Refusal::NoBackend, age))?;
+    let wait = facts.deadline.map_or(route.timeout, |d| d.min(route.timeout));
+    let deadline = arrived + wait;
+    let limit = table.limits().max_body.0 as usize;
+    let body = read_body(body, limit, wait.min(BODY_TIMEOUT))
+        .await
+        .map_err(|reason| refuse(reason, age))?;
+    let mut headers = parts.headers;
+    strip_request(&mut headers);
+    Ok(CallerRequest {
+        method: parts.method,
+        uri: origin_form(parts.uri),
+        headers,
+        body,
+        facts,
+        table: table.clone(),
+        route,
+        service,
+        arrived,
+        deadline,
+    })
+}
+
+/// The path and query alone, as a backend server expects them.
+fn origin_form(uri: http::Uri) -> http::Uri {
+    match uri.path_and_query() {
+        Some(path) if uri.authority().is_some() => http::Uri::from(path.clone()),
+        _ => uri,
+    }
+}
+
+async fn read_body(body: Incoming, limit: usize, timeout: Millis) -> Result<Bytes, Refusal> {
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    let reading = bv_link::collect(body, limit);
+    match tokio::time::timeout(Duration::from_millis(timeout.0), reading).await {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(bv_link::CollectError::TooLong { .. })) => Err(Refusal::BodyTooLarge),
+        Ok(Err(bv_link::CollectError::Broken(_))) => Err(Refusal::BadRequest),
+        Err(_) => Err(Refusal::ReadTimeout),
+    }
+}
+
+async fn run(edge: &Arc<Edge>, req: CallerRequest, in_progress: InProgress) -> Response<Body> {
+    let req = Arc::new(req);
+    let terms = edge.budget_terms();
+    edge.state().count_request(req.arrived, &req.service, terms);
+    let result = match req.route.kind.is_stream() {
+        true => stream(edge, ModelCall::new(edge, req.clone()), in_progress).await,
+        false => {
+            let _in_progress = in_progress;
+            call(edge, &req).await
+        }
+    };
+    let now = edge.now();
+    match result {
+        Ok(response) => {
+            counters::answered(response.status(), now - req.arrived);
+            edge.logs.answered(now, &req, response.status());
+            response
+        }
+        Err(failure) => {
+            counters::refused(failure.code());
+            edge.logs.failed(now, &req, failure);
+            failure.response()
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/state.rs
@@ -0,0 +1,165 @@
+//! What a host knows and decides from.
+
+use bv_admit::Fleet;
+use bv_platform::{DecodeError, Row, Rows, Table, decode_config, decode_server};
+use bv_retry::{BudgetTerms, SharedBudget};
+use bv_roster::{Outcome, Roster};
+use bv_route::{InForce, Offer};
+use bv_types::{BackendId, Millis, ServiceId, Version};
+use bytes::Bytes;
+use smol_str::SmolStr;
+
+use crate::hosts::Hosts;
+
+/// Time for which servers that left are remembered, so that a late row does not bring one back.
+const REMEMBER_LEFT: Millis = Millis(60_000);
+
+/// Rows of the store as this host last knew them, for hosts that the store refuses.
+#[derive(Debug, Default)]
+pub(crate) struct Known {
+    /// The operator's row.
+    pub config: Option<Bytes>,
+    /// Version of the store up to which changes of the configuration are known.
+    pub config_version: Option<Version>,
+    /// Rows of backend servers, sorted by key.
+    pub servers: Vec<(SmolStr, Bytes)>,
+    /// Version of the store up to which changes of the servers are known.
+    pub servers_version: Option<Version>,
+}
+
+/// All state behind the lock of the host.
+#[derive(Debug)]
+pub(crate) struct State {
+    pub in_force: InForce,
+    pub roster: Roster,
+    pub fleet: Fleet,
+    pub hosts: Hosts,
+    pub known: Known,
+    /// Sorted by service.
+    budgets: Vec<(ServiceId, SharedBudget)>,
+}
+
+impl State {
+    pub fn new(seed: u64) -> Self {
+        State {
+            in_force: InForce::default(),
+            roster: Roster::default(),
+            fleet: Fleet::new(seed),
+            hosts: Hosts::default(),
+            known: Known::default(),
+            budgets: Vec::new(),
+        }
+    }
+
+    /// Whether requests can be served.
+    pub fn is_ready(&self) -> bool {
+        self.in_force.table().is_some() && self.known.servers_version.is_some()
+    }
+
+    /// Counts a caller's request to a service.
+    pub fn count_request(&mut self, now: Millis, service: &ServiceId, terms: BudgetTerms) {
+        self.budget(service).request(now, terms);
+    }
+
+    /// Takes one repeat for a service from this host's share of the budget.
+    pub fn take_repeat(&mut self, now: Millis, service: &ServiceId, terms: BudgetTerms) -> bool {
+        let hosts = self.hosts.count();
+        self.budget(service).take(now, terms, hosts)
+    }
+
+    fn budget(&mut self, service: &ServiceId) -> &mut SharedBudget {
+        let at = match self.budgets.binary_search_by(|(id, _)| id.cmp(service)) {
+            Ok(at) => at,
+            Err(at) => {
+                self.budgets
+                    .insert(at, (service.clone(), SharedBudget::default()));
+                at
+            }
+        };
+        &mut self.budgets[at].1
+    }
+
+    /// Takes over rows of the configuration's table.
+    pub fn apply_config(&mut self, now: Millis, rows: &Rows) -> Result<Offer, DecodeError> {
+        let body = rows.get(Table::CONFIG_KEY).and_then(|row| row.value.clone());
+        let offer = match body {
+            Some(body) => self.offer_config(body)?,
+            None => Offer::Same,
+        };
+        if self.in_force.table().is_some() {
+            self.known.config_version = Some(rows.version);
+            self.in_force.confirm(now);
+        }
+        Ok(offer)
+    }
+
+    /// Offers an operator's row.
+    pub fn offer_config(&mut self, body: Bytes) -> Result<Offer, DecodeError> {
+        let offer = self.in_force.offer(decode_config(&body)?);
+        if offer == Offer::Applied {
+            self.known.config = Some(body);
+        }
+        Ok(offer)
+    }
+
+    /// Takes over all rows of the servers' table.
+    pub fn replace_servers(&mut self, now: Millis, rows: &Rows) -> Vec<DecodeError> {
+        let mut errors = Vec::new();
+        let mut entries = Vec::new();
+        let mut known = Vec::new();
+        for row in &rows.rows {
+            let Some(body) = &row.value else { continue };
+            known.push((row.key.clone(), body.clone()));
+            match decode_server(&row.key, body) {
+                Ok(entry) => entries.push(entry),
+                Err(err) => errors.push(err),
+            }
+        }
+        known.sort_by(|a, b| a.0.cmp(&b.0));
+        self.known.servers = known;
+        self.known.servers_version = Some(rows.version);
+        self.roster.replace(now, entries);
+        self.forget(now);
+        errors
+    }
+
+    /// Takes over a changed row of the servers' table.
+    pub fn change_server(&mut self, now: Millis, row: &Row) -> Result<Outcome, DecodeError> {
+        let found = self.known.servers.binary_search_by(|(key, _)| key.cmp(&row.key));
+        let Some(body) = &row.value else {
+            if let Ok(at) = found {
+                self.known.servers.remove(at);
+            }
+            return Ok(self.remove_server(now, &row.key));
+        };
+        match found {
+            Ok(at) => self.known.servers[at].1 = body.clone(),
+            Err(at) => self
+                .known
+                .servers
+                .insert(at, (row.key.clone(), body.clone())),
+        }
+        match decode_server(&row.key, body) {
+            Ok(entry) => Ok(self.roster.put(now, entry)),
+            Err(err) => {
+                // A row that cannot be read names no server to use.
+                self.remove_server(now, &row.key);
+                Err(err)
+            }
+        }
+    }
+
+    fn remove_server(&mut self, now: Millis, key: &str) -> Outcome {
+        match BackendId::try_from(key) {
+            Ok(id) => self.roster.remove(now, &id),
+            Err(_) => Outcome::Unchanged,
+        }
+    }
+
+    /// Forgets servers that are gone.
+    pub fn forget(&mut self, now: Millis) {
+        self.roster.forget(now, REMEMBER_LEFT);
+        let roster = &self.roster;
+        self.fleet.retain(|id| roster.usable(now, id).is_some());
+    }
+}
--- /dev/null
+++ b/crates/edge/src/stop.rs
@@ -0,0 +1,50 @@
+//! Graceful stop on SIGTERM.
+
+use std::sync::Arc;
+
+use bv_types::Millis;
+use tokio::sync::watch;
+use tracing::info;
+
+use crate::edge::Edge;
+
+/// Time after the signal during which the host keeps accepting: the balancer needs two misses of
+/// its check, once a second, before it stops sending callers.
+const LAME_DUCK: Millis = Millis(3_200);
+/// Share of the grace period after which idle connections are closed.
+const CLOSE_AT: f64 = 5.0 / 6.0;
+/// Time before the end of the grace period at which the process ends in any case.
+const END_MARGIN: Millis = Millis(300);
+const POLL: Millis = Millis(50);
+
+/// Waits until nothing is left to do, and closes callers' connections on the way.
+pub(crate) async fn drain(edge: &Arc<Edge>, closing: &watch::Sender<bool>) {
+    let began = edge.now();
+    edge.stop();
+    info!(
+        in_progress = edge.in_progress(),
+        connections = edge.connections(),
+        "stop: not ready, serving open connections"
+    );
+    let grace = edge.settings.grace_period;
+    let close_at = began + Millis((grace.0 as f64 * CLOSE_AT) as u64);
+    let end_at = began + (grace - END_MARGIN);
+    loop {
+        tokio::time::sleep(POLL.duration()).await;
+        let now = edge.now();
+        let is_idle = edge.in_progress() == 0 && edge.connections() == 0;
+        if now >= close_at && !*closing.borrow() {
+            // Connections with a request in progress close after its answer.
+            closing.send_replace(true);
+        }
+        if (is_idle && now >= began + LAME_DUCK) || now >= end_at {
+            break;
+        }
+    }
+    info!(
+        in_progress = edge.in_progress(),
+        connections = edge.connections(),
+        ms = (edge.now() - began).0,
+        "stop: ended"
+    );
+}
--- a/crates/retry/src/lib.rs
+++ b/crates/retry/src/lib.rs
@@ -24,7 +24,9 @@
 mod backoff;
 mod budget;
 mod ejection;
+mod shared;
 
 pub use backoff::Backoff;
 pub use budget::Budget;
 pub use ejection::{Ejection, Outcome};
+pub use shared::{BudgetTerms, SharedBudget};
--- /dev/null
+++ b/crates/roster/src/lib.rs
@@ -0,0 +1,7 @@
+//! Backend servers that may receive work, from rows that come late, out of order or damaged.
+
+mod entry;
+mod roster;
+
+pub use entry::{Entry, Stage, State};
+pub use roster::{LAPSE_GRACE, Outcome, Roster};
--- /dev/null
+++ b/crates/route/src/lib.rs
@@ -0,0 +1,31 @@
+//! Routes of callers' requests, and which version of them is in force.
+//!
+//! ```
+//! use bv_route::{Kind, Limits, Route, RouteTable, Target};
+//! use bv_types::{Millis, Version};
+//!
+//! let route = Route {
+//!     name: "bookings".into(),
+//!     host: "lot.example".into(),
+//!     path_prefix: "/seats/".into(),
+//!     kind: Kind::AtMostOnce,
+//!     timeout: Millis(600),
+//!     objective: Millis(120),
+//!     max_attempts: 1,
+//!     priority: 2,
+//!     targets: vec![Target { service: "bookings".parse().unwrap(), weight: 1 }],
+//!     event_gap: None,
+//!     uses_model: false,
+//! };
+//! let table = RouteTable::new(Version(7), vec![route], Vec::new(), Limits::default());
+//! assert!(table.find("lot.example", "/seats/42").is_some());
+//! assert!(table.find("lot.example", "/other").is_none());
+//! ```
+
+mod in_force;
+mod route;
+mod table;
+
+pub use in_force::{InForce, Offer};
+pub use route::{EngineFacts, Kind, Limits, Route, Service, Target};
+pub use table::RouteTable;
--- a/crates/server/src/bin/burdockvaled.rs
+++ b/crates/server/src/bin/burdockvaled.rs
@@ -6,7 +6,13 @@
 use miette::IntoDiagnostic;
 use tracing_subscriber::EnvFilter;
 
+/// First argument that starts the deployment on the users' platform.
+const PLATFORM: &str = "platform";
+
 fn main() -> miette::Result<()> {
+    if std::env::args().nth(1).as_deref() == Some(PLATFORM) {
+        return Ok(bv_edge::run()?);
+    }
     let args: Args = argh::from_env();
     let settings = Settings::try_from(args)?;
     start_logs(&settings)?;
