--- a/crates/admit/src/call.rs
+++ b/crates/admit/src/call.rs
@@ -61,7 +61,8 @@
                 predicted += CROSS_ZONE_MS;
             }
             let server = self.find(&entry.id);
-            predicted += server.map_or(0.0, |s| waiting_ms(now, s, entry.slots, call_ms));
+            let in_progress = server.map_or(0.0, |s| s.load(now, false).requests);
+            predicted += waiting_ms(in_progress, entry.slots, call_ms);
             let score = predicted
                 + server.map_or(0.0, |s| penalty_ms(now, s, peers))
                 + self.rng.f64() * JITTER_MS;
@@ -95,14 +96,18 @@
     }
 }
 
-fn waiting_ms(now: Millis, server: &Server, slots: u32, call_ms: f64) -> f64 {
+fn waiting_ms(in_progress: f64, slots: u32, call_ms: f64) -> f64 {
     let slots = f64::from(slots);
-    let ahead = (server.in_progress(now) + 1.0 - slots).max(0.0);
+    let ahead = (in_progress + 1.0 - slots).max(0.0);
     ahead * call_ms / slots
 }
 
 pub(crate) fn penalty_ms(now: Millis, server: &Server, peers: f64) -> f64 {
-    let avoided = if server.is_avoided(now) { AVOIDED_MS } else { 0.0 };
+    let avoided = if server.is_avoided(now) {
+        AVOIDED_MS
+    } else {
+        0.0
+    };
     let failing = match server.health.is_failing(peers) {
         true => FAILING_MS * server.health.error_share(),
         false => 0.0,
--- a/crates/admit/src/fleet.rs
+++ b/crates/admit/src/fleet.rs
@@ -1,10 +1,11 @@
 //! All backend servers, as one host sees them.
 
-use bv_types::{BackendId, Millis, ServiceId, Tokens};
+use bv_types::{BackendId, HostId, Millis, ServiceId, Tokens};
 use fastrand::Rng;
 
 use crate::health::Fault;
-use crate::server::{Report, Send, Server};
+use crate::peers::{PeerUse, Peers, Use};
+use crate::server::{Load, Report, Send, Server};
 
 /// Names one send.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -41,11 +42,15 @@
     service: ServiceId,
     call_ms: f64,
     prefill_per_ms: f64,
+    stream_ms: f64,
+    output_tokens: f64,
 }
 
 /// Start values, replaced by what is observed; only the first requests of a process use them.
 const START_CALL_MS: f64 = 20.0;
 const START_PREFILL_PER_MS: f64 = 30.0;
+const START_STREAM_MS: f64 = 3_500.0;
+const START_OUTPUT_TOKENS: f64 = 1_000.0;
 /// Weight of the newest observation of a service's pace.
 const PACE_WEIGHT: f64 = 0.05;
 
@@ -54,6 +59,9 @@
 pub struct Fleet {
     servers: Vec<Server>,
     paces: Vec<Pace>,
+    peers: Peers,
+    /// Other hosts that should be heard.
+    expected_peers: usize,
     next_send: u64,
     pub(crate) rng: Rng,
 }
@@ -64,6 +72,8 @@
         Fleet {
             servers: Vec::new(),
             paces: Vec::new(),
+            peers: Peers::default(),
+            expected_peers: 0,
             next_send: 0,
             rng: Rng::with_seed(seed),
         }
@@ -81,10 +91,12 @@
         send
     }
 
-    /// Records a sign of progress of a send, such as an event of its stream.
-    pub fn progress(&mut self, now: Millis, id: &BackendId, send: SendId) {
+    /// Records a sign of progress of a send, such as an event of its stream, and that it needs at
+    /// least this many tokens.
+    pub fn progress(&mut self, now: Millis, id: &BackendId, send: SendId, tokens: Tokens) {
         if let Some(send) = self.server(id).sends.iter_mut().find(|s| s.id == send) {
             send.at = now;
+            send.work.tokens = send.work.tokens.max(tokens);
         }
     }
 
@@ -98,7 +110,8 @@
         match ended {
             Ended::Answered { error } => server.health.answer(error),
             Ended::Failed(fault) => server.health.fault(now, fault),
-            Ended::Full | Ended::Cancelled => {}
+            Ended::Full => server.refused(now),
+            Ended::Cancelled => {}
         }
     }
 
@@ -120,6 +133,82 @@
         pace.prefill_per_ms += (rate - pace.prefill_per_ms) * PACE_WEIGHT;
     }
 
+    /// Records how long a stream took and how many tokens it had.
+    pub fn observe_stream(&mut self, service: &ServiceId, took: Millis, output: Tokens) {
+        let pace = self.pace_mut(service);
+        pace.stream_ms += (took.0 as f64 - pace.stream_ms) * PACE_WEIGHT;
+        pace.output_tokens += (output.0 as f64 - pace.output_tokens) * PACE_WEIGHT;
+    }
+
+    /// Usual number of tokens of an answer.
+    pub fn usual_output(&self, service: &ServiceId) -> Tokens {
+        let usual = self
+            .pace(service)
+            .map_or(START_OUTPUT_TOKENS, |p| p.output_tokens);
+        Tokens(usual as u64)
+    }
+
+    /// Records a server's fault that was noticed elsewhere, such as a prompt that it lost.
+    pub fn blame(&mut self, now: Millis, id: &BackendId, fault: Fault) {
+        self.server(id).health.fault(now, fault);
+    }
+
+    /// Sets how many other hosts there are.
+    pub fn expect_peers(&mut self, count: usize) {
+        self.expected_peers = count;
+    }
+
+    /// Takes over what another host has in progress. `order` is the start of its process and the
+    /// number of its message; older messages are ignored.
+    pub fn hear(&mut self, now: Millis, host: HostId, order: (u64, u64), said: PeerUse) {
+        if self.peers.hear(now, host, order, said) {
+            self.add_up_peers();
+        }
+    }
+
+    /// Forgets hosts that are silent.
+    pub fn expire_peers(&mut self, now: Millis) {
+        if self.peers.expire(now) {
+            self.add_up_peers();
+        }
+    }
+
+    /// Tokens that wait for room at other hosts.
+    pub fn peers_waiting(&self) -> Tokens {
+        Tokens(self.peers.iter().map(|peer| peer.said.waiting.0).sum())
+    }
+
+    /// What this host has in progress at servers that work by tokens.
+    pub fn uses(&self) -> Vec<Use> {
+        let busy = self.servers.iter().filter(|s| s.own_tokens().0 > 0);
+        let uses = busy.map(|server| Use {
+            server: server.id.clone(),
+            requests: server.sends.len() as u32,
+            tokens: server.own_tokens(),
+        });
+        uses.collect()
+    }
+
+    pub(crate) fn all_heard(&self) -> bool {
+        self.peers.len() >= self.expected_peers
+    }
+
+    fn add_up_peers(&mut self) {
+        for server in &mut self.servers {
+            server.peers = Load::default();
+        }
+        let uses: Vec<Use> = self
+            .peers
+            .iter()
+            .flat_map(|peer| peer.said.uses.iter().cloned())
+            .collect();
+        for part in uses {
+            let peers = &mut self.server(&part.server).peers;
+            peers.requests += f64::from(part.requests);
+            peers.tokens += part.tokens.0 as f64;
+        }
+    }
+
     /// Requests of this host at a server.
     pub fn own_sends(&self, id: &BackendId) -> usize {
         self.find(id).map_or(0, |server| server.sends.len())
@@ -150,6 +239,10 @@
         Some(&self.servers[at])
     }
 
+    pub(crate) fn stream_ms(&self, service: &ServiceId) -> f64 {
+        self.pace(service).map_or(START_STREAM_MS, |p| p.stream_ms)
+    }
+
     fn server(&mut self, id: &BackendId) -> &mut Server {
         let at = match self.servers.binary_search_by(|s| s.id.cmp(id)) {
             Ok(at) => at,
@@ -175,6 +268,8 @@
                     service: service.clone(),
                     call_ms: START_CALL_MS,
                     prefill_per_ms: START_PREFILL_PER_MS,
+                    stream_ms: START_STREAM_MS,
+                    output_tokens: START_OUTPUT_TOKENS,
                 };
                 self.paces.insert(at, pace);
                 at
--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -9,12 +9,16 @@
 mod fleet;
 mod health;
 mod model;
+mod peers;
+mod queue;
 mod server;
 
 pub use call::{CallAsk, Choice};
 pub use fleet::{Ended, Fleet, SendId, Work};
 pub use health::{Fault, Health};
 pub use model::{ModelAsk, ModelPlan};
+pub use peers::{PeerUse, Use};
+pub use queue::{Queue, Ticket, Waiting};
 pub use server::Report;
 
 /// Why a request is not placed.
@@ -22,6 +26,8 @@
 pub enum Refused {
     /// No backend server of the service is known or left to try.
     NoServer,
+    /// No engine has room now.
+    NoRoom,
     /// The answer is predicted after the deadline.
     TooLate {
         /// Time after which a place is likely.
--- a/crates/admit/src/model.rs
+++ b/crates/admit/src/model.rs
@@ -6,7 +6,6 @@
 use crate::Refused;
 use crate::call::{CROSS_ZONE_MS, penalty_ms};
 use crate::fleet::Fleet;
-use crate::server::Server;
 
 /// A decode engine reads a prompt at half the speed, between the tokens of other requests.
 const DIRECT_SLOWDOWN: f64 = 2.0;
@@ -17,13 +16,13 @@
 const CROSS_TRANSFER_MS: f64 = 40.0;
 /// Added for each request in progress at a decode engine, in ms: each one slows the others' tokens.
 const SHARED_STEP_MS: f64 = 4.0;
-/// Share of an engine's memory that is planned; the rest is for requests of other hosts that were
-/// not reported yet.
-const PLANNED_MEMORY: f64 = 0.85;
-/// Time in which a full engine is likely to have room again, in ms; a usual answer takes about that.
-const ROOM_WAIT_MS: f64 = 400.0;
-/// Tokens assumed for a request of another host, which reports no sizes.
-const USUAL_TOKENS: f64 = 3_300.0;
+/// Share of an engine's memory that is planned. Requests are planned with their whole answer, so
+/// that the memory in use at any moment is less; beyond this share engines begin to preempt, which
+/// throws a read prompt away.
+const PLANNED_MEMORY: f64 = 1.0;
+/// Weight of the caller's estimate of the answer against the usual length; the estimate is right at
+/// the median and often far off.
+const HINT_WEIGHT: f64 = 0.5;
 
 /// A model call that needs engines.
 #[derive(Debug, Clone, Copy)]
@@ -74,6 +73,15 @@
     }
 }
 
+/// What is known of all engines together.
+#[derive(Debug, Clone, Copy)]
+struct View {
+    /// Share of errors of the better engines.
+    peers: f64,
+    /// Whether a decode engine is not avoided.
+    any_sound: bool,
+}
+
 /// Predicted time at an engine, and what speaks against it besides.
 #[derive(Debug, Clone, Copy)]
 struct Cost {
@@ -121,20 +129,25 @@
         entries: impl Iterator<Item = &'a Entry>,
     ) -> Result<ModelPlan, Refused> {
         let entries: Vec<&Entry> = entries.filter(|e| !ask.tried.contains(&e.id)).collect();
-        let peers = self.mean_errors(&entries);
+        let view = self.view(now, &entries);
         let prefill = self.best(&entries, Stage::Prefill, |fleet, entry| {
-            fleet.prefill_cost(now, &ask, entry, peers)
+            Some(fleet.prefill_cost(now, &ask, entry, view))
         });
         let direct = self.best(&entries, Stage::Decode, |fleet, entry| {
             let reading = fleet.direct_ms(&ask);
-            fleet.decode_cost(now, &ask, entry, None, peers).plus(reading)
+            let cost = fleet.decode_cost(now, &ask, entry, None, view)?;
+            Some(cost.plus(reading))
         });
         let Some((direct_cost, direct_at)) = direct else {
-            return Err(Refused::NoServer);
+            let has_decode = entries.iter().any(|e| runs(e, Stage::Decode));
+            return Err(match has_decode {
+                true => Refused::NoRoom,
+                false => Refused::NoServer,
+            });
         };
         let split = prefill.and_then(|(read, read_at)| {
             let decode = self.best(&entries, Stage::Decode, |fleet, entry| {
-                fleet.decode_cost(now, &ask, entry, Some(&read_at.zone), peers)
+                fleet.decode_cost(now, &ask, entry, Some(&read_at.zone), view)
             });
             decode.map(|(decode, at)| (read.and(decode), read_at, at))
         });
@@ -159,10 +172,51 @@
         Ok(plan)
     }
 
-    /// Chooses a decode engine for a prompt that was read in `read_zone`.
+    /// Predicted time until there is room for this many tokens, behind `ahead` tokens that wait.
+    pub fn room_wait<'a>(
+        &self,
+        now: Millis,
+        ask: &ModelAsk<'_>,
+        ahead: Tokens,
+        entries: impl Iterator<Item = &'a Entry>,
+    ) -> Millis {
+        let capacity = ask.kv_capacity.0 as f64 * PLANNED_MEMORY;
+        let mut engines = 0.0;
+        let mut free = 0.0;
+        for entry in entries.filter(|e| runs(e, Stage::Decode)) {
+            let server = self.find(&entry.id);
+            if server.is_some_and(|s| s.is_avoided(now)) {
+                continue;
+            }
+            engines += 1.0;
+            let taken = server.map_or(0.0, |s| s.load(now, self.all_heard()).tokens);
+            free += (capacity - taken).max(0.0);
+        }
+        if engines == 0.0 {
+            return Millis(self.stream_ms(ask.service) as u64);
+        }
+        let freed_per_ms = engines * capacity / self.stream_ms(ask.service).max(1.0);
+        let wanted = (ahead.0 + ask.total.0) as f64 - free;
+        Millis((wanted.max(0.0) / freed_per_ms).ceil() as u64)
+    }
+
+    /// Tokens that the answer is planned with.
+    pub fn planned_output(
+        &self,
+        service: &ServiceId,
+        hint: Option<Tokens>,
+        most: Option<Tokens>,
+    ) -> Tokens {
+        let usual = self.usual_output(service).0 as f64;
+        let hint = hint.map_or(usual, |hint| hint.0 as f64);
+        let planned = Tokens((usual + (hint - usual) * HINT_WEIGHT) as u64);
+        most.map_or(planned, |most| planned.min(most))
+    }
+
+    /// Chooses a decode engine with room for a prompt that was read in `read_zone`.
     ///
     /// # Errors
-    /// No decode engine is left.
+    /// No decode engine has room.
     pub fn place_decode<'a>(
         &mut self,
         now: Millis,
@@ -171,23 +225,33 @@
         entries: impl Iterator<Item = &'a Entry>,
     ) -> Result<Entry, Refused> {
         let entries: Vec<&Entry> = entries.filter(|e| !ask.tried.contains(&e.id)).collect();
-        let peers = self.mean_errors(&entries);
+        let view = self.view(now, &entries);
         let best = self.best(&entries, Stage::Decode, |fleet, entry| {
-            fleet.decode_cost(now, &ask, entry, read_zone, peers)
+            fleet.decode_cost(now, &ask, entry, read_zone, view)
         });
-        best.map(|(_, entry)| entry.clone())
-            .ok_or(Refused::NoServer)
+        best.map(|(_, entry)| entry.clone()).ok_or(Refused::NoRoom)
+    }
+
+    fn view(&self, now: Millis, entries: &[&Entry]) -> View {
+        let is_sound = |e: &Entry| !self.find(&e.id).is_some_and(|s| s.is_avoided(now));
+        let mut engines = entries.iter().filter(|e| runs(e, Stage::Decode));
+        View {
+            peers: self.mean_errors(entries),
+            any_sound: engines.any(|e| is_sound(e)),
+        }
     }
 
     fn best<'a>(
         &mut self,
         entries: &[&'a Entry],
         stage: Stage,
-        cost: impl Fn(&Fleet, &Entry) -> Cost,
+        cost: impl Fn(&Fleet, &Entry) -> Option<Cost>,
     ) -> Option<(Cost, &'a Entry)> {
         let mut best: Option<(f64, Cost, &Entry)> = None;
-        for entry in entries.iter().filter(|e| e.stage.unwrap_or(Stage::Decode) == stage) {
-            let cost = cost(self, entry);
+        for entry in entries.iter().filter(|e| runs(e, stage)) {
+            let Some(cost) = cost(self, entry) else {
+                continue;
+            };
             let score = cost.score() + self.rng.f64();
             if best.is_none_or(|(lowest, _, _)| score < lowest) {
                 best = Some((score, cost, entry));
@@ -201,62 +265,65 @@
     }
 
     /// Time until the prompt is read at a prefill engine, behind the prompts that wait there.
-    fn prefill_cost(&self, now: Millis, ask: &ModelAsk<'_>, entry: &Entry, peers: f64) -> Cost {
+    fn prefill_cost(&self, now: Millis, ask: &ModelAsk<'_>, entry: &Entry, view: View) -> Cost {
         let rate = self.prefill_per_ms(ask.service);
         let own = ask.prompt.0 as f64 / rate + distance_ms(ask, entry);
         let Some(server) = self.find(&entry.id) else {
             return Cost::of(own);
         };
-        let others = server.others(now) * USUAL_TOKENS;
-        let ahead = (server.own_tokens().0 as f64 + others) / rate;
+        let ahead = server.load(now, self.all_heard()).tokens / rate;
         let begun = server.sends.iter().map(|s| s.at).min();
         let elapsed = begun.map_or(0.0, |at| (now - at).0 as f64);
         Cost {
             ms: own + (ahead - elapsed).max(0.0),
-            penalty: penalty_ms(now, server, peers),
+            penalty: penalty_ms(now, server, view.peers),
         }
     }
 
-    /// Time that a decode engine adds before the first token.
+    /// Time that a decode engine adds before the first token; none if it has no room.
     fn decode_cost(
         &self,
         now: Millis,
         ask: &ModelAsk<'_>,
         entry: &Entry,
         read_zone: Option<&ZoneId>,
-        peers: f64,
-    ) -> Cost {
+        view: View,
+    ) -> Option<Cost> {
         let transfer = match read_zone {
             Some(zone) if *zone != entry.zone => CROSS_TRANSFER_MS,
             _ => 0.0,
         };
         let own = distance_ms(ask, entry) + transfer;
         let Some(server) = self.find(&entry.id) else {
-            return Cost::of(own);
+            return Some(Cost::of(own));
         };
-        let shared = server.in_progress(now) * SHARED_STEP_MS;
-        Cost {
-            ms: own + shared + room_ms(now, ask, entry, server),
-            penalty: penalty_ms(now, server, peers),
+        // Waiting for room at a sound engine is better than a failing one, if there is a sound one.
+        if view.any_sound && server.is_avoided(now) {
+            return None;
         }
+        let load = server.load(now, self.all_heard());
+        // An empty engine takes any request: one that is larger than the plan must run somewhere.
+        let planned = ask.kv_capacity.0 as f64 * PLANNED_MEMORY;
+        let has_memory = load.requests == 0.0 || load.tokens + ask.total.0 as f64 <= planned;
+        let has_slot = load.requests + 1.0 <= f64::from(entry.slots);
+        if !has_memory || !has_slot || server.is_full(now) {
+            return None;
+        }
+        // Fuller engines make fewer tokens a second, and leave less room for a large request.
+        Some(Cost {
+            ms: own + load.requests * SHARED_STEP_MS,
+            penalty: penalty_ms(now, server, view.peers),
+        })
     }
 }
 
+fn runs(entry: &Entry, stage: Stage) -> bool {
+    entry.stage.unwrap_or(Stage::Decode) == stage
+}
+
 fn distance_ms(ask: &ModelAsk<'_>, entry: &Entry) -> f64 {
     match entry.zone == *ask.zone {
         true => 0.0,
         false => CROSS_ZONE_MS,
     }
 }
-
-/// Time until the engine has memory and a place for the request.
-fn room_ms(now: Millis, ask: &ModelAsk<'_>, entry: &Entry, server: &Server) -> f64 {
-    let taken = server.own_tokens().0 as f64 + server.others(now) * USUAL_TOKENS;
-    let planned = ask.kv_capacity.0 as f64 * PLANNED_MEMORY;
-    let is_full = taken + ask.total.0 as f64 > planned
-        || server.in_progress(now) + 1.0 > f64::from(entry.slots);
-    match is_full {
-        true => ROOM_WAIT_MS * (1.0 + taken / planned.max(1.0)),
-        false => 0.0,
-    }
-}
--- /dev/null
+++ b/crates/admit/src/peers.rs
@@ -0,0 +1,78 @@
+//! What other hosts have in progress at the engines.
+
+use bv_types::{BackendId, HostId, Millis, Tokens};
+
+/// Time after which a host that is not heard no longer counts. Its streams end with its process, and
+/// a live host is heard twice a second.
+const PEER_LIFETIME: Millis = Millis(1_600);
+
+/// Requests of one host at one engine.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Use {
+    /// The engine.
+    pub server: BackendId,
+    /// Requests in progress.
+    pub requests: u32,
+    /// Tokens that they read or keep.
+    pub tokens: Tokens,
+}
+
+/// What one host says of itself.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct PeerUse {
+    /// Requests in progress.
+    pub uses: Vec<Use>,
+    /// Tokens of the requests that wait for room.
+    pub waiting: Tokens,
+}
+
+#[derive(Debug, Clone)]
+pub(crate) struct Peer {
+    host: HostId,
+    /// Start of its process and number of its message.
+    order: (u64, u64),
+    heard: Millis,
+    pub said: PeerUse,
+}
+
+/// Hosts that were heard lately, sorted by id.
+#[derive(Debug, Default)]
+pub(crate) struct Peers(Vec<Peer>);
+
+impl Peers {
+    /// Takes a message over; false if a newer one is known.
+    pub fn hear(&mut self, now: Millis, host: HostId, order: (u64, u64), said: PeerUse) -> bool {
+        let peer = Peer {
+            host,
+            order,
+            heard: now,
+            said,
+        };
+        match self.0.binary_search_by(|p| p.host.cmp(&peer.host)) {
+            Ok(at) if self.0[at].order >= order => false,
+            Ok(at) => {
+                self.0[at] = peer;
+                true
+            }
+            Err(at) => {
+                self.0.insert(at, peer);
+                true
+            }
+        }
+    }
+
+    /// Forgets hosts that are silent; true if there were any.
+    pub fn expire(&mut self, now: Millis) -> bool {
+        let before = self.0.len();
+        self.0.retain(|peer| now < peer.heard + PEER_LIFETIME);
+        self.0.len() < before
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = &Peer> {
+        self.0.iter()
+    }
+
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+}
--- /dev/null
+++ b/crates/admit/src/queue.rs
@@ -0,0 +1,88 @@
+//! Order of the model calls that wait for room at a host.
+
+use bv_types::{Millis, Tokens};
+
+/// Names a waiting call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Ticket(u64);
+
+/// A waiting call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Waiting {
+    /// Rank; 0 is the most urgent.
+    pub priority: u8,
+    /// When the call arrived.
+    pub arrived: Millis,
+    /// Until when it must be placed to be answered on time.
+    pub on_time_until: Millis,
+    /// Tokens that it needs.
+    pub tokens: Tokens,
+}
+
+/// Waiting calls, in order of arrival.
+///
+/// During a burst not all calls can be on time. The more urgent go first; among equals those that
+/// can still be on time go before those that are late already, so that a burst does not make all
+/// later calls late, and otherwise the first to arrive. Size plays no part, so none is always last.
+#[derive(Debug, Default)]
+pub struct Queue {
+    waiting: Vec<(Ticket, Waiting)>,
+    next: u64,
+}
+
+impl Queue {
+    /// Adds a call.
+    pub fn push(&mut self, waiting: Waiting) -> Ticket {
+        self.next += 1;
+        let ticket = Ticket(self.next);
+        let at = self
+            .waiting
+            .partition_point(|(_, other)| other.arrived <= waiting.arrived);
+        self.waiting.insert(at, (ticket, waiting));
+        ticket
+    }
+
+    /// Removes a call that was placed or gave up.
+    pub fn remove(&mut self, ticket: Ticket) {
+        self.waiting.retain(|(other, _)| *other != ticket);
+    }
+
+    /// The call that gets the next room.
+    pub fn first(&self, now: Millis) -> Option<Ticket> {
+        let best = self.waiting.iter().min_by_key(|(_, w)| rank(now, w));
+        best.map(|(ticket, _)| *ticket)
+    }
+
+    /// Tokens of the calls that go before this one.
+    pub fn ahead(&self, now: Millis, ticket: Ticket) -> Tokens {
+        let Some((_, own)) = self.waiting.iter().find(|(t, _)| *t == ticket) else {
+            return Tokens(0);
+        };
+        let own = rank(now, own);
+        let before = self
+            .waiting
+            .iter()
+            .filter(|(t, w)| *t != ticket && rank(now, w) < own);
+        Tokens(before.map(|(_, w)| w.tokens.0).sum())
+    }
+
+    /// Tokens of all waiting calls.
+    pub fn tokens(&self) -> Tokens {
+        Tokens(self.waiting.iter().map(|(_, w)| w.tokens.0).sum())
+    }
+
+    /// Number of waiting calls.
+    pub fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Whether no call waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+}
+
+fn rank(now: Millis, waiting: &Waiting) -> (u8, bool, Millis) {
+    let is_late = now > waiting.on_time_until;
+    (waiting.priority, is_late, waiting.arrived)
+}
--- a/crates/admit/src/server.rs
+++ b/crates/admit/src/server.rs
@@ -5,9 +5,12 @@
 use crate::fleet::{SendId, Work};
 use crate::health::Health;
 
-/// Time over which a report fades. Engines report with a lag of 900 ms, and most requests are over
-/// by then.
+/// Time over which a report fades. Engines report with a lag of 900 ms.
 const REPORT_FADES: Millis = Millis(1_000);
+/// Time for which a server that refused a request counts as full.
+const FULL_FOR: Millis = Millis(200);
+/// Tokens assumed for a request of another host that is known only from a report.
+const USUAL_TOKENS: f64 = 4_200.0;
 
 /// Load that a server reported.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -18,9 +21,17 @@
     pub waiting: u32,
 }
 
+/// Requests and tokens in progress.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub(crate) struct Load {
+    pub requests: f64,
+    pub tokens: f64,
+}
+
 #[derive(Debug, Clone)]
 pub(crate) struct Send {
     pub id: SendId,
+    /// Start, or the latest sign of progress.
     pub at: Millis,
     pub work: Work,
 }
@@ -30,9 +41,12 @@
     pub id: BackendId,
     pub sends: Vec<Send>,
     pub health: Health,
+    /// What other hosts said they have in progress here.
+    pub peers: Load,
     /// Requests of other hosts at the time of the latest report.
-    others: f64,
+    reported: f64,
     reported_at: Millis,
+    full_until: Millis,
 }
 
 impl Server {
@@ -41,27 +55,51 @@
             id,
             sends: Vec::new(),
             health: Health::default(),
-            others: 0.0,
+            peers: Load::default(),
+            reported: 0.0,
             reported_at: Millis::ZERO,
+            full_until: Millis::ZERO,
         }
     }
 
-    /// Takes a report over; the caller's own requests are subtracted.
+    /// Takes a report over; the host's own requests are subtracted.
     pub fn report(&mut self, now: Millis, report: Report) {
         let total = f64::from(report.running + report.waiting);
-        self.others = (total - self.sends.len() as f64).max(0.0);
+        self.reported = (total - self.sends.len() as f64).max(0.0);
         self.reported_at = now;
     }
 
-    /// Requests of other hosts, as far as the latest report still tells.
-    pub fn others(&self, now: Millis) -> f64 {
+    /// Records that the server refused a request.
+    pub fn refused(&mut self, now: Millis) {
+        self.full_until = now + FULL_FOR;
+    }
+
+    /// Whether the server refused a request a moment ago.
+    pub fn is_full(&self, now: Millis) -> bool {
+        now < self.full_until
+    }
+
+    /// Load of other hosts: what they said, or, while some of them are silent, what the latest
+    /// report still tells if that is more.
+    fn others(&self, now: Millis, all_heard: bool) -> Load {
+        if all_heard {
+            return self.peers;
+        }
         let age = (now - self.reported_at).0 as f64 / REPORT_FADES.0 as f64;
-        self.others * (1.0 - age).max(0.0)
+        let requests = self.reported * (1.0 - age).max(0.0);
+        Load {
+            requests: self.peers.requests.max(requests),
+            tokens: self.peers.tokens.max(requests * USUAL_TOKENS),
+        }
     }
 
-    /// Requests in progress, with those of other hosts.
-    pub fn in_progress(&self, now: Millis) -> f64 {
-        self.sends.len() as f64 + self.others(now)
+    /// Load of all hosts.
+    pub fn load(&self, now: Millis, all_heard: bool) -> Load {
+        let others = self.others(now, all_heard);
+        Load {
+            requests: self.sends.len() as f64 + others.requests,
+            tokens: self.own_tokens().0 as f64 + others.tokens,
+        }
     }
 
     /// Tokens of the own requests in progress.
@@ -70,7 +108,7 @@
     }
 
     /// Whether a request has been without any sign of progress for longer than it may.
-    pub fn is_stuck(&self, now: Millis) -> bool {
+    fn is_stuck(&self, now: Millis) -> bool {
         self.sends
             .iter()
             .any(|send| now >= send.at + send.work.stuck_after)
--- a/crates/edge/src/answer.rs
+++ b/crates/edge/src/answer.rs
@@ -94,5 +94,7 @@
 
 /// A body that is complete.
 pub(crate) fn full(body: Bytes) -> Body {
-    Full::new(body).map_err(|never| match never {}).boxed_unsync()
+    Full::new(body)
+        .map_err(|never| match never {})
+        .boxed_unsync()
 }
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -6,7 +6,8 @@
 use bv_admit::{Ended, SendId, Work};
 use bv_platform::{PlatformSettings, StoreClient};
 use bv_retry::BudgetTerms;
-use bv_types::{BackendId, Clock, Millis};
+use bv_types::{BackendId, Clock, Millis, Tokens};
+use tokio::sync::Notify;
 
 use crate::logs::LogBudget;
 use crate::send::Pool;
@@ -20,6 +21,10 @@
     pub store: StoreClient,
     pub pool: Pool,
     pub logs: LogBudget,
+    /// Signalled when a request ends or another host's load changes.
+    pub room: Notify,
+    /// Signalled when this host's own requests change.
+    pub own_use: Notify,
     state: Mutex<State>,
     stopping: AtomicBool,
     in_progress: AtomicUsize,
@@ -38,6 +43,8 @@
             store,
             state,
             pool: Pool::default(),
+            room: Notify::new(),
+            own_use: Notify::new(),
             stopping: AtomicBool::new(false),
             in_progress: AtomicUsize::new(0),
             connections: AtomicUsize::new(0),
@@ -62,6 +69,12 @@
         }
     }
 
+    /// Tells this host's waiting requests and the other hosts that its own use changed.
+    pub fn use_changed(&self) {
+        self.own_use.notify_one();
+        self.room.notify_waiters();
+    }
+
     pub fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Relaxed)
     }
@@ -129,8 +142,19 @@
 }
 
 impl Attempt {
+    /// Takes a send over that was begun while the server was chosen.
+    pub fn begun(edge: &Arc<Edge>, server: &BackendId, send: SendId) -> Self {
+        edge.use_changed();
+        Attempt {
+            edge: edge.clone(),
+            server: server.clone(),
+            send,
+        }
+    }
+
     pub fn begin(edge: &Arc<Edge>, server: &BackendId, work: Work) -> Self {
         let send = edge.state().fleet.begin(edge.now(), server, work);
+        edge.own_use.notify_one();
         Attempt {
             edge: edge.clone(),
             server: server.clone(),
@@ -138,16 +162,21 @@
         }
     }
 
-    /// Records a sign of progress.
-    pub fn progress(&self) {
+    /// Records a sign of progress, and that the request needs at least this many tokens.
+    pub fn progress(&self, tokens: Tokens) {
         let now = self.edge.now();
-        self.edge.state().fleet.progress(now, &self.server, self.send);
+        let mut state = self.edge.state();
+        state.fleet.progress(now, &self.server, self.send, tokens);
     }
 
     /// Records how the send ended.
     pub fn end(self, ended: Ended) {
         let now = self.edge.now();
-        self.edge.state().fleet.end(now, &self.server, self.send, ended);
+        self.edge
+            .state()
+            .fleet
+            .end(now, &self.server, self.send, ended);
+        self.edge.use_changed();
     }
 }
 
@@ -155,6 +184,10 @@
     fn drop(&mut self) {
         let now = self.edge.now();
         let mut state = self.edge.state();
-        state.fleet.end(now, &self.server, self.send, Ended::Cancelled);
+        state
+            .fleet
+            .end(now, &self.server, self.send, Ended::Cancelled);
+        drop(state);
+        self.edge.use_changed();
     }
 }
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -28,6 +28,8 @@
 const OUTAGE: Millis = Millis(1_500);
 /// Interval of the host's own row.
 const HOST_ROW_INTERVAL: Millis = Millis(10_000);
+/// Intervals after the start: hosts that start together find each other within the first seconds.
+const FIRST_HOST_INTERVALS: [Millis; 3] = [Millis(1_500), Millis(2_500), Millis(4_000)];
 
 /// How the calls for one table went.
 #[derive(Debug)]
@@ -78,7 +80,11 @@
         let after = edge.state().known.config_version.filter(|_| !reread);
         let began = edge.now();
         let result = match after {
-            Some(version) => edge.store.changes(Table::Config, version, CHANGE_WAIT).await,
+            Some(version) => {
+                edge.store
+                    .changes(Table::Config, version, CHANGE_WAIT)
+                    .await
+            }
             None => edge.store.read_all(Table::Config).await,
         };
         let now = edge.now();
@@ -132,7 +138,11 @@
     loop {
         let after = edge.state().known.servers_version.filter(|_| !reread);
         let result = match after {
-            Some(version) => edge.store.changes(Table::Servers, version, CHANGE_WAIT).await,
+            Some(version) => {
+                edge.store
+                    .changes(Table::Servers, version, CHANGE_WAIT)
+                    .await
+            }
             None => edge.store.read_all(Table::Servers).await,
         };
         let now = edge.now();
@@ -188,11 +198,13 @@
 /// Writes this host's row and reads those of the others.
 pub(crate) async fn hosts(edge: Arc<Edge>, peer_addr: std::net::SocketAddr) {
     let mut health = Health::new("hosts", edge.now());
+    let mut intervals = FIRST_HOST_INTERVALS.into_iter();
     loop {
         match exchange_hosts(&edge, peer_addr).await {
             Ok(()) => {
                 health.answered(edge.now());
-                tokio::time::sleep(HOST_ROW_INTERVAL.duration()).await;
+                let interval = intervals.next().unwrap_or(HOST_ROW_INTERVAL);
+                tokio::time::sleep(interval.duration()).await;
             }
             Err(err) => {
                 health.failed(edge.now(), &err).await;
@@ -212,7 +224,12 @@
     };
     edge.store.write_host(own.as_str(), &row).await?;
     let hosts = Hosts::read(own, &before);
-    edge.state().hosts = hosts;
+    let mut state = edge.state();
+    if hosts.count() != state.hosts.count() {
+        info!(count = hosts.count(), "hosts: changed");
+    }
+    state.fleet.expect_peers(hosts.others().len());
+    state.hosts = hosts;
     Ok(())
 }
 
--- a/crates/edge/src/hosts.rs
+++ b/crates/edge/src/hosts.rs
@@ -11,7 +11,8 @@
 /// Live hosts, without this one.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Hosts {
-    others: Vec<SocketAddr>,
+    /// None until the rows were read.
+    others: Option<Vec<SocketAddr>>,
 }
 
 impl Hosts {
@@ -24,18 +25,24 @@
             (host.written_at + ROW_LIFETIME > rows.store_time).then_some(host.peer_addr)
         });
         Hosts {
-            others: live.collect(),
+            others: Some(live.collect()),
         }
     }
 
-    /// Number of live hosts, with this one.
-    pub fn count(&self) -> usize {
-        self.others.len() + 1
+    /// Number of live hosts, with this one; none before they are known.
+    pub fn count(&self) -> Option<usize> {
+        self.others.as_ref().map(|others| others.len() + 1)
+    }
+
+    /// Addresses of the other hosts.
+    pub fn others(&self) -> &[SocketAddr] {
+        self.others.as_deref().unwrap_or_default()
     }
 
     /// A host to ask; `turn` goes through them one by one.
     pub fn peer(&self, turn: usize) -> Option<SocketAddr> {
-        let at = turn.checked_rem(self.others.len())?;
-        Some(self.others[at])
+        let others = self.others();
+        let at = turn.checked_rem(others.len())?;
+        Some(others[at])
     }
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -23,5 +23,6 @@
 mod serve;
 mod state;
 mod stop;
+mod usage;
 
 pub use run::{EdgeError, run};
--- a/crates/edge/src/listen.rs
+++ b/crates/edge/src/listen.rs
@@ -41,7 +41,11 @@
 const CALLER_PROBE_AFTER: Duration = Duration::from_secs(5);
 
 /// Accepts callers until `closing` changes.
-pub(crate) async fn callers(edge: Arc<Edge>, listener: TcpListener, closing: watch::Receiver<bool>) {
+pub(crate) async fn callers(
+    edge: Arc<Edge>,
+    listener: TcpListener,
+    closing: watch::Receiver<bool>,
+) {
     let max = (edge.settings.max_files as f64 * CALLER_FILES) as usize;
     let mut ended = closing.clone();
     loop {
--- a/crates/edge/src/model.rs
+++ b/crates/edge/src/model.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use bv_admit::{Ended, Fault, ModelAsk, ModelPlan, Refused, Work};
+use bv_admit::{Ended, Fault, ModelAsk, ModelPlan, Refused, Ticket, Waiting, Work};
 use bv_platform::{Marks, PromptRead, handle_path, prompt_read};
 use bv_roster::Entry;
 use bv_route::Kind;
@@ -18,11 +18,24 @@
 use crate::request::CallerRequest;
 use crate::send::{Answer, Reuse, SendError, read_whole, send};
 
-/// Tokens assumed for a prompt or an answer whose size the caller does not name.
+/// Tokens assumed for a prompt whose size the caller does not name.
 const USUAL_PROMPT: Tokens = Tokens(2_000);
-const USUAL_OUTPUT: Tokens = Tokens(200);
 /// Callers leave a stream whose first event takes longer than this many latency objectives.
 const PATIENCE_OBJECTIVES: u64 = 4;
+/// Time that the first event takes once there is room: reading, transfer and the first step.
+const FIRST_EVENT: Millis = Millis(350);
+/// Longest wait for room of a stream that goes on elsewhere; callers leave a stream after a pause of
+/// at least two seconds.
+const RESUME_WAIT: Millis = Millis(1_500);
+/// Interval at which a waiting call looks for room if nothing wakes it: avoided engines return with
+/// time.
+const ROOM_POLL: Millis = Millis(50);
+/// Share of the time left that a caller honours of a Retry-After.
+const RETRY_AFTER_SHARE: u64 = 3;
+/// Interval at which another engine is sought while the handle of a prompt lives.
+const HANDLE_POLL: Millis = Millis(25);
+/// Tokens kept free beyond those that a stream has produced.
+const GROWTH_TOKENS: u64 = 150;
 /// Time beyond the predicted one after which an engine that reads a prompt is given up.
 const PREFILL_SLACK: Millis = Millis(600);
 /// Time beyond the predicted one without an event after which a resumable stream goes elsewhere.
@@ -48,6 +61,10 @@
     sends: u32,
     prefills: u32,
     arrivals: u32,
+    /// Tokens of prompt and answer that room is planned for.
+    planned: Tokens,
+    /// Tokens in one event of the service.
+    event_tokens: u64,
     /// Last event that the caller has.
     pub last_event: Option<u64>,
 }
@@ -109,6 +126,22 @@
     }
 }
 
+/// A place in the queue; given up when dropped.
+#[derive(Debug)]
+struct Waiter {
+    edge: Arc<Edge>,
+    ticket: Ticket,
+    /// When waiting longer is of no use to the caller.
+    until: Millis,
+}
+
+impl Drop for Waiter {
+    fn drop(&mut self) {
+        self.edge.state().queue.remove(self.ticket);
+        self.edge.use_changed();
+    }
+}
+
 /// How one plan ended.
 enum Step {
     Opened(Opened),
@@ -118,9 +151,19 @@
 
 impl ModelCall {
     pub fn new(edge: &Arc<Edge>, req: Arc<CallerRequest>) -> Self {
+        let service = req.table.service(&req.service);
+        let engine = service.and_then(|service| service.engine.as_ref());
+        let facts = &req.facts;
+        let output = edge.state().fleet.planned_output(
+            &req.service,
+            facts.expected_output_tokens,
+            facts.max_output_tokens,
+        );
         ModelCall {
             edge: edge.clone(),
-            last_event: req.facts.last_event,
+            last_event: facts.last_event,
+            planned: Tokens(facts.prompt_tokens.unwrap_or(USUAL_PROMPT).0 + output.0),
+            event_tokens: engine.map_or(1, |engine| engine.event_tokens),
             req,
             tried: Vec::new(),
             runs: 0,
@@ -149,15 +192,15 @@
     /// No engine can run it in time, or it may have run without an answer.
     pub async fn open(&mut self) -> Result<Opened, Failure> {
         loop {
-            let plan = self.plan()?;
+            let (plan, room) = self.place().await?;
             let step = match plan {
                 ModelPlan::Split {
                     prefill,
                     decode,
                     predicted,
-                } => self.run_split(prefill, decode, predicted).await,
+                } => self.run_split(prefill, decode, room, predicted).await,
                 ModelPlan::Direct { decode, predicted } => {
-                    self.run_decode(decode, None, predicted).await
+                    self.run_decode(decode, room, None, predicted).await
                 }
             };
             match step {
@@ -168,43 +211,132 @@
         }
     }
 
-    fn plan(&mut self) -> Result<ModelPlan, Failure> {
+    /// Tokens of the answer so far.
+    pub fn output(&self) -> Tokens {
+        Tokens(self.last_event.unwrap_or(0) * self.event_tokens)
+    }
+
+    /// Tokens that the stream needs at least.
+    pub fn needed(&self) -> Tokens {
+        Tokens(self.prompt().0 + self.output().0 + GROWTH_TOKENS)
+    }
+
+    fn prompt(&self) -> Tokens {
+        self.req.facts.prompt_tokens.unwrap_or(USUAL_PROMPT)
+    }
+
+    /// Waits for room at a decode engine and takes it.
+    async fn place(&mut self) -> Result<(ModelPlan, Attempt), Failure> {
+        let edge = self.edge.clone();
+        let waiter = self.wait_in_queue()?;
+        loop {
+            let room = edge.room.notified();
+            if let Some(placed) = self.try_place(&waiter)? {
+                return Ok(placed);
+            }
+            // Without a signal the poll looks again.
+            let _ = tokio::time::timeout(ROOM_POLL.duration(), room).await;
+        }
+    }
+
+    /// Joins the queue, or refuses at once if room is predicted too late.
+    fn wait_in_queue(&self) -> Result<Waiter, Failure> {
+        let now = self.edge.now();
+        let objective = self.req.route.objective;
+        let patience = Millis(objective.0 * PATIENCE_OBJECTIVES);
+        let first = self.runs == 0;
+        let until = match first {
+            true => self.req.arrived + (patience - FIRST_EVENT),
+            false => now + RESUME_WAIT,
+        };
+        let until = until.min(self.req.deadline);
+        let waiting = Waiting {
+            priority: self.req.route.priority,
+            arrived: self.req.arrived,
+            on_time_until: self.req.arrived + (objective - FIRST_EVENT),
+            tokens: self.planned,
+        };
+        let (ticket, wait) = {
+            let mut state = self.edge.state();
+            let state = &mut *state;
+            let ticket = state.queue.push(waiting);
+            let ahead = state.queue.ahead(now, ticket);
+            let ahead = Tokens(ahead.0 + state.fleet.peers_waiting().0);
+            let entries = state.roster.of_service(now, &self.req.service);
+            (
+                ticket,
+                state.fleet.room_wait(now, &self.ask(now), ahead, entries),
+            )
+        };
+        let waiter = Waiter {
+            edge: self.edge.clone(),
+            ticket,
+            until,
+        };
+        if now + wait > until {
+            let retry_after = self.come_back(now, wait);
+            return Err(self.ended(Refusal::FirstTokenTooLate, retry_after));
+        }
+        Ok(waiter)
+    }
+
+    /// When a caller may come back if room is predicted after `wait`.
+    fn come_back(&self, now: Millis, wait: Millis) -> Millis {
+        let honoured = Millis(self.req.remaining(now).0 / RETRY_AFTER_SHARE);
+        wait.max(USUAL_RETRY_AFTER).min(honoured)
+    }
+
+    fn try_place(&self, waiter: &Waiter) -> Result<Option<(ModelPlan, Attempt)>, Failure> {
         let now = self.edge.now();
-        if self.req.remaining(now) == Millis::ZERO {
-            return Err(self.ended(Refusal::QueuedTooLong, USUAL_RETRY_AFTER));
+        if now >= waiter.until {
+            let retry_after = self.come_back(now, USUAL_RETRY_AFTER);
+            return Err(self.ended(Refusal::QueuedTooLong, retry_after));
         }
         if self.sends >= MAX_SENDS {
             return Err(self.ended(Refusal::NoBackend, USUAL_RETRY_AFTER));
         }
-        let mut state = self.edge.state();
-        let state = &mut *state;
+        let mut guard = self.edge.state();
+        let state = &mut *guard;
+        if state.queue.first(now) != Some(waiter.ticket) {
+            return Ok(None);
+        }
         let ask = self.ask(now);
         let entries = state.roster.of_service(now, &self.req.service);
-        match state.fleet.place_model(now, ask, entries) {
-            Ok(plan) => Ok(plan),
-            Err(Refused::NoServer) => Err(self.ended(Refusal::NoBackend, USUAL_RETRY_AFTER)),
+        let plan = match state.fleet.place_model(now, ask, entries) {
+            Ok(plan) => plan,
+            Err(Refused::NoRoom) => return Ok(None),
+            Err(Refused::NoServer) => {
+                return Err(self.ended(Refusal::NoBackend, USUAL_RETRY_AFTER));
+            }
             Err(Refused::TooLate { retry_after }) => {
-                Err(self.ended(Refusal::FirstTokenTooLate, retry_after))
+                return Err(self.ended(Refusal::FirstTokenTooLate, retry_after));
             }
-        }
+        };
+        // Room is taken before the prompt is read: the result lives only for a fraction of a second.
+        let (ModelPlan::Split { decode, .. } | ModelPlan::Direct { decode, .. }) = &plan;
+        let work = Work {
+            tokens: self.planned,
+            stuck_after: plan.predicted() + STALL,
+        };
+        let send = state.fleet.begin(now, &decode.id, work);
+        let decode = decode.id.clone();
+        drop(guard);
+        Ok(Some((plan, Attempt::begun(&self.edge, &decode, send))))
     }
 
     fn ask(&self, now: Millis) -> ModelAsk<'_> {
-        let facts = &self.req.facts;
-        let prompt = facts.prompt_tokens.unwrap_or(USUAL_PROMPT);
-        let output = facts.max_output_tokens.unwrap_or(USUAL_OUTPUT);
         let engine = self.req.table.service(&self.req.service);
-        let capacity = engine.and_then(|s| s.engine.as_ref()).map(|e| e.kv_capacity);
-        let patience = Millis(self.req.route.objective.0 * PATIENCE_OBJECTIVES);
-        let leaves_at = (self.req.arrived + patience).min(self.req.deadline);
+        let capacity = engine
+            .and_then(|s| s.engine.as_ref())
+            .map(|e| e.kv_capacity);
         ModelAsk {
             service: &self.req.service,
             zone: &self.edge.settings.zone,
             tried: &self.tried,
-            prompt,
-            total: Tokens(prompt.0 + output.0),
+            prompt: self.prompt(),
+            total: self.planned,
             kv_capacity: capacity.unwrap_or(Tokens(u64::MAX)),
-            remaining: leaves_at - now,
+            remaining: self.req.remaining(now),
         }
     }
 
@@ -232,15 +364,17 @@
         state.take_repeat(now, &self.req.service, terms)
     }
 
-    async fn run_split(&mut self, prefill: Entry, decode: Entry, predicted: Millis) -> Step {
-        // Room at the decode engine is taken before the prompt is read: the result lives only for
-        // a fraction of a second.
-        let room = self.begin(&decode, self.ask(self.edge.now()).total, predicted + STALL);
+    async fn run_split(
+        &mut self,
+        prefill: Entry,
+        decode: Entry,
+        room: Attempt,
+        predicted: Millis,
+    ) -> Step {
         let Some(prompt) = self.read_prompt(&prefill, predicted).await else {
             return Step::Next;
         };
-        drop(room);
-        self.run_decode(decode, Some(prompt), predicted).await
+        self.run_decode(decode, room, Some(prompt), predicted).await
     }
 
     fn begin(&self, server: &Entry, tokens: Tokens, stuck_after: Millis) -> Attempt {
@@ -261,7 +395,7 @@
         }
         let began = self.edge.now();
         let was_idle = self.edge.state().fleet.own_sends(&engine.id) == 0;
-        let tokens = self.ask(began).prompt;
+        let tokens = self.prompt();
         let patience = (predicted + PREFILL_SLACK).min(self.req.remaining(began));
         let attempt = self.begin(engine, tokens, patience);
         let marks = Marks {
@@ -270,7 +404,14 @@
             priority: Some(self.req.route.priority.min(MAX_PRIORITY)),
             ..Marks::default()
         };
-        let sent = send(&self.edge, &self.req, engine, &marks, Reuse::Fresh, patience);
+        let sent = send(
+            &self.edge,
+            &self.req,
+            engine,
+            &marks,
+            Reuse::Fresh,
+            patience,
+        );
         match self.prompt_answer(engine, sent.await, patience).await {
             Ok(read) => {
                 attempt.end(Ended::Answered { error: false });
@@ -278,7 +419,9 @@
                 if was_idle {
                     let mut state = self.edge.state();
                     let took = now - began;
-                    state.fleet.observe_prefill(&self.req.service, read.tokens, took);
+                    state
+                        .fleet
+                        .observe_prefill(&self.req.service, read.tokens, took);
                 }
                 self.tried.retain(|id| *id != engine.id);
                 Some(ReadPrompt {
@@ -331,44 +474,59 @@
     async fn run_decode(
         &mut self,
         engine: Entry,
+        room: Attempt,
         prompt: Option<ReadPrompt>,
         predicted: Millis,
     ) -> Step {
         let mut engine = engine;
+        let mut room = room;
         let mut prompt = prompt;
         loop {
             if !self.may_send(self.arrivals == 0) {
                 return Step::Fail(self.ended(Refusal::RetryBudget, USUAL_RETRY_AFTER));
             }
-            let step = self.send_decode(&engine, prompt.as_mut(), predicted).await;
-            let Step::Next = step else { return step };
+            let sent = self.send_decode(&engine, room, prompt.as_mut(), predicted);
+            let step = sent.await;
+            let (Step::Next, Some(read)) = (&step, &prompt) else {
+                return step;
+            };
             // The prompt need not be read again as long as its handle lives.
-            match prompt.as_ref().and_then(|prompt| self.next_decode(prompt)) {
-                Some(next) => engine = next,
-                None => return Step::Next,
-            }
+            let Some(next) = self.next_decode(read).await else {
+                return Step::Next;
+            };
+            room = self.begin(&next, self.planned, predicted + STALL);
+            engine = next;
         }
     }
 
-    /// Another engine that can take over a prompt that was read.
-    fn next_decode(&self, prompt: &ReadPrompt) -> Option<Entry> {
-        let now = self.edge.now();
+    /// Another engine that can take over a prompt that was read, as soon as one has room.
+    async fn next_decode(&self, prompt: &ReadPrompt) -> Option<Entry> {
         let service = self.req.table.service(&self.req.service)?;
         let ttl = service.engine.as_ref()?.handle_ttl;
-        if prompt.taken || now + HANDLE_MARGIN >= prompt.read_at + ttl || self.sends >= MAX_SENDS {
-            return None;
-        }
         let zone: Option<&ZoneId> = Some(&prompt.engine.zone);
-        let mut state = self.edge.state();
-        let state = &mut *state;
-        let entries = state.roster.of_service(now, &self.req.service);
-        let placed = state.fleet.place_decode(now, self.ask(now), zone, entries);
-        placed.ok()
+        loop {
+            let now = self.edge.now();
+            let is_over = now + HANDLE_MARGIN >= prompt.read_at + ttl;
+            if prompt.taken || is_over || self.sends >= MAX_SENDS {
+                return None;
+            }
+            let placed = {
+                let mut state = self.edge.state();
+                let state = &mut *state;
+                let entries = state.roster.of_service(now, &self.req.service);
+                state.fleet.place_decode(now, self.ask(now), zone, entries)
+            };
+            if let Ok(engine) = placed {
+                return Some(engine);
+            }
+            tokio::time::sleep(HANDLE_POLL.duration()).await;
+        }
     }
 
     async fn send_decode(
         &mut self,
         engine: &Entry,
+        room: Attempt,
         prompt: Option<&mut ReadPrompt>,
         predicted: Millis,
     ) -> Step {
@@ -383,7 +541,7 @@
             Kind::Stream { resumable: true } => (predicted + STALL).min(remaining),
             _ => remaining,
         };
-        let attempt = self.begin(engine, self.ask(now).total, predicted + STALL);
+        let attempt = room;
         let marks = Marks {
             cache_from: prompt
                 .as_ref()
@@ -392,7 +550,15 @@
             priority: Some(self.req.route.priority.min(MAX_PRIORITY)),
             ..Marks::default()
         };
-        let sent = send(&self.edge, &self.req, engine, &marks, Reuse::Fresh, patience).await;
+        let sent = send(
+            &self.edge,
+            &self.req,
+            engine,
+            &marks,
+            Reuse::Fresh,
+            patience,
+        )
+        .await;
         drop(marks);
         match sent {
             Ok(answer) if answer.facts.not_run => {
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -162,7 +162,12 @@
         state.in_force.confirm(now - Millis(reply.config_age_ms));
     }
     let is_newer = reply.servers_version > question.servers_version;
-    if is_newer && state.known.servers_version.is_none_or(|v| v.0 < reply.servers_version) {
+    if is_newer
+        && state
+            .known
+            .servers_version
+            .is_none_or(|v| v.0 < reply.servers_version)
+    {
         let rows = Rows {
             rows: reply.servers.into_iter().map(row_of).collect(),
             version: Version(reply.servers_version),
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -53,10 +53,7 @@
 
 /// Serves a call: one send where the call runs at most once, repeated only after a server stated
 /// that it did not run it; several sends within the retry budget where it is idempotent.
-pub(crate) async fn call(
-    edge: &Arc<Edge>,
-    req: &CallerRequest,
-) -> Result<Response<Body>, Failure> {
+pub(crate) async fn call(edge: &Arc<Edge>, req: &CallerRequest) -> Result<Response<Body>, Failure> {
     let mut call = Call {
         edge,
         req,
@@ -105,7 +102,7 @@
                 }
                 Ok(choice.server)
             }
-            Err(Refused::NoServer) => Err(self.ended(Refusal::NoBackend)),
+            Err(Refused::NoServer | Refused::NoRoom) => Err(self.ended(Refusal::NoBackend)),
             Err(Refused::TooLate { retry_after }) => Err(match self.outcome {
                 Outcome::MayHaveRun => Failure::Lost,
                 Outcome::NotRun => Failure::NotRun {
@@ -194,7 +191,10 @@
         let error = status.is_server_error();
         attempt.end(Ended::Answered { error });
         let took = self.edge.now() - sent_at;
-        self.edge.state().fleet.observe_call(&self.req.service, took);
+        self.edge
+            .state()
+            .fleet
+            .observe_call(&self.req.service, took);
         if promises_not_run(status) {
             return self.repeat_or(Failure::Lost, "server_error");
         }
@@ -209,7 +209,9 @@
 
     fn failed(&mut self, server: &Entry, attempt: Attempt, err: SendError) -> Step {
         attempt.end(Ended::Failed(err.fault()));
-        self.edge.logs.send_failed(self.edge.now(), self.req, &server.id, &err);
+        self.edge
+            .logs
+            .send_failed(self.edge.now(), self.req, &server.id, &err);
         if let SendError::Unsent(_) = err {
             counters::retry(err.code());
             return Step::Next;
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -130,6 +130,13 @@
             let reason = match part {
                 Part::Complete => {
                     attempt.end(Ended::Answered { error: false });
+                    let took = self.edge.now() - self.call.req.arrived;
+                    let output = self.call.output();
+                    let service = &self.call.req.service;
+                    self.edge
+                        .state()
+                        .fleet
+                        .observe_stream(service, took, output);
                     // The receiver is gone only if the caller is.
                     let _ = self.tx.send(Piece::End).await;
                     self.edge.logs.stream_done(&self.edge, &self.call, &server);
@@ -152,7 +159,9 @@
             if !self.call.may_run_again() {
                 return self.broken(&server, reason);
             }
-            self.edge.logs.stream_resumes(&self.edge, &self.call, &server, reason);
+            self.edge
+                .logs
+                .stream_resumes(&self.edge, &self.call, &server, reason);
             counters::retry("stream_resumed");
             self.call.avoid(&server);
             self.reader.clear();
@@ -225,7 +234,7 @@
                 }
                 self.call.last_event = Some(*id);
             }
-            source.attempt.progress();
+            source.attempt.progress(self.call.needed());
             if self.tx.send(Piece::Events(events.bytes)).await.is_err() {
                 return Part::CallerGone;
             }
@@ -235,6 +244,8 @@
     /// Ends the stream without its end, which dropping the sender does.
     fn broken(self, server: &BackendId, reason: &'static str) {
         counters::stream_broken(reason);
-        self.edge.logs.stream_broken(&self.edge, &self.call, server, reason);
+        self.edge
+            .logs
+            .stream_broken(&self.edge, &self.call, server, reason);
     }
 }
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -6,14 +6,14 @@
 
 use bv_platform::{DecodeError, PlatformSettings, SETTINGS_VARIABLE, read_settings};
 use miette::Diagnostic;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 use tracing::{info, warn};
 use tracing_subscriber::EnvFilter;
 
 use crate::edge::Edge;
-use crate::{counters, follow, listen, peers, stop};
+use crate::{counters, follow, listen, peers, stop, usage};
 
 /// Port of the metrics page; `deploy/system.toml` names the same one.
 const METRICS_PORT: u16 = 9464;
@@ -95,6 +95,14 @@
     let callers = bind("callers", settings.caller_addr).await?;
     let ready = bind("readiness", settings.ready_addr).await?;
     let peers = bind("peers", peer_addr).await?;
+    let datagrams = UdpSocket::bind(peer_addr)
+        .await
+        .map_err(|source| EdgeError::Listen {
+            what: "datagrams of peers",
+            addr: peer_addr,
+            source,
+        })?;
+    let datagrams = Arc::new(datagrams);
     let page = bind("metrics", metrics_addr(ip)).await?;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut hangup = signal(SignalKind::hangup())?;
@@ -104,6 +112,8 @@
     tokio::spawn(follow::servers(edge.clone()));
     tokio::spawn(follow::hosts(edge.clone(), peer_addr));
     tokio::spawn(follow::ask_peers(edge.clone()));
+    tokio::spawn(usage::tell(edge.clone(), datagrams.clone()));
+    tokio::spawn(usage::hear(edge.clone(), datagrams));
     tokio::spawn(peers::listen(edge.clone(), peers));
     tokio::spawn(listen::readiness(edge.clone(), ready));
     tokio::spawn(listen::metrics(page, metrics));
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -110,7 +110,9 @@
         .target(fastrand::u64(..))
         .cloned()
         .ok_or_else(|| refuse(Refusal::NoBackend, age))?;
-    let wait = facts.deadline.map_or(route.timeout, |d| d.min(route.timeout));
+    let wait = facts
+        .deadline
+        .map_or(route.timeout, |d| d.min(route.timeout));
     let deadline = arrived + wait;
     let limit = table.limits().max_body.0 as usize;
     let body = read_body(body, limit, wait.min(BODY_TIMEOUT))
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -1,6 +1,6 @@
 //! What a host knows and decides from.
 
-use bv_admit::Fleet;
+use bv_admit::{Fleet, Queue};
 use bv_platform::{DecodeError, Row, Rows, Table, decode_config, decode_server};
 use bv_retry::{BudgetTerms, SharedBudget};
 use bv_roster::{Outcome, Roster};
@@ -14,6 +14,10 @@
 /// Time for which servers that left are remembered, so that a late row does not bring one back.
 const REMEMBER_LEFT: Millis = Millis(60_000);
 
+/// Share of the retry budget that is used: hosts that start are known to the others only some
+/// seconds later, and each counts its own periods.
+const BUDGET_SHARE: f64 = 0.85;
+
 /// Rows of the store as this host last knew them, for hosts that the store refuses.
 #[derive(Debug, Default)]
 pub(crate) struct Known {
@@ -33,6 +37,8 @@
     pub in_force: InForce,
     pub roster: Roster,
     pub fleet: Fleet,
+    /// Model calls that wait for room.
+    pub queue: Queue,
     pub hosts: Hosts,
     pub known: Known,
     /// Sorted by service.
@@ -45,6 +51,7 @@
             in_force: InForce::default(),
             roster: Roster::default(),
             fleet: Fleet::new(seed),
+            queue: Queue::default(),
             hosts: Hosts::default(),
             known: Known::default(),
             budgets: Vec::new(),
@@ -64,7 +71,13 @@
     /// Takes one repeat for a service from this host's share of the budget.
     pub fn take_repeat(&mut self, now: Millis, service: &ServiceId, terms: BudgetTerms) -> bool {
         let hosts = self.hosts.count();
-        self.budget(service).take(now, terms, hosts)
+        let terms = BudgetTerms {
+            ratio: terms.ratio * BUDGET_SHARE,
+            // Before the other hosts are known, the fixed part may be theirs.
+            extra: hosts.map_or(0.0, |_| terms.extra * BUDGET_SHARE),
+            ..terms
+        };
+        self.budget(service).take(now, terms, hosts.unwrap_or(1))
     }
 
     fn budget(&mut self, service: &ServiceId) -> &mut SharedBudget {
@@ -81,7 +94,9 @@
 
     /// Takes over rows of the configuration's table.
     pub fn apply_config(&mut self, now: Millis, rows: &Rows) -> Result<Offer, DecodeError> {
-        let body = rows.get(Table::CONFIG_KEY).and_then(|row| row.value.clone());
+        let body = rows
+            .get(Table::CONFIG_KEY)
+            .and_then(|row| row.value.clone());
         let offer = match body {
             Some(body) => self.offer_config(body)?,
             None => Offer::Same,
@@ -125,7 +140,10 @@
 
     /// Takes over a changed row of the servers' table.
     pub fn change_server(&mut self, now: Millis, row: &Row) -> Result<Outcome, DecodeError> {
-        let found = self.known.servers.binary_search_by(|(key, _)| key.cmp(&row.key));
+        let found = self
+            .known
+            .servers
+            .binary_search_by(|(key, _)| key.cmp(&row.key));
         let Some(body) = &row.value else {
             if let Ok(at) = found {
                 self.known.servers.remove(at);
--- /dev/null
+++ b/crates/edge/src/usage.rs
@@ -0,0 +1,138 @@
+//! What the hosts have in progress at the engines, told to each other by datagrams.
+//!
+//! Engines report their load with a lag of about a second; a host's own sends are known at once. Each
+//! host tells all others whenever its own use changes, so that two hosts rarely choose the same room.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bv_admit::{PeerUse, Use};
+use bv_types::{BackendId, HostId, Millis, Tokens};
+use prost::Message;
+use tokio::net::UdpSocket;
+use tracing::debug;
+
+use crate::edge::Edge;
+
+/// Interval without changes; datagrams are lost at times.
+const REFRESH: Millis = Millis(500);
+/// Shortest time between two datagrams to a host.
+const COALESCE: Millis = Millis(8);
+/// Largest datagram; room for some hundred engines.
+const MAX_DATAGRAM: usize = 16 << 10;
+/// Pause after a failed read of the socket.
+const ERROR_PAUSE: Millis = Millis(50);
+
+#[derive(Clone, PartialEq, Message)]
+struct Told {
+    #[prost(string, tag = "1")]
+    host: String,
+    /// Start of the sender's process, in ms since the Unix epoch.
+    #[prost(uint64, tag = "2")]
+    incarnation: u64,
+    #[prost(uint64, tag = "3")]
+    sequence: u64,
+    #[prost(message, repeated, tag = "4")]
+    uses: Vec<ToldUse>,
+    #[prost(uint64, tag = "5")]
+    waiting_tokens: u64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct ToldUse {
+    #[prost(string, tag = "1")]
+    server: String,
+    #[prost(uint32, tag = "2")]
+    requests: u32,
+    #[prost(uint64, tag = "3")]
+    tokens: u64,
+}
+
+/// Tells the other hosts what this one has in progress.
+pub(crate) async fn tell(edge: Arc<Edge>, socket: Arc<UdpSocket>) {
+    let incarnation = edge.now().0;
+    let mut sequence = 0;
+    let mut last = (Vec::new(), Tokens(0));
+    let mut told_at = Millis::ZERO;
+    loop {
+        let change = edge.own_use.notified();
+        // The refresh is only for lost datagrams.
+        let _ = tokio::time::timeout(REFRESH.duration(), change).await;
+        tokio::time::sleep(COALESCE.duration()).await;
+        let now = edge.now();
+        let (uses, waiting, others) = {
+            let mut state = edge.state();
+            state.fleet.expire_peers(now);
+            let others: Vec<SocketAddr> = state.hosts.others().to_vec();
+            (state.fleet.uses(), state.queue.tokens(), others)
+        };
+        let current = (uses, waiting);
+        if current == last && now < told_at + REFRESH {
+            continue;
+        }
+        sequence += 1;
+        let told = Told {
+            host: edge.settings.host.to_string(),
+            incarnation,
+            sequence,
+            uses: current.0.iter().map(told_use).collect(),
+            waiting_tokens: current.1.0,
+        };
+        let datagram = told.encode_to_vec();
+        for peer in others {
+            if let Err(err) = socket.try_send_to(&datagram, peer) {
+                debug!(peer = %peer, error = %err, "usage: not sent");
+            }
+        }
+        last = current;
+        told_at = now;
+    }
+}
+
+fn told_use(part: &Use) -> ToldUse {
+    ToldUse {
+        server: part.server.to_string(),
+        requests: part.requests,
+        tokens: part.tokens.0,
+    }
+}
+
+/// Takes over what other hosts tell.
+pub(crate) async fn hear(edge: Arc<Edge>, socket: Arc<UdpSocket>) {
+    let mut buf = vec![0; MAX_DATAGRAM];
+    loop {
+        match socket.recv_from(&mut buf).await {
+            Ok((len, peer)) => {
+                if let Err(err) = take_over(&edge, &buf[..len]) {
+                    debug!(peer = %peer, error = %err, "usage: datagram ignored");
+                }
+            }
+            Err(err) => {
+                debug!(error = %err, "usage: read failed");
+                tokio::time::sleep(ERROR_PAUSE.duration()).await;
+            }
+        }
+    }
+}
+
+fn take_over(edge: &Edge, datagram: &[u8]) -> Result<(), Box<dyn std::error::Error>> {
+    let told = Told::decode(datagram)?;
+    let host: HostId = told.host.parse()?;
+    let mut uses = Vec::with_capacity(told.uses.len());
+    for part in told.uses {
+        uses.push(Use {
+            server: part.server.parse::<BackendId>()?,
+            requests: part.requests,
+            tokens: Tokens(part.tokens),
+        });
+    }
+    let said = PeerUse {
+        uses,
+        waiting: Tokens(told.waiting_tokens),
+    };
+    let order = (told.incarnation, told.sequence);
+    let now = edge.now();
+    edge.state().fleet.hear(now, host, order, said);
+    edge.room.notify_waiters();
+    Ok(())
+}
--- a/crates/retry/src/shared.rs
+++ b/crates/retry/src/shared.rs
@@ -67,7 +67,10 @@
         {
             self.counts.pop_front();
         }
-        let is_current = self.counts.back().is_some_and(|c| now < c.start + COUNT_WIDTH);
+        let is_current = self
+            .counts
+            .back()
+            .is_some_and(|c| now < c.start + COUNT_WIDTH);
         if !is_current {
             self.counts.push_back(Count {
                 start: now,
--- a/crates/route/src/route.rs
+++ b/crates/route/src/route.rs
@@ -86,6 +86,8 @@
 pub struct EngineFacts {
     /// Tokens of KV cache that one engine holds.
     pub kv_capacity: Tokens,
+    /// Tokens in one event of a stream.
+    pub event_tokens: u64,
     /// Bytes of KV cache for one token.
     pub kv_token_bytes: Bytes,
     /// Rate of an engine's transfer link, in megabits per second.
