Refuse new streams late in a graceful stop and close idle connections sooner

Change: streams that arrive 2.9 s after the signal are refused as not run; idle connections close at 3.2 s in place of 6.7 s; later connections are answered once and closed. Ruled out: a longer life, since SIGKILL comes at 8 s.

--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -1,6 +1,6 @@
 //! The host's shared parts.
 
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use bv_admit::{Ended, SendId, Work};
@@ -13,6 +13,10 @@
 use crate::send::Pool;
 use crate::state::State;
 
+/// Time after the signal to stop during which streams are begun. Callers are sent elsewhere by then,
+/// and a usual stream takes about half of the grace period.
+const STREAMS_WHILE_STOPPING: Millis = Millis(2_900);
+
 /// Everything that tasks of the process share.
 #[derive(Debug)]
 pub(crate) struct Edge {
@@ -26,7 +30,8 @@
     /// Signalled when this host's own requests change.
     pub own_use: Notify,
     state: Mutex<State>,
-    stopping: AtomicBool,
+    /// When the process was told to stop, or 0.
+    stopping_since: AtomicU64,
     in_progress: AtomicUsize,
     connections: AtomicUsize,
 }
@@ -45,7 +50,7 @@
             pool: Pool::default(),
             room: Notify::new(),
             own_use: Notify::new(),
-            stopping: AtomicBool::new(false),
+            stopping_since: AtomicU64::new(0),
             in_progress: AtomicUsize::new(0),
             connections: AtomicUsize::new(0),
         }
@@ -76,11 +81,17 @@
     }
 
     pub fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Relaxed)
+        self.stopping_since.load(Ordering::Relaxed) != 0
     }
 
     pub fn stop(&self) {
-        self.stopping.store(true, Ordering::Relaxed);
+        self.stopping_since.store(self.now().0, Ordering::Relaxed);
+    }
+
+    /// Whether a stream that begins now would probably be cut by the end of the process.
+    pub fn is_too_late_for_streams(&self, now: Millis) -> bool {
+        let since = Millis(self.stopping_since.load(Ordering::Relaxed));
+        since != Millis::ZERO && now >= since + STREAMS_WHILE_STOPPING
     }
 
     /// Whether the balancer may send callers here.
--- a/crates/edge/src/listen.rs
+++ b/crates/edge/src/listen.rs
@@ -40,24 +40,22 @@
 const CALLER_UNACKNOWLEDGED: Duration = Duration::from_secs(10);
 const CALLER_PROBE_AFTER: Duration = Duration::from_secs(5);
 
-/// Accepts callers until `closing` changes.
+/// Accepts callers until the process ends. Connections that are open when `closing` changes close as
+/// soon as they are idle; later ones close after their first answer.
 pub(crate) async fn callers(
     edge: Arc<Edge>,
     listener: TcpListener,
     closing: watch::Receiver<bool>,
 ) {
     let max = (edge.settings.max_files as f64 * CALLER_FILES) as usize;
-    let mut ended = closing.clone();
     loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            _ = ended.changed() => return,
-        };
-        match accepted {
+        match listener.accept().await {
             // Dropping the connection resets nothing that was read.
             Ok(_) if edge.connections() >= max => crate::counters::refused("too_many_connections"),
             Ok((stream, peer)) => {
-                tokio::spawn(connection(edge.clone(), stream, peer, closing.clone()));
+                let mut closing = closing.clone();
+                closing.borrow_and_update();
+                tokio::spawn(connection(edge.clone(), stream, peer, closing));
             }
             Err(err) => {
                 warn!(error = %err, "listener: accept failed");
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -106,6 +106,15 @@
             return Err(refuse(reason, age));
         }
     };
+    if route.kind.is_stream() && edge.is_too_late_for_streams(arrived) {
+        return Err(Unrouted {
+            failure: Failure::NotRun {
+                reason: Refusal::ShuttingDown,
+                retry_after: Millis::ZERO,
+            },
+            ..refuse(Refusal::ShuttingDown, age)
+        });
+    }
     let service = route
         .target(fastrand::u64(..))
         .cloned()
--- a/crates/edge/src/stop.rs
+++ b/crates/edge/src/stop.rs
@@ -8,11 +8,10 @@
 
 use crate::edge::Edge;
 
-/// Time after the signal during which the host keeps accepting: the balancer needs two misses of
-/// its check, once a second, before it stops sending callers.
+/// Time after the signal until idle connections are closed: the balancer needs two misses of its
+/// check, once a second, before it stops sending callers. Requests that are read later could not be
+/// finished within the grace period.
 const LAME_DUCK: Millis = Millis(3_200);
-/// Share of the grace period after which idle connections are closed.
-const CLOSE_AT: f64 = 5.0 / 6.0;
 /// Time before the end of the grace period at which the process ends in any case.
 const END_MARGIN: Millis = Millis(300);
 const POLL: Millis = Millis(50);
@@ -27,7 +26,7 @@
         "stop: not ready, serving open connections"
     );
     let grace = edge.settings.grace_period;
-    let close_at = began + Millis((grace.0 as f64 * CLOSE_AT) as u64);
+    let close_at = began + LAME_DUCK;
     let end_at = began + (grace - END_MARGIN);
     loop {
         tokio::time::sleep(POLL.duration()).await;
