Open the decode connection while the prompt is read and blame lapsed handles on their engine

Change: the connection is opened beside the prefill; a refusal by an engine with ample room counts against the engine that read the prompt, whose answers count as good only once the prompt was taken.

--- a/crates/admit/src/fleet.rs
+++ b/crates/admit/src/fleet.rs
@@ -28,6 +28,8 @@
         /// Whether the server failed the request.
         error: bool,
     },
+    /// The server answered, but whether its answer is of use shows only later.
+    Unproven,
     /// The server refused to run the request.
     Full,
     /// The send failed.
@@ -111,7 +113,7 @@
             Ended::Answered { error } => server.health.answer(error),
             Ended::Failed(fault) => server.health.fault(now, fault),
             Ended::Full => server.refused(now),
-            Ended::Cancelled => {}
+            Ended::Cancelled | Ended::Unproven => {}
         }
     }
 
@@ -153,6 +155,11 @@
         self.server(id).health.fault(now, fault);
     }
 
+    /// Records that an earlier answer of a server was of use.
+    pub fn vouch(&mut self, id: &BackendId) {
+        self.server(id).health.answer(false);
+    }
+
     /// Sets how many other hosts there are.
     pub fn expect_peers(&mut self, count: usize) {
         self.expected_peers = count;
--- a/crates/admit/src/model.rs
+++ b/crates/admit/src/model.rs
@@ -20,6 +20,8 @@
 /// that the memory in use at any moment is less; beyond this share engines begin to preempt, which
 /// throws a read prompt away.
 const PLANNED_MEMORY: f64 = 1.0;
+/// Share of an engine's memory below which it certainly has room.
+const AMPLE_MEMORY: f64 = 0.8;
 /// Weight of the caller's estimate of the answer against the usual length; the estimate is right at
 /// the median and often far off.
 const HINT_WEIGHT: f64 = 0.5;
@@ -172,6 +174,14 @@
         Ok(plan)
     }
 
+    /// Whether an engine has room for this many tokens and some more, as far as this host knows. If
+    /// it refuses a prompt that was read elsewhere all the same, the prompt is gone.
+    pub fn has_ample_room(&self, now: Millis, engine: &BackendId, ask: &ModelAsk<'_>) -> bool {
+        let load = self.find(engine).map(|s| s.load(now, self.all_heard()));
+        let taken = load.unwrap_or_default().tokens;
+        taken + ask.total.0 as f64 <= ask.kv_capacity.0 as f64 * AMPLE_MEMORY
+    }
+
     /// Predicted time until there is room for this many tokens, behind `ahead` tokens that wait.
     pub fn room_wait<'a>(
         &self,
--- a/crates/edge/src/logs.rs
+++ b/crates/edge/src/logs.rs
@@ -116,6 +116,37 @@
         }
     }
 
+    /// An engine with room refused a prompt that was read elsewhere.
+    pub fn prompt_gone(
+        &self,
+        now: Millis,
+        req: &CallerRequest,
+        reader: &BackendId,
+        engine: &BackendId,
+    ) {
+        if self.take(now) {
+            info!(
+                id = %req.facts.request_id,
+                reader = %reader,
+                server = %engine,
+                ms = (now - req.arrived).0,
+                "prompt: gone at the engine that read it"
+            );
+        }
+    }
+
+    /// An engine refused for lack of room.
+    pub fn engine_full(&self, now: Millis, req: &CallerRequest, engine: &BackendId) {
+        if self.take(now) {
+            info!(
+                id = %req.facts.request_id,
+                server = %engine,
+                ms = (now - req.arrived).0,
+                "engine: refused for lack of room"
+            );
+        }
+    }
+
     /// The KV cache of a prompt could not be freed.
     pub fn handle_not_freed(&self, now: Millis, addr: SocketAddr, err: &str) {
         if self.take(now) {
--- a/crates/edge/src/model.rs
+++ b/crates/edge/src/model.rs
@@ -16,7 +16,7 @@
 use crate::edge::{Attempt, Edge};
 use crate::plain::promises_not_run;
 use crate::request::CallerRequest;
-use crate::send::{Answer, Reuse, SendError, read_whole, send};
+use crate::send::{Answer, Connection, SendError, open, read_whole, send};
 
 /// Tokens assumed for a prompt whose size the caller does not name.
 const USUAL_PROMPT: Tokens = Tokens(2_000);
@@ -142,6 +142,14 @@
     }
 }
 
+/// An engine that is to produce tokens, with its room and connection.
+#[derive(Debug)]
+struct Target {
+    engine: Entry,
+    room: Attempt,
+    connection: Connection,
+}
+
 /// How one plan ended.
 enum Step {
     Opened(Opened),
@@ -200,7 +208,12 @@
                     predicted,
                 } => self.run_split(prefill, decode, room, predicted).await,
                 ModelPlan::Direct { decode, predicted } => {
-                    self.run_decode(decode, room, None, predicted).await
+                    let target = Target {
+                        engine: decode,
+                        room,
+                        connection: Connection::Fresh,
+                    };
+                    self.run_decode(target, None, predicted).await
                 }
             };
             match step {
@@ -371,10 +384,44 @@
         room: Attempt,
         predicted: Millis,
     ) -> Step {
-        let Some(prompt) = self.read_prompt(&prefill, predicted).await else {
+        // The connection for the tokens is opened meanwhile: an engine that does not answer is
+        // noticed before the prompt waits for it.
+        let patience = self.req.remaining(self.edge.now());
+        let (prompt, opened) = tokio::join!(
+            self.read_prompt(&prefill, predicted),
+            open(&decode, patience)
+        );
+        let target = match opened {
+            Ok(channel) => Some(Target {
+                engine: decode,
+                room,
+                connection: Connection::Open(channel),
+            }),
+            Err(err) => {
+                self.send_failed(&decode, room, &err);
+                None
+            }
+        };
+        let Some(prompt) = prompt else {
             return Step::Next;
         };
-        self.run_decode(decode, room, Some(prompt), predicted).await
+        let target = match target {
+            Some(target) => target,
+            None => match self.next_decode(&prompt).await {
+                Some(target) => target,
+                None => return Step::Next,
+            },
+        };
+        self.run_decode(target, Some(prompt), predicted).await
+    }
+
+    /// Records a send that failed.
+    fn send_failed(&mut self, engine: &Entry, attempt: Attempt, err: &SendError) {
+        attempt.end(Ended::Failed(err.fault()));
+        self.avoid(&engine.id);
+        let now = self.edge.now();
+        self.edge.logs.send_failed(now, &self.req, &engine.id, err);
+        counters::retry(err.code());
     }
 
     fn begin(&self, server: &Entry, tokens: Tokens, stuck_after: Millis) -> Attempt {
@@ -409,12 +456,12 @@
             &self.req,
             engine,
             &marks,
-            Reuse::Fresh,
+            Connection::Fresh,
             patience,
         );
         match self.prompt_answer(engine, sent.await, patience).await {
             Ok(read) => {
-                attempt.end(Ended::Answered { error: false });
+                attempt.end(Ended::Unproven);
                 let now = self.edge.now();
                 if was_idle {
                     let mut state = self.edge.state();
@@ -473,34 +520,30 @@
     /// Has the tokens produced, from the KV cache of `prompt` if there is one.
     async fn run_decode(
         &mut self,
-        engine: Entry,
-        room: Attempt,
+        target: Target,
         prompt: Option<ReadPrompt>,
         predicted: Millis,
     ) -> Step {
-        let mut engine = engine;
-        let mut room = room;
+        let mut target = target;
         let mut prompt = prompt;
         loop {
             if !self.may_send(self.arrivals == 0) {
                 return Step::Fail(self.ended(Refusal::RetryBudget, USUAL_RETRY_AFTER));
             }
-            let sent = self.send_decode(&engine, room, prompt.as_mut(), predicted);
-            let step = sent.await;
+            let step = self.send_decode(target, prompt.as_mut(), predicted).await;
             let (Step::Next, Some(read)) = (&step, &prompt) else {
                 return step;
             };
             // The prompt need not be read again as long as its handle lives.
-            let Some(next) = self.next_decode(read).await else {
-                return Step::Next;
-            };
-            room = self.begin(&next, self.planned, predicted + STALL);
-            engine = next;
+            match self.next_decode(read).await {
+                Some(next) => target = next,
+                None => return Step::Next,
+            }
         }
     }
 
     /// Another engine that can take over a prompt that was read, as soon as one has room.
-    async fn next_decode(&self, prompt: &ReadPrompt) -> Option<Entry> {
+    async fn next_decode(&self, prompt: &ReadPrompt) -> Option<Target> {
         let service = self.req.table.service(&self.req.service)?;
         let ttl = service.engine.as_ref()?.handle_ttl;
         let zone: Option<&ZoneId> = Some(&prompt.engine.zone);
@@ -517,7 +560,12 @@
                 state.fleet.place_decode(now, self.ask(now), zone, entries)
             };
             if let Ok(engine) = placed {
-                return Some(engine);
+                let room = self.begin(&engine, self.planned, STALL);
+                return Some(Target {
+                    engine,
+                    room,
+                    connection: Connection::Fresh,
+                });
             }
             tokio::time::sleep(HANDLE_POLL.duration()).await;
         }
@@ -525,11 +573,15 @@
 
     async fn send_decode(
         &mut self,
-        engine: &Entry,
-        room: Attempt,
+        target: Target,
         prompt: Option<&mut ReadPrompt>,
         predicted: Millis,
     ) -> Step {
+        let Target {
+            engine,
+            room: attempt,
+            connection,
+        } = target;
         let now = self.edge.now();
         // An engine that left while the prompt was read gets no new work.
         if self.edge.state().roster.usable(now, &engine.id).is_none() {
@@ -541,7 +593,6 @@
             Kind::Stream { resumable: true } => (predicted + STALL).min(remaining),
             _ => remaining,
         };
-        let attempt = room;
         let marks = Marks {
             cache_from: prompt
                 .as_ref()
@@ -550,22 +601,12 @@
             priority: Some(self.req.route.priority.min(MAX_PRIORITY)),
             ..Marks::default()
         };
-        let sent = send(
-            &self.edge,
-            &self.req,
-            engine,
-            &marks,
-            Reuse::Fresh,
-            patience,
-        )
-        .await;
+        let sent = send(&self.edge, &self.req, &engine, &marks, connection, patience).await;
         drop(marks);
         match sent {
             Ok(answer) if answer.facts.not_run => {
                 self.arrivals += 1;
-                attempt.end(Ended::Full);
-                self.avoid(&engine.id);
-                counters::retry("decode_not_run");
+                self.not_run(&engine, attempt, prompt);
                 Step::Next
             }
             Ok(answer) => {
@@ -573,16 +614,12 @@
                 self.runs += 1;
                 if let Some(prompt) = prompt {
                     prompt.taken = true;
+                    self.edge.state().fleet.vouch(&prompt.engine.id);
                 }
-                self.opened(engine, attempt, answer)
+                self.opened(&engine, attempt, answer)
             }
             Err(err) => {
-                attempt.end(Ended::Failed(err.fault()));
-                self.avoid(&engine.id);
-                self.edge
-                    .logs
-                    .send_failed(self.edge.now(), &self.req, &engine.id, &err);
-                counters::retry(err.code());
+                self.send_failed(&engine, attempt, &err);
                 if let SendError::Unsent(_) = err {
                     return Step::Next;
                 }
@@ -600,6 +637,34 @@
         }
     }
 
+    /// A decode engine refused: it is full, or the prompt is gone at the engine that read it.
+    fn not_run(&mut self, engine: &Entry, attempt: Attempt, prompt: Option<&mut ReadPrompt>) {
+        counters::retry("decode_not_run");
+        let now = self.edge.now();
+        let has_room = {
+            let state = self.edge.state();
+            state.fleet.has_ample_room(now, &engine.id, &self.ask(now))
+        };
+        match prompt {
+            Some(prompt) if has_room => {
+                attempt.end(Ended::Unproven);
+                prompt.taken = true;
+                self.avoid(&prompt.engine.id);
+                let mut state = self.edge.state();
+                state.fleet.blame(now, &prompt.engine.id, Fault::Lost);
+                drop(state);
+                self.edge
+                    .logs
+                    .prompt_gone(now, &self.req, &prompt.engine.id, &engine.id);
+            }
+            _ => {
+                attempt.end(Ended::Full);
+                self.avoid(&engine.id);
+                self.edge.logs.engine_full(now, &self.req, &engine.id);
+            }
+        }
+    }
+
     fn opened(&mut self, engine: &Entry, attempt: Attempt, answer: Answer) -> Step {
         let status = answer.response.status();
         let is_failure = !answer.facts.stamped || promises_not_run(status);
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -13,7 +13,7 @@
 use crate::counters;
 use crate::edge::{Attempt, Edge};
 use crate::request::CallerRequest;
-use crate::send::{Answer, Reuse, SendError, read_whole, send};
+use crate::send::{Answer, Connection, SendError, read_whole, send};
 
 /// Time without an answer, in latency objectives, after which an idempotent call goes to another
 /// server: it is late already, and its server is probably hanging.
@@ -131,13 +131,13 @@
             stuck_after,
         };
         let attempt = Attempt::begin(self.edge, &server.id, work);
-        let reuse = match self.req.route.kind.may_repeat() {
-            true => Reuse::Idle,
-            false => Reuse::Fresh,
+        let connection = match self.req.route.kind.may_repeat() {
+            true => Connection::Idle,
+            false => Connection::Fresh,
         };
         self.tried.push(server.id.clone());
         let marks = Marks::default();
-        let sent = send(self.edge, self.req, &server, &marks, reuse, patience);
+        let sent = send(self.edge, self.req, &server, &marks, connection, patience);
         match sent.await {
             Ok(answer) => self.answered(server, attempt, answer, now).await,
             Err(err) => self.failed(&server, attempt, err),
--- a/crates/edge/src/send.rs
+++ b/crates/edge/src/send.rs
@@ -16,7 +16,7 @@
 
 /// Longest time until a connection to a backend server is open; the round trip takes at most about
 /// 10 ms, and a lost opening packet is sent again only after a second.
-const CONNECT_TIMEOUT: Millis = Millis(250);
+const CONNECT_TIMEOUT: Millis = Millis(150);
 /// Longest time that a sent request may stay unacknowledged.
 const UNACKNOWLEDGED: Millis = Millis(1_500);
 /// Idle time after which a connection is not used again; servers close idle ones after seconds.
@@ -71,14 +71,16 @@
     pub facts: AnswerFacts,
 }
 
-/// Which connection a send may use.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Reuse {
+/// Which connection a send uses.
+#[derive(Debug)]
+pub(crate) enum Connection {
     /// A new one: requests that cannot be repeated must not meet a connection that the server has
     /// closed or that fell silent.
     Fresh,
     /// An idle one, if there is one.
     Idle,
+    /// One that was opened for this send.
+    Open(Channel),
 }
 
 #[derive(Debug)]
@@ -126,10 +128,17 @@
     req: &CallerRequest,
     server: &Entry,
     marks: &Marks<'_>,
-    reuse: Reuse,
+    connection: Connection,
     patience: Millis,
 ) -> Result<Answer, SendError> {
-    let mut channel = open(edge, server, reuse, patience).await?;
+    let mut channel = match connection {
+        Connection::Open(channel) => channel,
+        Connection::Idle => match edge.pool.take(edge.now(), &server.id) {
+            Some(channel) => channel,
+            None => open(server, patience).await?,
+        },
+        Connection::Fresh => open(server, patience).await?,
+    };
     let now = edge.now();
     let mut message = req.to_forward();
     let marks = Marks {
@@ -169,17 +178,8 @@
     })
 }
 
-async fn open(
-    edge: &Arc<Edge>,
-    server: &Entry,
-    reuse: Reuse,
-    patience: Millis,
-) -> Result<Channel, SendError> {
-    if reuse == Reuse::Idle
-        && let Some(channel) = edge.pool.take(edge.now(), &server.id)
-    {
-        return Ok(channel);
-    }
+/// Opens a connection.
+pub(crate) async fn open(server: &Entry, patience: Millis) -> Result<Channel, SendError> {
     let terms = ConnectTerms {
         timeout: CONNECT_TIMEOUT.min(patience),
         unacknowledged: UNACKNOWLEDGED,
