Change engines from prefill to decode under a fenced round of orders

Cause: decode memory binds during bursts while prefill engines are a third busy. Others hear which engines change.

--- a/crates/admit/src/fleet.rs
+++ b/crates/admit/src/fleet.rs
@@ -46,6 +46,20 @@
     prefill_per_ms: f64,
     stream_ms: f64,
     output_tokens: f64,
+    prompt_tokens: f64,
+}
+
+impl Pace {
+    fn new(service: &ServiceId) -> Self {
+        Pace {
+            service: service.clone(),
+            call_ms: START_CALL_MS,
+            prefill_per_ms: START_PREFILL_PER_MS,
+            stream_ms: START_STREAM_MS,
+            output_tokens: START_OUTPUT_TOKENS,
+            prompt_tokens: START_PROMPT_TOKENS,
+        }
+    }
 }
 
 /// Start values, replaced by what is observed; only the first requests of a process use them.
@@ -53,6 +67,10 @@
 const START_PREFILL_PER_MS: f64 = 30.0;
 const START_STREAM_MS: f64 = 3_500.0;
 const START_OUTPUT_TOKENS: f64 = 1_000.0;
+const START_PROMPT_TOKENS: f64 = 3_000.0;
+/// Time for which an engine is left alone after a host said that it changes its role; the host says
+/// so twice a second.
+const CHANGE_HEARD: Millis = Millis(1_200);
 /// Weight of the newest observation of a service's pace.
 const PACE_WEIGHT: f64 = 0.05;
 
@@ -64,6 +82,8 @@
     peers: Peers,
     /// Other hosts that should be heard.
     expected_peers: usize,
+    /// Engines that change their role on an order of this host, and until when.
+    own_changes: Vec<(BackendId, Millis)>,
     next_send: u64,
     pub(crate) rng: Rng,
 }
@@ -76,6 +96,7 @@
             paces: Vec::new(),
             peers: Peers::default(),
             expected_peers: 0,
+            own_changes: Vec::new(),
             next_send: 0,
             rng: Rng::with_seed(seed),
         }
@@ -160,6 +181,39 @@
         self.server(id).health.answer(false);
     }
 
+    /// Leaves an engine alone until it has changed its role.
+    pub fn change_role(&mut self, id: &BackendId, until: Millis) {
+        self.server(id).changing_until = until;
+        self.own_changes.retain(|(other, _)| other != id);
+        self.own_changes.push((id.clone(), until));
+    }
+
+    /// Engines that change their role on an order of this host.
+    pub fn changing(&mut self, now: Millis) -> Vec<BackendId> {
+        self.own_changes.retain(|(_, until)| now < *until);
+        self.own_changes.iter().map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Whether an engine changes its role.
+    pub fn is_changing(&self, now: Millis, id: &BackendId) -> bool {
+        self.find(id).is_some_and(|s| now < s.changing_until)
+    }
+
+    /// Records the size of a prompt.
+    pub fn observe_prompt(&mut self, service: &ServiceId, tokens: Tokens) {
+        let pace = self.pace_mut(service);
+        pace.prompt_tokens += (tokens.0 as f64 - pace.prompt_tokens) * PACE_WEIGHT;
+    }
+
+    /// Engine time of a usual model call at engines with this memory: reading its prompt, and its
+    /// share of a decode engine's memory over its stream, both in ms.
+    pub fn usual_cost(&self, service: &ServiceId, kv_capacity: Tokens) -> (f64, f64) {
+        let pace = self.pace(service).cloned().unwrap_or_else(|| Pace::new(service));
+        let share = (pace.prompt_tokens + pace.output_tokens) / kv_capacity.0.max(1) as f64;
+        let prefill_ms = pace.prompt_tokens / pace.prefill_per_ms;
+        (prefill_ms, pace.stream_ms * share)
+    }
+
     /// Sets how many other hosts there are.
     pub fn expect_peers(&mut self, count: usize) {
         self.expected_peers = count;
@@ -168,8 +222,12 @@
     /// Takes over what another host has in progress. `order` is the start of its process and the
     /// number of its message; older messages are ignored.
     pub fn hear(&mut self, now: Millis, host: HostId, order: (u64, u64), said: PeerUse) {
+        let changing = said.changing.clone();
         if self.peers.hear(now, host, order, said) {
             self.add_up_peers();
+            for engine in changing {
+                self.server(&engine).changing_until = now + CHANGE_HEARD;
+            }
         }
     }
 
@@ -271,14 +329,7 @@
         let at = match found {
             Ok(at) => at,
             Err(at) => {
-                let pace = Pace {
-                    service: service.clone(),
-                    call_ms: START_CALL_MS,
-                    prefill_per_ms: START_PREFILL_PER_MS,
-                    stream_ms: START_STREAM_MS,
-                    output_tokens: START_OUTPUT_TOKENS,
-                };
-                self.paces.insert(at, pace);
+                self.paces.insert(at, Pace::new(service));
                 at
             }
         };
--- a/crates/admit/src/model.rs
+++ b/crates/admit/src/model.rs
@@ -133,7 +133,7 @@
         let entries: Vec<&Entry> = entries.filter(|e| !ask.tried.contains(&e.id)).collect();
         let view = self.view(now, &entries);
         let prefill = self.best(&entries, Stage::Prefill, |fleet, entry| {
-            Some(fleet.prefill_cost(now, &ask, entry, view))
+            fleet.prefill_cost(now, &ask, entry, view)
         });
         let direct = self.best(&entries, Stage::Decode, |fleet, entry| {
             let reading = fleet.direct_ms(&ask);
@@ -275,19 +275,22 @@
     }
 
     /// Time until the prompt is read at a prefill engine, behind the prompts that wait there.
-    fn prefill_cost(&self, now: Millis, ask: &ModelAsk<'_>, entry: &Entry, view: View) -> Cost {
+    fn prefill_cost(&self, now: Millis, ask: &ModelAsk<'_>, entry: &Entry, view: View) -> Option<Cost> {
         let rate = self.prefill_per_ms(ask.service);
         let own = ask.prompt.0 as f64 / rate + distance_ms(ask, entry);
         let Some(server) = self.find(&entry.id) else {
-            return Cost::of(own);
+            return Some(Cost::of(own));
         };
+        if server.is_full(now) {
+            return None;
+        }
         let ahead = server.load(now, self.all_heard()).tokens / rate;
         let begun = server.sends.iter().map(|s| s.at).min();
         let elapsed = begun.map_or(0.0, |at| (now - at).0 as f64);
-        Cost {
+        Some(Cost {
             ms: own + (ahead - elapsed).max(0.0),
             penalty: penalty_ms(now, server, view.peers),
-        }
+        })
     }
 
     /// Time that a decode engine adds before the first token; none if it has no room.
--- a/crates/admit/src/peers.rs
+++ b/crates/admit/src/peers.rs
@@ -24,6 +24,8 @@
     pub uses: Vec<Use>,
     /// Tokens of the requests that wait for room.
     pub waiting: Tokens,
+    /// Engines that change their role on an order of this host.
+    pub changing: Vec<BackendId>,
 }
 
 #[derive(Debug, Clone)]
--- a/crates/admit/src/server.rs
+++ b/crates/admit/src/server.rs
@@ -47,6 +47,8 @@
     reported: f64,
     reported_at: Millis,
     full_until: Millis,
+    /// Until when the engine changes its role.
+    pub changing_until: Millis,
 }
 
 impl Server {
@@ -59,6 +61,7 @@
             reported: 0.0,
             reported_at: Millis::ZERO,
             full_until: Millis::ZERO,
+            changing_until: Millis::ZERO,
         }
     }
 
@@ -74,9 +77,9 @@
         self.full_until = now + FULL_FOR;
     }
 
-    /// Whether the server refused a request a moment ago.
+    /// Whether the server refused a request a moment ago, or changes its role.
     pub fn is_full(&self, now: Millis) -> bool {
-        now < self.full_until
+        now < self.full_until || now < self.changing_until
     }
 
     /// Load of other hosts: what they said, or, while some of them are silent, what the latest
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -19,6 +19,7 @@
 mod relay;
 mod request;
 mod run;
+mod roles;
 mod send;
 mod serve;
 mod state;
--- a/crates/edge/src/model.rs
+++ b/crates/edge/src/model.rs
@@ -162,11 +162,16 @@
         let service = req.table.service(&req.service);
         let engine = service.and_then(|service| service.engine.as_ref());
         let facts = &req.facts;
-        let output = edge.state().fleet.planned_output(
+        let mut state = edge.state();
+        if let Some(tokens) = facts.prompt_tokens {
+            state.fleet.observe_prompt(&req.service, tokens);
+        }
+        let output = state.fleet.planned_output(
             &req.service,
             facts.expected_output_tokens,
             facts.max_output_tokens,
         );
+        drop(state);
         ModelCall {
             edge: edge.clone(),
             last_event: facts.last_event,
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -13,7 +13,7 @@
 use tracing_subscriber::EnvFilter;
 
 use crate::edge::Edge;
-use crate::{counters, follow, listen, peers, stop, usage};
+use crate::{counters, follow, listen, peers, roles, stop, usage};
 
 /// Port of the metrics page; `deploy/system.toml` names the same one.
 const METRICS_PORT: u16 = 9464;
@@ -112,6 +112,7 @@
     tokio::spawn(follow::servers(edge.clone()));
     tokio::spawn(follow::hosts(edge.clone(), peer_addr));
     tokio::spawn(follow::ask_peers(edge.clone()));
+    tokio::spawn(roles::balance(edge.clone()));
     tokio::spawn(usage::tell(edge.clone(), datagrams.clone()));
     tokio::spawn(usage::hear(edge.clone(), datagrams));
     tokio::spawn(peers::listen(edge.clone(), peers));
--- a/crates/edge/src/usage.rs
+++ b/crates/edge/src/usage.rs
@@ -36,6 +36,8 @@
     uses: Vec<ToldUse>,
     #[prost(uint64, tag = "5")]
     waiting_tokens: u64,
+    #[prost(string, repeated, tag = "6")]
+    changing: Vec<String>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -52,7 +54,7 @@
 pub(crate) async fn tell(edge: Arc<Edge>, socket: Arc<UdpSocket>) {
     let incarnation = edge.now().0;
     let mut sequence = 0;
-    let mut last = (Vec::new(), Tokens(0));
+    let mut last = PeerUse::default();
     let mut told_at = Millis::ZERO;
     loop {
         let change = edge.own_use.notified();
@@ -60,13 +62,17 @@
         let _ = tokio::time::timeout(REFRESH.duration(), change).await;
         tokio::time::sleep(COALESCE.duration()).await;
         let now = edge.now();
-        let (uses, waiting, others) = {
+        let (current, others) = {
             let mut state = edge.state();
             state.fleet.expire_peers(now);
             let others: Vec<SocketAddr> = state.hosts.others().to_vec();
-            (state.fleet.uses(), state.queue.tokens(), others)
+            let current = PeerUse {
+                uses: state.fleet.uses(),
+                waiting: state.queue.tokens(),
+                changing: state.fleet.changing(now),
+            };
+            (current, others)
         };
-        let current = (uses, waiting);
         if current == last && now < told_at + REFRESH {
             continue;
         }
@@ -75,8 +81,9 @@
             host: edge.settings.host.to_string(),
             incarnation,
             sequence,
-            uses: current.0.iter().map(told_use).collect(),
-            waiting_tokens: current.1.0,
+            uses: current.uses.iter().map(told_use).collect(),
+            waiting_tokens: current.waiting.0,
+            changing: current.changing.iter().map(BackendId::to_string).collect(),
         };
         let datagram = told.encode_to_vec();
         for peer in others {
@@ -126,9 +133,11 @@
             tokens: Tokens(part.tokens),
         });
     }
+    let changing: Result<Vec<BackendId>, _> = told.changing.iter().map(|id| id.parse()).collect();
     let said = PeerUse {
         uses,
         waiting: Tokens(told.waiting_tokens),
+        changing: changing?,
     };
     let order = (told.incarnation, told.sequence);
     let now = edge.now();
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -32,6 +32,8 @@
 mod lease;
 mod orders;
 mod roles;
+mod split;
+mod term;
 
 pub use event::{Action, Event, Held, Holder, LeaseRow, Stored, WriteResult};
 pub use lease::{LEASE_DURATION, Lease, TAKE_MARGIN};
@@ -40,6 +42,8 @@
     Order, OrderAction, OrderEvent, OrderResult, Orders,
 };
 pub use roles::{CHANGE_PAUSE, RoleBalance, SUSTAINED, Side};
+pub use split::{PoolSplit, RequestCost, SplitWatch, prefill_target};
+pub use term::{TERM_ORDERS, TERM_PAUSE, Term};
 
 use serde::{Deserialize, Serialize};
 
--- /dev/null
+++ b/crates/lease/src/split.rs
@@ -0,0 +1,77 @@
+//! How many engines of a pool should read prompts.
+
+use bv_types::Millis;
+
+use crate::Role;
+
+/// Time for which a better split must have been seen while requests are served. Crashed engines are
+/// back within some seconds, and a change takes six.
+const SUSTAINED_BUSY: Millis = Millis(6_000);
+/// The same while nothing is served: a change costs nothing then.
+const SUSTAINED_IDLE: Millis = Millis(1_200);
+
+/// Engine time that one usual request takes.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RequestCost {
+    /// Time that a prefill engine reads its prompt, in ms.
+    pub prefill_ms: f64,
+    /// Time in a decode engine, as the share of the engine's memory that it holds, in ms.
+    pub decode_ms: f64,
+}
+
+/// Engines of a pool.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PoolSplit {
+    /// Engines that read prompts.
+    pub prefill: usize,
+    /// Engines that produce tokens.
+    pub decode: usize,
+}
+
+/// Number of prefill engines at which both kinds of engine are equally busy, rounded up: too few of
+/// them leave decode memory unused.
+pub fn prefill_target(engines: usize, cost: RequestCost) -> usize {
+    let share = cost.prefill_ms / (cost.prefill_ms + cost.decode_ms);
+    let target = (engines as f64 * share).ceil() as usize;
+    target.clamp(1, engines.saturating_sub(1).max(1))
+}
+
+/// Watches the split of one pool.
+#[derive(Debug, Clone, Default)]
+pub struct SplitWatch {
+    /// The role that is short of engines, and since when.
+    short: Option<(Role, Millis)>,
+}
+
+impl SplitWatch {
+    /// Takes the current split, and returns the role that so many engines should change to.
+    pub fn observe(
+        &mut self,
+        now: Millis,
+        split: PoolSplit,
+        cost: RequestCost,
+        is_idle: bool,
+    ) -> Option<(Role, usize)> {
+        let target = prefill_target(split.prefill + split.decode, cost);
+        let (role, count) = match split.prefill.cmp(&target) {
+            std::cmp::Ordering::Equal => {
+                self.short = None;
+                return None;
+            }
+            std::cmp::Ordering::Greater => (Role::Decode, split.prefill - target),
+            std::cmp::Ordering::Less => (Role::Prefill, target - split.prefill),
+        };
+        let since = match self.short {
+            Some((before, since)) if before == role => since,
+            _ => now,
+        };
+        self.short = Some((role, since));
+        let sustained = if is_idle { SUSTAINED_IDLE } else { SUSTAINED_BUSY };
+        (now >= since + sustained).then_some((role, count))
+    }
+
+    /// Starts the observation again, after an order.
+    pub fn reset(&mut self) {
+        self.short = None;
+    }
+}
--- a/crates/route/src/route.rs
+++ b/crates/route/src/route.rs
@@ -92,6 +92,8 @@
     pub kv_token_bytes: Bytes,
     /// Rate of an engine's transfer link, in megabits per second.
     pub link_mbps: f64,
+    /// Time that an engine takes to change its role.
+    pub role_change: Millis,
     /// Time for which an engine keeps a prefill result that nobody takes.
     pub handle_ttl: Millis,
 }
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -67,6 +67,11 @@
         })
     }
 
+    /// All services, by id.
+    pub fn services(&self) -> &[Service] {
+        &self.services
+    }
+
     /// The service with this id.
     pub fn service(&self, id: &ServiceId) -> Option<&Service> {
         let at = self.services.binary_search_by(|s| s.id.cmp(id));
