Keep the split of engines steady while requests are served

Cause: the pace of streams included their wait in the queue and that of prefills other hosts' prompts, so the best split moved during bursts and engines were changed back and forth. Change: streams are timed from their opening; slower prefills weigh a tenth; while requests are served the split may be off by one engine.

--- a/crates/admit/src/fleet.rs
+++ b/crates/admit/src/fleet.rs
@@ -73,6 +73,8 @@
 const CHANGE_HEARD: Millis = Millis(1_200);
 /// Weight of the newest observation of a service's pace.
 const PACE_WEIGHT: f64 = 0.05;
+/// Weight of an observation that may be slow for another reason.
+const SLOWER_WEIGHT: f64 = 0.005;
 
 /// Backend servers by id, with the requests that this host has in progress there.
 #[derive(Debug)]
@@ -149,11 +151,16 @@
         pace.call_ms += (took.0 as f64 - pace.call_ms) * PACE_WEIGHT;
     }
 
-    /// Records how long the reading of a prompt took at a server without other work.
+    /// Records how long the reading of a prompt took at a server without other work of this host.
     pub fn observe_prefill(&mut self, service: &ServiceId, tokens: Tokens, took: Millis) {
         let rate = tokens.0 as f64 / took.0.max(1) as f64;
         let pace = self.pace_mut(service);
-        pace.prefill_per_ms += (rate - pace.prefill_per_ms) * PACE_WEIGHT;
+        // Other hosts' prompts and slow links only ever make it look slower.
+        let weight = match rate > pace.prefill_per_ms {
+            true => PACE_WEIGHT,
+            false => SLOWER_WEIGHT,
+        };
+        pace.prefill_per_ms += (rate - pace.prefill_per_ms) * weight;
     }
 
     /// Records how long a stream took and how many tokens it had.
@@ -208,7 +215,10 @@
     /// Engine time of a usual model call at engines with this memory: reading its prompt, and its
     /// share of a decode engine's memory over its stream, both in ms.
     pub fn usual_cost(&self, service: &ServiceId, kv_capacity: Tokens) -> (f64, f64) {
-        let pace = self.pace(service).cloned().unwrap_or_else(|| Pace::new(service));
+        let pace = self
+            .pace(service)
+            .cloned()
+            .unwrap_or_else(|| Pace::new(service));
         let share = (pace.prompt_tokens + pace.output_tokens) / kv_capacity.0.max(1) as f64;
         let prefill_ms = pace.prompt_tokens / pace.prefill_per_ms;
         (prefill_ms, pace.stream_ms * share)
--- a/crates/admit/src/model.rs
+++ b/crates/admit/src/model.rs
@@ -275,7 +275,13 @@
     }
 
     /// Time until the prompt is read at a prefill engine, behind the prompts that wait there.
-    fn prefill_cost(&self, now: Millis, ask: &ModelAsk<'_>, entry: &Entry, view: View) -> Option<Cost> {
+    fn prefill_cost(
+        &self,
+        now: Millis,
+        ask: &ModelAsk<'_>,
+        entry: &Entry,
+        view: View,
+    ) -> Option<Cost> {
         let rate = self.prefill_per_ms(ask.service);
         let own = ask.prompt.0 as f64 / rate + distance_ms(ask, entry);
         let Some(server) = self.find(&entry.id) else {
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -120,6 +120,7 @@
 impl Relay {
     async fn run(mut self, first: Source) {
         let mut source = first;
+        let opened_at = self.edge.now();
         loop {
             let part = self.forward(&mut source).await;
             let server = source.server.clone();
@@ -130,7 +131,7 @@
             let reason = match part {
                 Part::Complete => {
                     attempt.end(Ended::Answered { error: false });
-                    let took = self.edge.now() - self.call.req.arrived;
+                    let took = self.edge.now() - opened_at;
                     let output = self.call.output();
                     let service = &self.call.req.service;
                     self.edge
--- a/crates/edge/src/roles.rs
+++ b/crates/edge/src/roles.rs
@@ -117,7 +117,11 @@
         return Ok(());
     };
     let sent_at = edge.now();
-    if !edge.store.take_term(&change.service, expected, &term).await? {
+    if !edge
+        .store
+        .take_term(&change.service, expected, &term)
+        .await?
+    {
         return Ok(());
     }
     for engine in &change.engines {
--- a/crates/lease/src/split.rs
+++ b/crates/lease/src/split.rs
@@ -10,6 +10,10 @@
 /// The same while nothing is served: a change costs nothing then.
 const SUSTAINED_IDLE: Millis = Millis(1_200);
 
+/// Engines by which a split may be off while requests are served: a change takes an engine away for
+/// seconds, and the measured cost varies.
+const BUSY_TOLERANCE: usize = 1;
+
 /// Engine time that one usual request takes.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RequestCost {
@@ -53,20 +57,31 @@
         is_idle: bool,
     ) -> Option<(Role, usize)> {
         let target = prefill_target(split.prefill + split.decode, cost);
-        let (role, count) = match split.prefill.cmp(&target) {
-            std::cmp::Ordering::Equal => {
-                self.short = None;
-                return None;
-            }
-            std::cmp::Ordering::Greater => (Role::Decode, split.prefill - target),
-            std::cmp::Ordering::Less => (Role::Prefill, target - split.prefill),
+        let apart = split.prefill.abs_diff(target);
+        let is_lopsided = split.prefill == 0 || split.decode == 0;
+        let tolerated = if is_idle || is_lopsided {
+            0
+        } else {
+            BUSY_TOLERANCE
+        };
+        if apart <= tolerated {
+            self.short = None;
+            return None;
+        }
+        let (role, count) = match split.prefill > target {
+            true => (Role::Decode, apart),
+            false => (Role::Prefill, apart),
         };
         let since = match self.short {
             Some((before, since)) if before == role => since,
             _ => now,
         };
         self.short = Some((role, since));
-        let sustained = if is_idle { SUSTAINED_IDLE } else { SUSTAINED_BUSY };
+        let sustained = if is_idle {
+            SUSTAINED_IDLE
+        } else {
+            SUSTAINED_BUSY
+        };
         (now >= since + sustained).then_some((role, count))
     }
 
