--- /dev/null
+++ b/crates/admit/tests/call_choice.rs
@@ -0,0 +1,117 @@
+//! Guards against calls that go to full, failing or silent servers while others are free.
+
+mod common;
+
+use bv_admit::{Ended, Fault, Fleet, Refused, Report, Work};
+use bv_roster::Entry;
+use bv_types::{BackendId, Millis, Tokens};
+use common::{call, id, server, service, zone};
+
+const CALL: Work = Work {
+    tokens: Tokens(0),
+    stuck_after: Millis(240),
+};
+
+fn servers() -> Vec<Entry> {
+    vec![
+        server("a", "north", None),
+        server("b", "south", None),
+        server("c", "south", None),
+    ]
+}
+
+fn choose(fleet: &mut Fleet, now: u64, tried: &[BackendId]) -> Result<String, Refused> {
+    let (service, zone) = (service(), zone("north"));
+    let servers = servers();
+    let choice = fleet.place_call(Millis(now), call(&service, &zone, tried), servers.iter());
+    choice.map(|choice| choice.server.id.to_string())
+}
+
+#[test]
+fn own_zone_first() {
+    let mut fleet = Fleet::new(1);
+    for _ in 0..50 {
+        assert_eq!(choose(&mut fleet, 0, &[]).as_deref(), Ok("a"));
+    }
+}
+
+#[test]
+fn full_server_is_passed_over() {
+    let mut fleet = Fleet::new(1);
+    for _ in 0..20 {
+        fleet.begin(Millis(0), &id("a"), CALL);
+    }
+    assert_ne!(choose(&mut fleet, 0, &[]).as_deref(), Ok("a"));
+}
+
+#[test]
+fn reported_load_fades() {
+    let mut fleet = Fleet::new(1);
+    let report = Report {
+        running: 6,
+        waiting: 14,
+    };
+    fleet.report(Millis(0), &id("a"), report);
+    assert_ne!(choose(&mut fleet, 0, &[]).as_deref(), Ok("a"));
+    assert_eq!(choose(&mut fleet, 1_000, &[]).as_deref(), Ok("a"));
+}
+
+#[test]
+fn fault_is_avoided_then_tried() {
+    let mut fleet = Fleet::new(1);
+    let send = fleet.begin(Millis(0), &id("a"), CALL);
+    fleet.end(Millis(10), &id("a"), send, Ended::Failed(Fault::Connect));
+    assert_ne!(choose(&mut fleet, 20, &[]).as_deref(), Ok("a"));
+    assert_eq!(choose(&mut fleet, 400, &[]).as_deref(), Ok("a"));
+    // One request tries it; the others stay away until that one is answered.
+    let trial = fleet.begin(Millis(400), &id("a"), CALL);
+    assert_ne!(choose(&mut fleet, 410, &[]).as_deref(), Ok("a"));
+    fleet.end(Millis(420), &id("a"), trial, Ended::Answered { error: false });
+    assert_eq!(choose(&mut fleet, 420, &[]).as_deref(), Ok("a"));
+}
+
+#[test]
+fn silent_server_is_noticed() {
+    let mut fleet = Fleet::new(1);
+    fleet.begin(Millis(0), &id("a"), CALL);
+    assert_eq!(choose(&mut fleet, 200, &[]).as_deref(), Ok("a"));
+    assert_ne!(choose(&mut fleet, 240, &[]).as_deref(), Ok("a"));
+}
+
+#[test]
+fn failing_server_is_compared() {
+    // Half of one server's answers are errors, a tenth of the others'.
+    let mut fleet = Fleet::new(1);
+    for at in 0..200 {
+        for (server, errors) in [("a", 2), ("b", 10), ("c", 10)] {
+            let send = fleet.begin(Millis(at), &id(server), CALL);
+            let error = at % errors == 0;
+            fleet.end(Millis(at), &id(server), send, Ended::Answered { error });
+        }
+    }
+    assert_ne!(choose(&mut fleet, 200, &[]).as_deref(), Ok("a"));
+}
+
+#[test]
+fn only_server_is_used() {
+    // Suspicion alone refuses nothing.
+    let mut fleet = Fleet::new(1);
+    let send = fleet.begin(Millis(0), &id("a"), CALL);
+    fleet.end(Millis(0), &id("a"), send, Ended::Failed(Fault::Lost));
+    let others = [id("b"), id("c")];
+    assert_eq!(choose(&mut fleet, 10, &others).as_deref(), Ok("a"));
+    let all = [id("a"), id("b"), id("c")];
+    assert_eq!(choose(&mut fleet, 10, &all), Err(Refused::NoServer));
+}
+
+#[test]
+fn hopeless_call_is_refused() {
+    let mut fleet = Fleet::new(1);
+    for server in ["a", "b", "c"] {
+        for _ in 0..400 {
+            fleet.begin(Millis(0), &id(server), CALL);
+        }
+    }
+    let refused = choose(&mut fleet, 0, &[]);
+    assert!(matches!(refused, Err(Refused::TooLate { .. })), "{refused:?}");
+}
--- /dev/null
+++ b/crates/admit/tests/common/mod.rs
@@ -0,0 +1,59 @@
+//! Backend servers for the tests of placement.
+
+use std::net::SocketAddr;
+
+use bv_admit::{CallAsk, ModelAsk};
+use bv_roster::{Entry, Stage, State};
+use bv_types::{BackendId, Millis, ServiceId, Tokens, ZoneId};
+
+/// Memory of one engine.
+pub const CAPACITY: Tokens = Tokens(40_000);
+
+pub fn id(name: &str) -> BackendId {
+    name.parse().unwrap()
+}
+
+pub fn service() -> ServiceId {
+    "drafting".parse().unwrap()
+}
+
+pub fn zone(name: &str) -> ZoneId {
+    name.parse().unwrap()
+}
+
+pub fn server(name: &str, in_zone: &str, stage: Option<Stage>) -> Entry {
+    Entry {
+        id: id(name),
+        service: service(),
+        address: SocketAddr::from(([10, 0, 0, 1], 80)),
+        zone: zone(in_zone),
+        slots: if stage.is_some() { 64 } else { 6 },
+        state: State::Ready,
+        stage,
+        born: Some(Millis(1)),
+        sequence: 1,
+    }
+}
+
+#[allow(dead_code)] // Used by the tests of plain calls.
+pub fn call<'a>(service: &'a ServiceId, zone: &'a ZoneId, tried: &'a [BackendId]) -> CallAsk<'a> {
+    CallAsk {
+        service,
+        zone,
+        tried,
+        remaining: Millis(600),
+    }
+}
+
+#[allow(dead_code)] // Used by the tests of model calls.
+pub fn model<'a>(service: &'a ServiceId, zone: &'a ZoneId, tried: &'a [BackendId]) -> ModelAsk<'a> {
+    ModelAsk {
+        service,
+        zone,
+        tried,
+        prompt: Tokens(3_000),
+        total: Tokens(4_000),
+        kv_capacity: CAPACITY,
+        remaining: Millis(14_000),
+    }
+}
--- /dev/null
+++ b/crates/admit/tests/decode_room.rs
@@ -0,0 +1,156 @@
+//! Guards against prompts that are read before a decode engine has room for them.
+
+mod common;
+
+use bv_admit::{Fleet, ModelPlan, PeerUse, Refused, Report, Use, Work};
+use bv_roster::{Entry, Stage};
+use bv_types::{Millis, Tokens};
+use common::{id, model, server, service, zone};
+
+const STREAM: Work = Work {
+    tokens: Tokens(4_000),
+    stuck_after: Millis(2_000),
+};
+
+fn engines() -> Vec<Entry> {
+    vec![
+        server("p1", "north", Some(Stage::Prefill)),
+        server("p2", "south", Some(Stage::Prefill)),
+        server("d1", "north", Some(Stage::Decode)),
+        server("d2", "south", Some(Stage::Decode)),
+    ]
+}
+
+fn plan(fleet: &mut Fleet, now: u64, engines: &[Entry]) -> Result<ModelPlan, Refused> {
+    let (service, zone) = (service(), zone("north"));
+    fleet.place_model(Millis(now), model(&service, &zone, &[]), engines.iter())
+}
+
+fn names(plan: &ModelPlan) -> (String, String) {
+    match plan {
+        ModelPlan::Split {
+            prefill, decode, ..
+        } => (prefill.id.to_string(), decode.id.to_string()),
+        ModelPlan::Direct { decode, .. } => (String::new(), decode.id.to_string()),
+    }
+}
+
+fn told(server: &str, requests: u32, tokens: u64) -> PeerUse {
+    PeerUse {
+        uses: vec![Use {
+            server: id(server),
+            requests,
+            tokens: Tokens(tokens),
+        }],
+        ..PeerUse::default()
+    }
+}
+
+#[test]
+fn pair_in_one_zone() {
+    let mut fleet = Fleet::new(1);
+    let plan = plan(&mut fleet, 0, &engines()).unwrap();
+    assert_eq!(names(&plan), ("p1".to_owned(), "d1".to_owned()));
+}
+
+#[test]
+fn other_hosts_use_counts() {
+    let mut fleet = Fleet::new(1);
+    fleet.expect_peers(1);
+    fleet.hear(Millis(0), "host-b".parse().unwrap(), (1, 1), told("d1", 9, 38_000));
+    let chosen = plan(&mut fleet, 10, &engines()).unwrap();
+    assert_eq!(names(&chosen).1, "d2");
+    for _ in 0..10 {
+        fleet.begin(Millis(10), &id("d2"), STREAM);
+    }
+    assert_eq!(plan(&mut fleet, 10, &engines()), Err(Refused::NoRoom));
+    // The host is silent: its streams ended with its process.
+    fleet.expire_peers(Millis(2_000));
+    assert_eq!(names(&plan(&mut fleet, 2_000, &engines()).unwrap()).1, "d1");
+}
+
+#[test]
+fn late_datagrams_are_ignored() {
+    let mut fleet = Fleet::new(1);
+    fleet.expect_peers(1);
+    let host = || "host-b".parse().unwrap();
+    fleet.hear(Millis(0), host(), (1, 5), told("d1", 0, 0));
+    fleet.hear(Millis(1), host(), (1, 4), told("d1", 9, 40_000));
+    assert_eq!(names(&plan(&mut fleet, 1, &engines()).unwrap()).1, "d1");
+    fleet.hear(Millis(2), host(), (2, 1), told("d1", 9, 40_000));
+    assert_eq!(names(&plan(&mut fleet, 2, &engines()).unwrap()).1, "d2");
+}
+
+#[test]
+fn reports_stand_in_for_silent_hosts() {
+    let mut fleet = Fleet::new(1);
+    fleet.expect_peers(3);
+    let report = Report {
+        running: 12,
+        waiting: 0,
+    };
+    fleet.report(Millis(0), &id("d1"), report);
+    assert_eq!(names(&plan(&mut fleet, 10, &engines()).unwrap()).1, "d2");
+}
+
+#[test]
+fn busy_prefill_is_passed_over() {
+    let mut fleet = Fleet::new(1);
+    let prompt = Work {
+        tokens: Tokens(12_000),
+        ..STREAM
+    };
+    fleet.begin(Millis(0), &id("p1"), prompt);
+    assert_eq!(names(&plan(&mut fleet, 0, &engines()).unwrap()).0, "p2");
+    fleet.begin(Millis(0), &id("p2"), prompt);
+    fleet.begin(Millis(0), &id("p2"), prompt);
+    fleet.begin(Millis(0), &id("p1"), prompt);
+    let direct = plan(&mut fleet, 0, &engines()).unwrap();
+    assert!(matches!(direct, ModelPlan::Direct { .. }), "{direct:?}");
+}
+
+#[test]
+fn no_prefill_left() {
+    let engines = vec![server("d1", "north", Some(Stage::Decode))];
+    let mut fleet = Fleet::new(1);
+    let direct = plan(&mut fleet, 0, &engines).unwrap();
+    assert_eq!(names(&direct), (String::new(), "d1".to_owned()));
+}
+
+#[test]
+fn large_request_runs_alone() {
+    // A request that exceeds the plan of an engine still runs at an empty one.
+    let mut fleet = Fleet::new(1);
+    let (service, zone) = (service(), zone("north"));
+    let engines = engines();
+    let mut ask = model(&service, &zone, &[]);
+    ask.total = Tokens(60_000);
+    assert!(fleet.place_model(Millis(0), ask, engines.iter()).is_ok());
+    fleet.begin(Millis(0), &id("d1"), STREAM);
+    fleet.begin(Millis(0), &id("d2"), STREAM);
+    assert_eq!(fleet.place_model(Millis(0), ask, engines.iter()), Err(Refused::NoRoom));
+}
+
+#[test]
+fn changing_engine_gets_nothing() {
+    let mut fleet = Fleet::new(1);
+    fleet.change_role(&id("p1"), Millis(6_000));
+    assert_eq!(names(&plan(&mut fleet, 0, &engines()).unwrap()).0, "p2");
+    assert_eq!(names(&plan(&mut fleet, 6_000, &engines()).unwrap()).0, "p1");
+}
+
+#[test]
+fn wait_grows_with_the_queue() {
+    let mut fleet = Fleet::new(1);
+    let engines = engines();
+    for server in ["d1", "d2"] {
+        for _ in 0..10 {
+            fleet.begin(Millis(0), &id(server), STREAM);
+        }
+    }
+    let (service, zone) = (service(), zone("north"));
+    let ask = model(&service, &zone, &[]);
+    let wait = |ahead| fleet.room_wait(Millis(0), &ask, Tokens(ahead), engines.iter());
+    assert!(wait(0) < wait(20_000) && wait(20_000) < wait(80_000));
+    assert!(wait(80_000) >= Millis(3_000), "a whole pool ahead takes about a stream's time");
+}
--- /dev/null
+++ b/crates/lease/tests/order_rounds.rs
@@ -0,0 +1,78 @@
+//! Guards against two holders with one fence, holders that take turns, and splits that flap.
+
+use bv_lease::{PoolSplit, RequestCost, Role, SplitWatch, TERM_PAUSE, Term, prefill_target};
+use bv_types::{Fence, HostId, Millis};
+
+const COST: RequestCost = RequestCost {
+    prefill_ms: 95.0,
+    decode_ms: 350.0,
+};
+
+fn host(name: &str) -> HostId {
+    name.parse().unwrap()
+}
+
+#[test]
+fn one_round_at_a_time() {
+    let first = Term::next(None, &host("a"), Millis(100)).unwrap();
+    assert_eq!(first.fence, Fence(1));
+    let early = Millis(100 + TERM_PAUSE.0 - 1);
+    assert_eq!(Term::next(Some(&first), &host("a"), early), None);
+    assert_eq!(Term::next(Some(&first), &host("b"), early), None);
+    let later = Millis(100 + TERM_PAUSE.0);
+    let second = Term::next(Some(&first), &host("b"), later).unwrap();
+    assert_eq!((second.fence, second.holder.as_str()), (Fence(2), "b"));
+}
+
+#[test]
+fn clock_set_back() {
+    let term = Term::next(None, &host("a"), Millis(9_000)).unwrap();
+    assert_eq!(Term::next(Some(&term), &host("b"), Millis(10)), None);
+}
+
+#[test]
+fn target_follows_cost() {
+    assert_eq!(prefill_target(9, COST), 2);
+    assert_eq!(prefill_target(12, COST), 3);
+    assert_eq!(prefill_target(2, COST), 1);
+    let long_prompts = RequestCost {
+        prefill_ms: 900.0,
+        ..COST
+    };
+    assert_eq!(prefill_target(12, long_prompts), 9);
+}
+
+#[test]
+fn idle_pool_moves_soon() {
+    let mut watch = SplitWatch::default();
+    let split = PoolSplit {
+        prefill: 3,
+        decode: 6,
+    };
+    assert_eq!(watch.observe(Millis(0), split, COST, true), None);
+    assert_eq!(watch.observe(Millis(1_300), split, COST, true), Some((Role::Decode, 1)));
+}
+
+#[test]
+fn busy_pool_keeps_its_split() {
+    let mut watch = SplitWatch::default();
+    let split = PoolSplit {
+        prefill: 3,
+        decode: 6,
+    };
+    for at in 0..100 {
+        assert_eq!(watch.observe(Millis(at * 1_000), split, COST, false), None);
+    }
+}
+
+#[test]
+fn lost_prefill_is_replaced() {
+    let mut watch = SplitWatch::default();
+    let split = PoolSplit {
+        prefill: 0,
+        decode: 7,
+    };
+    assert_eq!(watch.observe(Millis(0), split, COST, false), None);
+    assert_eq!(watch.observe(Millis(5_000), split, COST, false), None);
+    assert_eq!(watch.observe(Millis(6_000), split, COST, false), Some((Role::Prefill, 2)));
+}
--- /dev/null
+++ b/crates/roster/tests/late_rows.rs
@@ -0,0 +1,108 @@
+//! Guards against work for servers that left, and against the loss of servers whose rows lapsed.
+
+use bv_roster::{Entry, LAPSE_GRACE, Outcome, Roster, State};
+use bv_types::{BackendId, Millis};
+
+fn entry(id: &str, state: State, born: u64, sequence: u64) -> Entry {
+    Entry {
+        id: id.parse().unwrap(),
+        service: "bookings".parse().unwrap(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        zone: "lot-north".parse().unwrap(),
+        slots: 6,
+        state,
+        stage: None,
+        born: Some(Millis(born)),
+        sequence,
+    }
+}
+
+fn id(text: &str) -> BackendId {
+    text.parse().unwrap()
+}
+
+fn is_usable(roster: &Roster, now: u64, server: &str) -> bool {
+    roster.usable(Millis(now), &id(server)).is_some()
+}
+
+#[test]
+fn leaving_stays() {
+    let mut roster = Roster::default();
+    let now = Millis(0);
+    assert_eq!(roster.put(now, entry("a", State::Ready, 1, 4)), Outcome::Joined);
+    assert_eq!(roster.put(now, entry("a", State::Leaving, 1, 5)), Outcome::Left);
+    assert_eq!(roster.put(now, entry("a", State::Ready, 1, 4)), Outcome::Stale);
+    assert_eq!(roster.put(now, entry("a", State::Ready, 1, 6)), Outcome::Stale);
+    assert!(!is_usable(&roster, 0, "a"));
+}
+
+#[test]
+fn reborn_returns() {
+    let mut roster = Roster::default();
+    roster.put(Millis(0), entry("a", State::Leaving, 1, 9));
+    // A restart under the same id counts its reports anew.
+    assert_eq!(roster.put(Millis(5), entry("a", State::Ready, 2, 0)), Outcome::Joined);
+    assert_eq!(roster.put(Millis(6), entry("a", State::Leaving, 1, 10)), Outcome::Stale);
+    assert!(is_usable(&roster, 6, "a"));
+}
+
+#[test]
+fn removed_leaves() {
+    let mut roster = Roster::default();
+    roster.put(Millis(0), entry("a", State::Ready, 1, 4));
+    assert_eq!(roster.remove(Millis(1), &id("a")), Outcome::Left);
+    assert!(!is_usable(&roster, 1, "a"));
+    // A late report of before the removal does not bring it back, a new one does.
+    assert_eq!(roster.put(Millis(2), entry("a", State::Ready, 1, 3)), Outcome::Stale);
+    assert_eq!(roster.put(Millis(3), entry("a", State::Ready, 1, 5)), Outcome::Joined);
+}
+
+#[test]
+fn lapse_has_grace() {
+    let mut roster = Roster::default();
+    roster.put(Millis(0), entry("a", State::Ready, 1, 4));
+    roster.put(Millis(0), entry("b", State::Ready, 1, 4));
+    roster.store_returned(Millis(10_000));
+    roster.replace(Millis(10_010), Vec::new());
+    let over = 10_000 + LAPSE_GRACE.0;
+    assert!(is_usable(&roster, over - 1, "a"));
+    assert!(!is_usable(&roster, over, "a"), "missing after the grace is gone");
+    roster.put(Millis(over - 5), entry("b", State::Ready, 1, 8));
+    assert!(is_usable(&roster, over + 1_000, "b"));
+}
+
+#[test]
+fn grace_spares_no_leaver() {
+    let mut roster = Roster::default();
+    roster.put(Millis(0), entry("a", State::Leaving, 1, 4));
+    roster.store_returned(Millis(10));
+    assert_eq!(roster.remove(Millis(11), &id("a")), Outcome::Unchanged);
+    assert!(!is_usable(&roster, 11, "a"));
+}
+
+#[test]
+fn order_of_rows_is_free() {
+    // Oracle: the newest report of the newest process decides, unless that process left before.
+    for seed in 0..300 {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let mut rows = Vec::new();
+        for born in 1..=3 {
+            let leaves_at = rng.u64(2..8);
+            for sequence in 0..rng.u64(1..8) {
+                let state = match sequence >= leaves_at {
+                    true => State::Leaving,
+                    false => State::Ready,
+                };
+                rows.push(entry("a", state, born, sequence));
+            }
+        }
+        let newest = rows.iter().max_by_key(|e| (e.born, e.sequence)).cloned();
+        rng.shuffle(&mut rows);
+        let mut roster = Roster::default();
+        for row in rows {
+            roster.put(Millis(0), row);
+        }
+        let expected = newest.is_some_and(|e| e.state == State::Ready);
+        assert_eq!(is_usable(&roster, 0, "a"), expected, "seed {seed}");
+    }
+}
