--- a/crates/admit/tests/call_choice.rs
+++ b/crates/admit/tests/call_choice.rs
@@ -66,7 +66,12 @@
     // One request tries it; the others stay away until that one is answered.
     let trial = fleet.begin(Millis(400), &id("a"), CALL);
     assert_ne!(choose(&mut fleet, 410, &[]).as_deref(), Ok("a"));
-    fleet.end(Millis(420), &id("a"), trial, Ended::Answered { error: false });
+    fleet.end(
+        Millis(420),
+        &id("a"),
+        trial,
+        Ended::Answered { error: false },
+    );
     assert_eq!(choose(&mut fleet, 420, &[]).as_deref(), Ok("a"));
 }
 
@@ -113,5 +118,8 @@
         }
     }
     let refused = choose(&mut fleet, 0, &[]);
-    assert!(matches!(refused, Err(Refused::TooLate { .. })), "{refused:?}");
+    assert!(
+        matches!(refused, Err(Refused::TooLate { .. })),
+        "{refused:?}"
+    );
 }
--- a/crates/admit/tests/decode_room.rs
+++ b/crates/admit/tests/decode_room.rs
@@ -57,7 +57,12 @@
 fn other_hosts_use_counts() {
     let mut fleet = Fleet::new(1);
     fleet.expect_peers(1);
-    fleet.hear(Millis(0), "host-b".parse().unwrap(), (1, 1), told("d1", 9, 38_000));
+    fleet.hear(
+        Millis(0),
+        "host-b".parse().unwrap(),
+        (1, 1),
+        told("d1", 9, 38_000),
+    );
     let chosen = plan(&mut fleet, 10, &engines()).unwrap();
     assert_eq!(names(&chosen).1, "d2");
     for _ in 0..10 {
@@ -128,7 +133,10 @@
     assert!(fleet.place_model(Millis(0), ask, engines.iter()).is_ok());
     fleet.begin(Millis(0), &id("d1"), STREAM);
     fleet.begin(Millis(0), &id("d2"), STREAM);
-    assert_eq!(fleet.place_model(Millis(0), ask, engines.iter()), Err(Refused::NoRoom));
+    assert_eq!(
+        fleet.place_model(Millis(0), ask, engines.iter()),
+        Err(Refused::NoRoom)
+    );
 }
 
 #[test]
@@ -152,5 +160,8 @@
     let ask = model(&service, &zone, &[]);
     let wait = |ahead| fleet.room_wait(Millis(0), &ask, Tokens(ahead), engines.iter());
     assert!(wait(0) < wait(20_000) && wait(20_000) < wait(80_000));
-    assert!(wait(80_000) >= Millis(3_000), "a whole pool ahead takes about a stream's time");
+    assert!(
+        wait(80_000) >= Millis(3_000),
+        "a whole pool ahead takes about a stream's time"
+    );
 }
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -37,6 +37,8 @@
     outcome: Outcome,
     /// Sends that reached a server.
     arrivals: u32,
+    /// Whether a kept connection failed, so that only new ones are used.
+    fresh_only: bool,
     /// The failure that a server itself answered with, kept while another server is tried.
     failure: Option<Response<Body>>,
 }
@@ -61,6 +63,7 @@
         runs: 0,
         outcome: Outcome::NotRun,
         arrivals: 0,
+        fresh_only: false,
         failure: None,
     };
     loop {
@@ -124,6 +127,7 @@
 
     async fn attempt(&mut self, server: Entry) -> Step {
         let now = self.edge.now();
+        self.tried.push(server.id.clone());
         let patience = self.patience(now);
         let stuck_after = Millis((self.req.route.objective.0 as f64 * STUCK_OBJECTIVES) as u64);
         let work = Work {
@@ -131,30 +135,57 @@
             stuck_after,
         };
         let attempt = Attempt::begin(self.edge, &server.id, work);
-        let connection = match self.req.route.kind.may_repeat() {
-            true => Connection::Idle,
-            false => Connection::Fresh,
-        };
-        self.tried.push(server.id.clone());
+        let connection = self.connection(now, &server.id);
+        let is_reused = matches!(connection, Connection::Open(_));
         let marks = Marks::default();
         let sent = send(self.edge, self.req, &server, &marks, connection, patience);
         match sent.await {
             Ok(answer) => self.answered(server, attempt, answer, now).await,
-            Err(err) => self.failed(&server, attempt, err),
+            Err(err) => {
+                if is_reused {
+                    // The fault may be the old connection's; the server gets another try on a new one.
+                    self.tried.pop();
+                    self.fresh_only = true;
+                }
+                self.failed(&server, attempt, err)
+            }
         }
     }
 
+    /// An idle connection if the call can be repeated should the server have closed it.
+    fn connection(&self, now: Millis, server: &BackendId) -> Connection {
+        let may_reuse = self.req.route.kind.may_repeat() && !self.fresh_only;
+        let idle = may_reuse.then(|| self.edge.pool.take(now, server));
+        idle.flatten().map_or(Connection::Fresh, Connection::Open)
+    }
+
     /// How long this server may take for its answer.
     fn patience(&self, now: Millis) -> Millis {
         let remaining = self.req.remaining(now);
         let route = &self.req.route;
-        if !route.kind.may_repeat() || self.runs + 1 >= route.max_attempts {
+        if !route.kind.may_repeat()
+            || self.runs + 1 >= route.max_attempts
+            || !self.has_alternative(now)
+        {
             return remaining;
         }
         let patience = Millis((route.objective.0 as f64 * PATIENCE_OBJECTIVES) as u64);
         patience.min(remaining)
     }
 
+    /// Whether another server could be tried: a slow answer is better than none.
+    fn has_alternative(&self, now: Millis) -> bool {
+        let service = &self.req.service;
+        let terms = self.edge.budget_terms();
+        let mut state = self.edge.state();
+        let is_untried = |id| !self.tried.contains(id);
+        let has_other = state
+            .roster
+            .of_service(now, service)
+            .any(|entry| is_untried(&entry.id));
+        has_other && state.allows_repeat(now, service, terms)
+    }
+
     async fn answered(
         &mut self,
         server: Entry,
--- a/crates/edge/src/send.rs
+++ b/crates/edge/src/send.rs
@@ -77,9 +77,7 @@
     /// A new one: requests that cannot be repeated must not meet a connection that the server has
     /// closed or that fell silent.
     Fresh,
-    /// An idle one, if there is one.
-    Idle,
-    /// One that was opened for this send.
+    /// One that is open already.
     Open(Channel),
 }
 
@@ -95,7 +93,8 @@
 pub(crate) struct Pool(Mutex<Vec<IdleChannel>>);
 
 impl Pool {
-    fn take(&self, now: Millis, server: &BackendId) -> Option<Channel> {
+    /// Takes an idle connection.
+    pub fn take(&self, now: Millis, server: &BackendId) -> Option<Channel> {
         let mut idle = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         idle.retain(|idle| now < idle.since + MAX_IDLE && idle.channel.is_ready());
         let at = idle.iter().rposition(|idle| idle.server == *server)?;
@@ -133,10 +132,6 @@
 ) -> Result<Answer, SendError> {
     let mut channel = match connection {
         Connection::Open(channel) => channel,
-        Connection::Idle => match edge.pool.take(edge.now(), &server.id) {
-            Some(channel) => channel,
-            None => open(server, patience).await?,
-        },
         Connection::Fresh => open(server, patience).await?,
     };
     let now = edge.now();
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -70,6 +70,18 @@
 
     /// Takes one repeat for a service from this host's share of the budget.
     pub fn take_repeat(&mut self, now: Millis, service: &ServiceId, terms: BudgetTerms) -> bool {
+        let (terms, hosts) = self.own_share(terms);
+        self.budget(service).take(now, terms, hosts)
+    }
+
+    /// Whether this host's share of the budget allows a repeat for a service.
+    pub fn allows_repeat(&mut self, now: Millis, service: &ServiceId, terms: BudgetTerms) -> bool {
+        let (terms, hosts) = self.own_share(terms);
+        self.budget(service).allows(now, terms, hosts)
+    }
+
+    /// The part of the budget that is used, and the hosts that share it.
+    fn own_share(&self, terms: BudgetTerms) -> (BudgetTerms, usize) {
         let hosts = self.hosts.count();
         let terms = BudgetTerms {
             ratio: terms.ratio * BUDGET_SHARE,
@@ -77,7 +89,7 @@
             extra: hosts.map_or(0.0, |_| terms.extra * BUDGET_SHARE),
             ..terms
         };
-        self.budget(service).take(now, terms, hosts.unwrap_or(1))
+        (terms, hosts.unwrap_or(1))
     }
 
     fn budget(&mut self, service: &ServiceId) -> &mut SharedBudget {
--- a/crates/lease/tests/order_rounds.rs
+++ b/crates/lease/tests/order_rounds.rs
@@ -50,7 +50,10 @@
         decode: 6,
     };
     assert_eq!(watch.observe(Millis(0), split, COST, true), None);
-    assert_eq!(watch.observe(Millis(1_300), split, COST, true), Some((Role::Decode, 1)));
+    assert_eq!(
+        watch.observe(Millis(1_300), split, COST, true),
+        Some((Role::Decode, 1))
+    );
 }
 
 #[test]
@@ -74,5 +77,8 @@
     };
     assert_eq!(watch.observe(Millis(0), split, COST, false), None);
     assert_eq!(watch.observe(Millis(5_000), split, COST, false), None);
-    assert_eq!(watch.observe(Millis(6_000), split, COST, false), Some((Role::Prefill, 2)));
+    assert_eq!(
+        watch.observe(Millis(6_000), split, COST, false),
+        Some((Role::Prefill, 2))
+    );
 }
--- a/crates/retry/src/shared.rs
+++ b/crates/retry/src/shared.rs
@@ -41,17 +41,22 @@
         self.count(now, terms).requests += 1;
     }
 
-    /// Takes one repeat if the budget of this host, one of `hosts`, allows it.
-    pub fn take(&mut self, now: Millis, terms: BudgetTerms, hosts: usize) -> bool {
+    /// Whether the budget of this host, one of `hosts`, allows one repeat.
+    pub fn allows(&mut self, now: Millis, terms: BudgetTerms, hosts: usize) -> bool {
         self.count(now, terms);
         let requests: u32 = self.in_window(now, terms.window).map(|c| c.requests).sum();
         let repeats: u32 = self.counts.iter().map(|c| c.repeats).sum();
         let allowed = terms.ratio * f64::from(requests) + terms.extra / hosts.max(1) as f64;
-        if f64::from(repeats) + 1.0 > allowed {
-            return false;
+        f64::from(repeats) + 1.0 <= allowed
+    }
+
+    /// Takes one repeat if the budget of this host, one of `hosts`, allows it.
+    pub fn take(&mut self, now: Millis, terms: BudgetTerms, hosts: usize) -> bool {
+        let allowed = self.allows(now, terms, hosts);
+        if allowed {
+            self.count(now, terms).repeats += 1;
         }
-        self.count(now, terms).repeats += 1;
-        true
+        allowed
     }
 
     /// Counts within the period alone; older ones are kept for one width longer for the repeats.
--- a/crates/retry/tests/shared_budget.rs
+++ b/crates/retry/tests/shared_budget.rs
@@ -12,7 +12,9 @@
 #[test]
 fn extra_is_divided() {
     let mut budget = SharedBudget::default();
-    let taken = (0..100).filter(|_| budget.take(Millis(0), TERMS, 8)).count();
+    let taken = (0..100)
+        .filter(|_| budget.take(Millis(0), TERMS, 8))
+        .count();
     assert_eq!(taken, 5);
     assert!(!budget.take(Millis(9_999), TERMS, 8));
     assert!(budget.take(Millis(10_600), TERMS, 8), "the period is over");
@@ -24,7 +26,9 @@
     for at in 0..100 {
         budget.request(Millis(at), TERMS);
     }
-    let taken = (0..100).filter(|_| budget.take(Millis(100), TERMS, 8)).count();
+    let taken = (0..100)
+        .filter(|_| budget.take(Millis(100), TERMS, 8))
+        .count();
     assert_eq!(taken, 25);
 }
 
@@ -50,11 +54,20 @@
         }
         for start in repeats.iter().copied() {
             let end = start + TERMS.window.0;
-            let within = repeats.iter().filter(|at| (start..end).contains(*at)).count();
+            let within = repeats
+                .iter()
+                .filter(|at| (start..end).contains(*at))
+                .count();
             let before = start.saturating_sub(TERMS.window.0);
-            let asked = requests.iter().filter(|at| (before..end).contains(*at)).count();
+            let asked = requests
+                .iter()
+                .filter(|at| (before..end).contains(*at))
+                .count();
             let allowed = TERMS.ratio * asked as f64 + TERMS.extra / 4.0;
-            assert!(within as f64 <= allowed, "seed {seed}: {within} of {allowed}");
+            assert!(
+                within as f64 <= allowed,
+                "seed {seed}: {within} of {allowed}"
+            );
         }
     }
 }
--- a/crates/roster/tests/late_rows.rs
+++ b/crates/roster/tests/late_rows.rs
@@ -29,10 +29,22 @@
 fn leaving_stays() {
     let mut roster = Roster::default();
     let now = Millis(0);
-    assert_eq!(roster.put(now, entry("a", State::Ready, 1, 4)), Outcome::Joined);
-    assert_eq!(roster.put(now, entry("a", State::Leaving, 1, 5)), Outcome::Left);
-    assert_eq!(roster.put(now, entry("a", State::Ready, 1, 4)), Outcome::Stale);
-    assert_eq!(roster.put(now, entry("a", State::Ready, 1, 6)), Outcome::Stale);
+    assert_eq!(
+        roster.put(now, entry("a", State::Ready, 1, 4)),
+        Outcome::Joined
+    );
+    assert_eq!(
+        roster.put(now, entry("a", State::Leaving, 1, 5)),
+        Outcome::Left
+    );
+    assert_eq!(
+        roster.put(now, entry("a", State::Ready, 1, 4)),
+        Outcome::Stale
+    );
+    assert_eq!(
+        roster.put(now, entry("a", State::Ready, 1, 6)),
+        Outcome::Stale
+    );
     assert!(!is_usable(&roster, 0, "a"));
 }
 
@@ -41,8 +53,14 @@
     let mut roster = Roster::default();
     roster.put(Millis(0), entry("a", State::Leaving, 1, 9));
     // A restart under the same id counts its reports anew.
-    assert_eq!(roster.put(Millis(5), entry("a", State::Ready, 2, 0)), Outcome::Joined);
-    assert_eq!(roster.put(Millis(6), entry("a", State::Leaving, 1, 10)), Outcome::Stale);
+    assert_eq!(
+        roster.put(Millis(5), entry("a", State::Ready, 2, 0)),
+        Outcome::Joined
+    );
+    assert_eq!(
+        roster.put(Millis(6), entry("a", State::Leaving, 1, 10)),
+        Outcome::Stale
+    );
     assert!(is_usable(&roster, 6, "a"));
 }
 
@@ -53,8 +71,14 @@
     assert_eq!(roster.remove(Millis(1), &id("a")), Outcome::Left);
     assert!(!is_usable(&roster, 1, "a"));
     // A late report of before the removal does not bring it back, a new one does.
-    assert_eq!(roster.put(Millis(2), entry("a", State::Ready, 1, 3)), Outcome::Stale);
-    assert_eq!(roster.put(Millis(3), entry("a", State::Ready, 1, 5)), Outcome::Joined);
+    assert_eq!(
+        roster.put(Millis(2), entry("a", State::Ready, 1, 3)),
+        Outcome::Stale
+    );
+    assert_eq!(
+        roster.put(Millis(3), entry("a", State::Ready, 1, 5)),
+        Outcome::Joined
+    );
 }
 
 #[test]
@@ -66,7 +90,10 @@
     roster.replace(Millis(10_010), Vec::new());
     let over = 10_000 + LAPSE_GRACE.0;
     assert!(is_usable(&roster, over - 1, "a"));
-    assert!(!is_usable(&roster, over, "a"), "missing after the grace is gone");
+    assert!(
+        !is_usable(&roster, over, "a"),
+        "missing after the grace is gone"
+    );
     roster.put(Millis(over - 5), entry("b", State::Ready, 1, 8));
     assert!(is_usable(&roster, over + 1_000, "b"));
 }
--- a/crates/route/tests/longest_prefix.rs
+++ b/crates/route/tests/longest_prefix.rs
@@ -41,17 +41,30 @@
         ],
     );
     let found = |host, path| table.find(host, path).map(|r| r.path_prefix.to_string());
-    assert_eq!(found("a.example", "/seats/north/7").as_deref(), Some("/seats/north/"));
-    assert_eq!(found("a.example", "/seats/north").as_deref(), Some("/seats/"));
+    assert_eq!(
+        found("a.example", "/seats/north/7").as_deref(),
+        Some("/seats/north/")
+    );
+    assert_eq!(
+        found("a.example", "/seats/north").as_deref(),
+        Some("/seats/")
+    );
     assert_eq!(found("a.example", "/seatsx/1").as_deref(), Some("/"));
-    assert_eq!(found("A.Example:8080", "/seats/1").as_deref(), Some("/seats/"));
+    assert_eq!(
+        found("A.Example:8080", "/seats/1").as_deref(),
+        Some("/seats/")
+    );
     assert_eq!(found("b.example", "/"), None);
     assert_eq!(found("c.example", "/seats/1"), None);
 }
 
 #[test]
 fn weights_split() {
-    let route = route("a.example", "/", &[("large", 90), ("small", 10), ("none", 0)]);
+    let route = route(
+        "a.example",
+        "/",
+        &[("large", 90), ("small", 10), ("none", 0)],
+    );
     let mut counts = [0, 0, 0];
     for draw in 0..1_000 {
         match route.target(draw).unwrap().as_str() {
