--- a/crates/edge/src/logs.rs
+++ b/crates/edge/src/logs.rs
@@ -156,14 +156,22 @@
 
     /// A stream was forwarded to its end.
     pub fn stream_done(&self, edge: &Edge, call: &ModelCall, server: &BackendId) {
+        let now = edge.now();
+        if !self.take(now) {
+            return;
+        }
+        let req = &call.req;
         info!(
-            id = %call.req.facts.request_id,
+            id = %req.facts.request_id,
+            route = %req.route.name,
             server = %server,
-            prompt = call.req.facts.prompt_tokens.map(|t| t.0),
-            max_output = call.req.facts.max_output_tokens.map(|t| t.0),
-            expected = call.req.facts.expected_output_tokens.map(|t| t.0),
-            last_event = call.last_event,
-            ms = (edge.now() - call.req.arrived).0,
+            prompt = req.facts.prompt_tokens.map(|t| t.0),
+            expected = req.facts.expected_output_tokens.map(|t| t.0),
+            output = call.output().0,
+            runs = call.runs,
+            first_ms = call.first_at.map(|at| (at - req.arrived).0),
+            longest_pause_ms = call.longest_pause.0,
+            ms = (now - req.arrived).0,
             "stream: complete"
         );
     }
--- a/crates/edge/src/model.rs
+++ b/crates/edge/src/model.rs
@@ -67,6 +67,10 @@
     event_tokens: u64,
     /// Last event that the caller has.
     pub last_event: Option<u64>,
+    /// When the first event was forwarded.
+    pub first_at: Option<Millis>,
+    /// Longest pause between two events.
+    pub longest_pause: Millis,
 }
 
 /// A stream whose head has arrived.
@@ -183,6 +187,8 @@
             sends: 0,
             prefills: 0,
             arrivals: 0,
+            first_at: None,
+            longest_pause: Millis::ZERO,
         }
     }
 
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -60,6 +60,7 @@
         call,
         reader: EventReader::default(),
         tx,
+        event_at: None,
     };
     let first = Source {
         server: opened.server,
@@ -115,6 +116,8 @@
     call: ModelCall,
     reader: EventReader,
     tx: mpsc::Sender<Piece>,
+    /// When the latest event was forwarded.
+    event_at: Option<Millis>,
 }
 
 impl Relay {
@@ -236,12 +239,24 @@
                 self.call.last_event = Some(*id);
             }
             source.attempt.progress(self.call.needed());
+            self.note_event();
             if self.tx.send(Piece::Events(events.bytes)).await.is_err() {
                 return Part::CallerGone;
             }
         }
     }
 
+    /// Notes when events were forwarded.
+    fn note_event(&mut self) {
+        let now = self.edge.now();
+        if self.call.first_at.is_none() {
+            self.call.first_at = Some(now);
+        }
+        let pause = self.event_at.map_or(Millis::ZERO, |at| now - at);
+        self.call.longest_pause = self.call.longest_pause.max(pause);
+        self.event_at = Some(now);
+    }
+
     /// Ends the stream without its end, which dropping the sender does.
     fn broken(self, server: &BackendId, reason: &'static str) {
         counters::stream_broken(reason);
