--- a/crates/edge/src/listen.rs
+++ b/crates/edge/src/listen.rs
@@ -29,6 +29,7 @@
 use crate::edge::{Connected, Edge};
 use crate::guard::{Guarded, HeadGuard};
 use crate::serve::serve;
+use crate::stop::Closing;
 
 /// Share of the file descriptors for callers' connections; each request needs up to two more.
 const CALLER_FILES: f64 = 0.4;
@@ -40,16 +41,20 @@
 const CALLER_UNACKNOWLEDGED: Duration = Duration::from_secs(10);
 const CALLER_PROBE_AFTER: Duration = Duration::from_secs(5);
 
-/// Accepts callers until the process ends. Connections that are open when `closing` changes close as
-/// soon as they are idle; later ones close after their first answer.
+/// Accepts callers until all connections close. Each change of `closing` closes the connections that
+/// are open as soon as they are idle.
 pub(crate) async fn callers(
     edge: Arc<Edge>,
     listener: TcpListener,
-    closing: watch::Receiver<bool>,
+    mut closing: watch::Receiver<Closing>,
 ) {
     let max = (edge.settings.max_files as f64 * CALLER_FILES) as usize;
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = closing.wait_for(|closing| *closing == Closing::All) => return,
+        };
+        match accepted {
             // Dropping the connection resets nothing that was read.
             Ok(_) if edge.connections() >= max => crate::counters::refused("too_many_connections"),
             Ok((stream, peer)) => {
@@ -69,7 +74,7 @@
     edge: Arc<Edge>,
     stream: TcpStream,
     peer: SocketAddr,
-    mut closing: watch::Receiver<bool>,
+    mut closing: watch::Receiver<Closing>,
 ) {
     let _connected = Connected::new(&edge);
     if let Err(err) = set_options(&stream) {
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -107,7 +107,7 @@
     let mut terminate = signal(SignalKind::terminate())?;
     let mut hangup = signal(SignalKind::hangup())?;
     let edge = Arc::new(Edge::new(settings));
-    let (closing, closed) = watch::channel(false);
+    let (closing, closed) = watch::channel(stop::Closing::No);
     tokio::spawn(follow::config(edge.clone()));
     tokio::spawn(follow::servers(edge.clone()));
     tokio::spawn(follow::hosts(edge.clone(), peer_addr));
--- a/crates/edge/src/stop.rs
+++ b/crates/edge/src/stop.rs
@@ -14,10 +14,24 @@
 const LAME_DUCK: Millis = Millis(3_200);
 /// Time before the end of the grace period at which the process ends in any case.
 const END_MARGIN: Millis = Millis(300);
+/// Time before that end at which no connection is accepted any more: the longest deadline of a
+/// plain call, so that what was read is also answered.
+const LAST_CALLS: Millis = Millis(1_500);
 const POLL: Millis = Millis(50);
 
+/// What callers' connections are told while the process stops.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Closing {
+    /// Connections stay open.
+    No,
+    /// Open connections close as soon as they are idle; new ones are answered once.
+    Idle,
+    /// No connection is accepted, and those that are left close as soon as they are idle.
+    All,
+}
+
 /// Waits until nothing is left to do, and closes callers' connections on the way.
-pub(crate) async fn drain(edge: &Arc<Edge>, closing: &watch::Sender<bool>) {
+pub(crate) async fn drain(edge: &Arc<Edge>, closing: &watch::Sender<Closing>) {
     let began = edge.now();
     edge.stop();
     info!(
@@ -28,13 +42,19 @@
     let grace = edge.settings.grace_period;
     let close_at = began + LAME_DUCK;
     let end_at = began + (grace - END_MARGIN);
+    let last_at = (end_at - LAST_CALLS).max(close_at);
     loop {
         tokio::time::sleep(POLL.duration()).await;
         let now = edge.now();
         let is_idle = edge.in_progress() == 0 && edge.connections() == 0;
-        if now >= close_at && !*closing.borrow() {
-            // Connections with a request in progress close after its answer.
-            closing.send_replace(true);
+        // Connections with a request in progress close after its answer.
+        let wanted = match now {
+            now if now >= last_at => Closing::All,
+            now if now >= close_at => Closing::Idle,
+            _ => Closing::No,
+        };
+        if wanted > *closing.borrow() {
+            closing.send_replace(wanted);
         }
         if (is_idle && now >= began + LAME_DUCK) || now >= end_at {
             break;
