Do not count a host's own pauses against its suspicions

Change: suspicions are extended by the pause, and end no sooner than a second after it. Conclusion: detection counts the time in which a host runs.

--- a/crates/member/src/membership.rs
+++ b/crates/member/src/membership.rs
@@ -306,7 +306,7 @@
         if gap >= OWN_PAUSE {
             // Answers that arrived during the pause are not read yet, so nobody is to blame.
             self.probes.abandon();
-            self.table.restart_suspicions(now);
+            self.table.extend_suspicions(now, gap);
         }
         for step in self.probes.advance(now) {
             match step {
--- a/crates/member/src/table.rs
+++ b/crates/member/src/table.rs
@@ -6,7 +6,7 @@
 
 use crate::Member;
 use crate::message::{Status, Update};
-use crate::timing::{DEAD_KEPT, SUSPICION, SUSPICION_CONFIRMED};
+use crate::timing::{DEAD_KEPT, PROBE_LIMIT, SUSPICION, SUSPICION_CONFIRMED};
 
 /// One known member other than this host.
 #[derive(Debug, Clone)]
@@ -152,11 +152,14 @@
         changes
     }
 
-    /// Gives all suspects the whole time again, because this process was paused.
-    pub fn restart_suspicions(&mut self, now: Millis) {
+    /// Does not count the time for which this process was paused, and gives all suspects time for a
+    /// refutation that waits to be read. Giving them the whole time again would keep a dead member
+    /// for ever in the view of a host that is often delayed.
+    pub fn extend_suspicions(&mut self, now: Millis, pause: Millis) {
+        let latest_left = now - (SUSPICION - PROBE_LIMIT);
         for e in &mut self.entries {
             if e.status == Status::Suspect {
-                e.since = now;
+                e.since = (e.since + pause).max(latest_left).min(now);
             }
         }
     }
--- a/crates/member/tests/fault_table.rs
+++ b/crates/member/tests/fault_table.rs
@@ -223,3 +223,28 @@
     net.run(SETTLE_MS);
     assert_eq!(net.wrong_views(), [0; 0], "after the restart");
 }
+
+/// Guards against a dead member that stays in the views of hosts that a busy machine delays: each
+/// delay used to give suspects their whole time again.
+#[test]
+fn delayed_hosts_remove_a_dead_member() {
+    const DELAY_MS: u64 = 1_050;
+    const RUN_MS: u64 = 2_950;
+    for seed in 0..20 {
+        let mut net = settled(seed);
+        net.kill(3);
+        let live: Vec<usize> = (0..HOSTS).filter(|at| *at != 3).collect();
+        // The target counts the time in which the hosts run.
+        for _ in 0..DETECTION_MS.div_ceil(RUN_MS) {
+            net.run(RUN_MS);
+            live.iter().for_each(|at| net.pause(*at));
+            net.run(DELAY_MS);
+            live.iter().for_each(|at| net.resume(*at));
+        }
+        net.run(TICK_MS);
+        assert!(
+            net.removals(3) > 0,
+            "seed {seed}: nobody removed the dead member"
+        );
+    }
+}
