Read a whole table again after a failed call of the store

Change: a follower reads the whole table after each failed call; rows older than what is known are ignored; a server that is gone is not brought back by the same report. Ruled out: a late 410, which the servers' follower got and handled.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -2,9 +2,9 @@
 
 use std::sync::Arc;
 
-use bv_platform::{HostRow, StoreError, Table};
+use bv_platform::{HostRow, Rows, StoreError, Table};
 use bv_route::Offer;
-use bv_types::Millis;
+use bv_types::{Millis, Version};
 use tracing::{info, warn};
 
 use crate::counters;
@@ -61,18 +61,42 @@
         was_failing.is_some() && silent >= OUTAGE
     }
 
+    /// Records rows that are older than what is known.
+    async fn outdated(&mut self, rows: &Rows) {
+        counters::store_call(self.table, false);
+        warn!(
+            table = self.table,
+            version = rows.version.0,
+            "store: rows are outdated"
+        );
+        pause_after_failure().await;
+    }
+
     async fn failed(&mut self, now: Millis, err: &StoreError) {
         counters::store_call(self.table, false);
         if self.failing_since.is_none() {
             self.failing_since = Some(now);
             warn!(table = self.table, error = %err, "store: call failed");
         }
-        let pause = FAILURE_PAUSE.0 + fastrand::u64(..=FAILURE_PAUSE.0);
-        tokio::time::sleep(Millis(pause).duration()).await;
+        pause_after_failure().await;
     }
 }
 
+async fn pause_after_failure() {
+    let pause = FAILURE_PAUSE.0 + fastrand::u64(..=FAILURE_PAUSE.0);
+    tokio::time::sleep(Millis(pause).duration()).await;
+}
+
+/// Whether rows show an earlier moment than is known here.
+fn is_outdated(known: Option<Version>, rows: &Rows) -> bool {
+    known.is_some_and(|known| rows.version < known)
+}
+
 /// Follows the configuration.
+///
+/// The whole table is read at the start, when the store's history is gone, and after each call that
+/// failed: a store that loses its history cuts the calls that wait, and what was changed meanwhile is
+/// then in no feed. The followers of other tables do the same.
 pub(crate) async fn config(edge: Arc<Edge>) {
     let mut health = Health::new("config", edge.now());
     let mut reread = true;
@@ -89,6 +113,9 @@
         };
         let now = edge.now();
         match result {
+            Ok(rows) if is_outdated(edge.state().known.config_version, &rows) => {
+                health.outdated(&rows).await;
+            }
             Ok(rows) => {
                 health.answered(now);
                 reread = false;
@@ -109,7 +136,10 @@
                 info!("configuration: the store's history is gone, reading all");
                 reread = true;
             }
-            Err(err) => health.failed(now, &err).await,
+            Err(err) => {
+                health.failed(now, &err).await;
+                reread = true;
+            }
         }
     }
 }
@@ -155,9 +185,14 @@
             }
             Err(err) => {
                 health.failed(now, &err).await;
+                reread = true;
                 continue;
             }
         };
+        if is_outdated(edge.state().known.servers_version, &rows) {
+            health.outdated(&rows).await;
+            continue;
+        }
         if health.answered(now) {
             edge.state().roster.store_returned(now);
         }
--- a/crates/roster/src/roster.rs
+++ b/crates/roster/src/roster.rs
@@ -72,6 +72,10 @@
         if same_process && entry.sequence < known.entry.sequence {
             return Outcome::Stale;
         }
+        // A server that is back has reported since; the same report again is an outdated read.
+        if same_process && entry.sequence == known.entry.sequence && known.gone_at.is_some() {
+            return Outcome::Stale;
+        }
         if !same_process && entry.born < known.entry.born {
             return Outcome::Stale;
         }
