--- a/crates/config/src/error.rs
+++ b/crates/config/src/error.rs
@@ -9,7 +9,7 @@
     #[error("the inventory cannot be read: {message}")]
     #[diagnostic(
         code(config::syntax),
-        help("each entry is a table such as [[runner]]; docs/operations.md lists the fields")
+        help("each entry is a table such as [[runner]]; docs/OPERATIONS.md lists the fields")
     )]
     Syntax {
         /// What the parser expected.
--- a/crates/edge/src/model.rs
+++ b/crates/edge/src/model.rs
@@ -156,7 +156,7 @@
 
 /// How one plan ended.
 enum Step {
-    Opened(Opened),
+    Opened(Box<Opened>),
     Next,
     Fail(Failure),
 }
@@ -228,7 +228,7 @@
                 }
             };
             match step {
-                Step::Opened(opened) => return Ok(opened),
+                Step::Opened(opened) => return Ok(*opened),
                 Step::Next => {}
                 Step::Fail(failure) => return Err(failure),
             }
@@ -613,7 +613,6 @@
             ..Marks::default()
         };
         let sent = send(&self.edge, &self.req, &engine, &marks, connection, patience).await;
-        drop(marks);
         match sent {
             Ok(answer) if answer.facts.not_run => {
                 self.arrivals += 1;
@@ -689,11 +688,11 @@
             attempt.end(Ended::Answered { error: true });
             return Step::Fail(Failure::Lost);
         }
-        Step::Opened(Opened {
+        Step::Opened(Box::new(Opened {
             server: engine.id.clone(),
             attempt,
             answer,
-        })
+        }))
     }
 }
 
