Leave a server alone whose answer is misdirected

Change: 421 counts as three faults of the engine; a refusal of the tokens charges the budget for the prompt.

--- a/crates/admit/src/health.rs
+++ b/crates/admit/src/health.rs
@@ -6,6 +6,9 @@
 const FIRST_AVOIDANCE: Millis = Millis(300);
 /// Longest avoidance. Crashed servers are back after some seconds.
 const MAX_AVOIDANCE: Millis = Millis(4_000);
+/// Consecutive faults that a misdirected request counts for: it stays so until the server's row
+/// changes, which takes a second or more.
+const MISDIRECTED_FAULTS: u32 = 3;
 /// Weight of the newest answer in the share of errors; about the latest ten answers count.
 const ERROR_WEIGHT: f64 = 0.12;
 /// Share of errors above which a server counts as failing. Some requests fail at any server, so
@@ -23,6 +26,8 @@
     Lost,
     /// The answer was damaged or belonged to another request.
     Garbled,
+    /// Another process has the address, or the engine has another role than its row says.
+    Misdirected,
 }
 
 /// What is known of one server.
@@ -40,6 +45,7 @@
         self.faults = match fault {
             Fault::Garbled => self.faults.max(1),
             Fault::Connect | Fault::Lost => self.faults.saturating_add(1),
+            Fault::Misdirected => self.faults.saturating_add(1).max(MISDIRECTED_FAULTS),
         };
         let doublings = self.faults.saturating_sub(1).min(8);
         let avoidance = Millis(FIRST_AVOIDANCE.0 << doublings).min(MAX_AVOIDANCE);
--- a/crates/admit/tests/call_choice.rs
+++ b/crates/admit/tests/call_choice.rs
@@ -123,3 +123,13 @@
         "{refused:?}"
     );
 }
+
+#[test]
+fn misdirected_server_is_left_alone() {
+    // Its row is outdated for a second or more; each further send would be refused as well.
+    let mut fleet = Fleet::new(1);
+    let send = fleet.begin(Millis(0), &id("a"), CALL);
+    fleet.end(Millis(0), &id("a"), send, Ended::Failed(Fault::Misdirected));
+    assert_ne!(choose(&mut fleet, 1_000, &[]).as_deref(), Ok("a"));
+    assert_eq!(choose(&mut fleet, 1_300, &[]).as_deref(), Ok("a"));
+}
--- a/crates/edge/src/logs.rs
+++ b/crates/edge/src/logs.rs
@@ -135,6 +135,18 @@
         }
     }
 
+    /// A server answered that it is not the one that was meant.
+    pub fn misdirected(&self, now: Millis, req: &CallerRequest, server: &BackendId) {
+        if self.take(now) {
+            info!(
+                id = %req.facts.request_id,
+                server = %server,
+                ms = (now - req.arrived).0,
+                "send: misdirected, the server's row is outdated"
+            );
+        }
+    }
+
     /// An engine refused for lack of room.
     pub fn engine_full(&self, now: Millis, req: &CallerRequest, engine: &BackendId) {
         if self.take(now) {
--- a/crates/edge/src/model.rs
+++ b/crates/edge/src/model.rs
@@ -516,6 +516,9 @@
             PromptError::Failed(err.fault(), err.code())
         };
         let answer = sent.map_err(|err| log(&err))?;
+        if answer.facts.misdirected {
+            return Err(PromptError::Failed(Fault::Misdirected, "misdirected"));
+        }
         if answer.facts.not_run {
             return Err(PromptError::NotRun);
         }
@@ -616,7 +619,16 @@
         match sent {
             Ok(answer) if answer.facts.not_run => {
                 self.arrivals += 1;
-                self.not_run(&engine, attempt, prompt);
+                if prompt.is_some() {
+                    // The first prompt of a request is free only if its tokens follow.
+                    let terms = self.edge.budget_terms();
+                    let mut state = self.edge.state();
+                    state.charge_repeat(now, &self.req.service, terms);
+                }
+                match answer.facts.misdirected {
+                    true => self.misdirected(&engine, attempt),
+                    false => self.not_run(&engine, attempt, prompt),
+                }
                 Step::Next
             }
             Ok(answer) => {
@@ -647,6 +659,15 @@
         }
     }
 
+    /// Another process has the engine's address, or it has another role now.
+    fn misdirected(&mut self, engine: &Entry, attempt: Attempt) {
+        counters::retry("misdirected");
+        attempt.end(Ended::Failed(Fault::Misdirected));
+        self.avoid(&engine.id);
+        let now = self.edge.now();
+        self.edge.logs.misdirected(now, &self.req, &engine.id);
+    }
+
     /// A decode engine refused: it is full, or the prompt is gone at the engine that read it.
     fn not_run(&mut self, engine: &Entry, attempt: Attempt, prompt: Option<&mut ReadPrompt>) {
         counters::retry("decode_not_run");
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use bv_admit::{CallAsk, Ended, Refused, Work};
+use bv_admit::{CallAsk, Ended, Fault, Refused, Work};
 use bv_platform::{Marks, strip_answer};
 use bv_roster::Entry;
 use bv_types::{BackendId, Millis, Refusal, Tokens};
@@ -195,6 +195,13 @@
     ) -> Step {
         self.arrivals += 1;
         let status = answer.response.status();
+        if answer.facts.misdirected {
+            let now = self.edge.now();
+            attempt.end(Ended::Failed(Fault::Misdirected));
+            self.edge.logs.misdirected(now, self.req, &server.id);
+            counters::retry("misdirected");
+            return Step::Next;
+        }
         if answer.facts.not_run {
             attempt.end(Ended::Full);
             counters::retry("not_run");
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -74,6 +74,11 @@
         self.budget(service).take(now, terms, hosts)
     }
 
+    /// Counts a repeat that was made without asking, such as a prompt that was read for nothing.
+    pub fn charge_repeat(&mut self, now: Millis, service: &ServiceId, terms: BudgetTerms) {
+        self.budget(service).charge(now, terms);
+    }
+
     /// Whether this host's share of the budget allows a repeat for a service.
     pub fn allows_repeat(&mut self, now: Millis, service: &ServiceId, terms: BudgetTerms) -> bool {
         let (terms, hosts) = self.own_share(terms);
--- a/crates/retry/src/shared.rs
+++ b/crates/retry/src/shared.rs
@@ -59,6 +59,11 @@
         allowed
     }
 
+    /// Counts a repeat that was made in any case.
+    pub fn charge(&mut self, now: Millis, terms: BudgetTerms) {
+        self.count(now, terms).repeats += 1;
+    }
+
     /// Counts within the period alone; older ones are kept for one width longer for the repeats.
     fn in_window(&self, now: Millis, window: Millis) -> impl Iterator<Item = &Count> {
         self.counts.iter().filter(move |c| c.start + window > now)
--- a/crates/retry/tests/shared_budget.rs
+++ b/crates/retry/tests/shared_budget.rs
@@ -71,3 +71,12 @@
         }
     }
 }
+
+#[test]
+fn charged_repeats_count() {
+    let mut budget = SharedBudget::default();
+    for _ in 0..5 {
+        budget.charge(Millis(0), TERMS);
+    }
+    assert!(!budget.take(Millis(1), TERMS, 8));
+}
