--- /dev/null
+++ b/crates/edge/src/model/prompt.rs
@@ -0,0 +1,171 @@
+//! Reading of a prompt at a prefill engine.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bv_admit::{Ended, Fault};
+use bv_platform::{Marks, PromptRead, handle_path, prompt_read};
+use bv_roster::Entry;
+use bv_types::Millis;
+use http::StatusCode;
+use smol_str::SmolStr;
+
+use super::{MAX_PRIORITY, ModelCall};
+use crate::counters;
+use crate::edge::Edge;
+use crate::send::{Answer, Connection, SendError, read_whole, send};
+
+/// Time beyond the predicted one after which an engine that reads a prompt is given up.
+const PREFILL_SLACK: Millis = Millis(600);
+/// Time to free the KV cache of a prompt that is not used.
+const FREE_TIMEOUT: Millis = Millis(400);
+
+/// KV cache of a prompt that was read; freed at its engine unless it is taken.
+#[derive(Debug)]
+pub(super) struct ReadPrompt {
+    edge: Arc<Edge>,
+    pub engine: Entry,
+    pub handle: SmolStr,
+    pub read_at: Millis,
+    /// Whether another engine has it, or it is gone.
+    pub taken: bool,
+}
+
+impl Drop for ReadPrompt {
+    fn drop(&mut self) {
+        if !self.taken {
+            tokio::spawn(free(
+                self.edge.clone(),
+                self.engine.address,
+                self.handle.clone(),
+            ));
+        }
+    }
+}
+
+async fn free(edge: Arc<Edge>, addr: SocketAddr, handle: SmolStr) {
+    let terms = bv_link::ConnectTerms {
+        timeout: FREE_TIMEOUT,
+        unacknowledged: FREE_TIMEOUT,
+    };
+    let freeing = async {
+        let mut channel = bv_link::connect(addr, terms)
+            .await
+            .map_err(|err| err.to_string())?;
+        let req = http::Request::delete(handle_path(&handle))
+            .header(http::header::HOST, addr.to_string())
+            .body(Default::default())
+            .map_err(|err| err.to_string())?;
+        channel.send(req).await.map_err(|err| err.to_string())?;
+        Ok::<(), String>(())
+    };
+    let result = match tokio::time::timeout(FREE_TIMEOUT.duration(), freeing).await {
+        Ok(result) => result,
+        Err(_) => Err(format!("no answer within {FREE_TIMEOUT}")),
+    };
+    counters::handle_freed(result.is_ok());
+    if let Err(err) = result {
+        // The engine drops the handle by itself when its life is over.
+        edge.logs.handle_not_freed(edge.now(), addr, &err);
+    }
+}
+
+/// Why no prompt was read.
+enum PromptError {
+    NotRun,
+    Failed(Fault, &'static str),
+}
+
+impl ModelCall {
+    /// Has the prompt read; none if that failed, and another plan is needed.
+    pub(super) async fn read_prompt(
+        &mut self,
+        engine: &Entry,
+        predicted: Millis,
+    ) -> Option<ReadPrompt> {
+        let is_first = self.prefills == 0;
+        self.prefills += 1;
+        self.avoid(&engine.id);
+        if !self.may_send(is_first) {
+            return None;
+        }
+        let began = self.edge.now();
+        let was_idle = self.edge.state().fleet.own_sends(&engine.id) == 0;
+        let tokens = self.prompt();
+        let patience = (predicted + PREFILL_SLACK).min(self.req.remaining(began));
+        let attempt = self.begin(engine, tokens, patience);
+        let marks = Marks {
+            prefill_only: true,
+            last_event: self.last_event,
+            priority: Some(self.req.route.priority.min(MAX_PRIORITY)),
+            ..Marks::default()
+        };
+        let sent = send(
+            &self.edge,
+            &self.req,
+            engine,
+            &marks,
+            Connection::Fresh,
+            patience,
+        );
+        match self.prompt_answer(engine, sent.await, patience).await {
+            Ok(read) => {
+                attempt.end(Ended::Unproven);
+                let now = self.edge.now();
+                if was_idle {
+                    let mut state = self.edge.state();
+                    let took = now - began;
+                    state
+                        .fleet
+                        .observe_prefill(&self.req.service, read.tokens, took);
+                }
+                self.tried.retain(|id| *id != engine.id);
+                Some(ReadPrompt {
+                    edge: self.edge.clone(),
+                    engine: engine.clone(),
+                    handle: read.handle,
+                    read_at: now,
+                    taken: false,
+                })
+            }
+            Err(PromptError::NotRun) => {
+                attempt.end(Ended::Full);
+                counters::retry("prefill_not_run");
+                None
+            }
+            Err(PromptError::Failed(fault, reason)) => {
+                attempt.end(Ended::Failed(fault));
+                counters::retry(reason);
+                None
+            }
+        }
+    }
+
+    async fn prompt_answer(
+        &self,
+        engine: &Entry,
+        sent: Result<Answer, SendError>,
+        patience: Millis,
+    ) -> Result<PromptRead, PromptError> {
+        let log = |err: &SendError| {
+            self.edge
+                .logs
+                .send_failed(self.edge.now(), &self.req, &engine.id, err);
+            PromptError::Failed(err.fault(), err.code())
+        };
+        let answer = sent.map_err(|err| log(&err))?;
+        if answer.facts.misdirected {
+            return Err(PromptError::Failed(Fault::Misdirected, "misdirected"));
+        }
+        if answer.facts.not_run {
+            return Err(PromptError::NotRun);
+        }
+        let status = answer.response.status();
+        let whole = read_whole(&self.edge, &engine.id, answer, patience).await;
+        let (_, body) = whole.map_err(|err| log(&err))?;
+        if status != StatusCode::OK {
+            return Err(PromptError::Failed(Fault::Lost, "server_error"));
+        }
+        prompt_read(&body).map_err(|_| log(&SendError::Garbled("no handle of a prompt")))
+    }
+}
