Register every grant with a live home until it is known there

Cause of host_gone::paused_hosts "n9-0 is held true after 12s": a grant that was placed blind, or whose one copy to the second home in rank was lost, was known to no live host, so nobody cancelled it when its entry host died. A withdrawal that was repeated after the home came back also ended the grant that the same home had adopted meanwhile.

Ruled out: detection time (dead after 6 to 8 s in the logs) and cancels that fail (none was sent).

Before: host_gone::unheard_grants fails (held after 12 s).

--- a/crates/lab/tests/host_gone.rs
+++ b/crates/lab/tests/host_gone.rs
@@ -86,3 +86,33 @@
     // One of the three is the home of the only shard and one is the second in rank.
     tokio::join!(paused(0), paused(1), paused(2));
 }
+
+/// Pauses the other hosts while one opens a stream, and then this one: what the others did not
+/// learn at the grant they must learn later.
+async fn unheard(index: usize) {
+    let deployment = deployment().await;
+    let hosts = start_hosts(&deployment, HOSTS).await;
+    let others: Vec<_> = (0..HOSTS).filter(|other| *other != index).collect();
+    for other in &others {
+        send_signal(&hosts[*other], Signal::STOP);
+    }
+    let caller = open_stream(hosts[index].spec.caller_addr, "n11-0").await;
+    wait_held(&deployment, "n11-0", true, Duration::from_secs(5)).await;
+    // Longer than the time in which the grant is told to another host.
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    for other in &others {
+        send_signal(&hosts[*other], Signal::CONT);
+    }
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    send_signal(&hosts[index], Signal::STOP);
+    wait_held(&deployment, "n11-0", false, FREED_WITHIN).await;
+    send_signal(&hosts[index], Signal::CONT);
+    drop(caller);
+}
+
+/// Guards against memory held for a dead host whose grant no other host has heard of, because it
+/// was placed without a home or because its copy was lost.
+#[tokio::test(flavor = "multi_thread")]
+async fn unheard_grants() {
+    tokio::join!(unheard(0), unheard(1), unheard(2));
+}
--- a/crates/place/src/life.rs
+++ b/crates/place/src/life.rs
@@ -116,8 +116,17 @@
             return;
         };
         let request = adoption.request;
-        if self.index.decode_of(&request.attempt).is_some() {
-            return;
+        if let Some(known) = self.index.decode_of(&request.attempt) {
+            let hold = self.runners[known].hold_mut(&request.attempt);
+            if known == decode && hold.is_some_and(|hold| hold.prefill == prefill) {
+                return;
+            }
+            // The answer came too late for the entry host, which has placed the request elsewhere.
+            self.take_hold(now, &request.attempt);
+        }
+        for class in [Class::Urgent, Class::Waiting] {
+            let queue = self.queue_mut(class);
+            queue.remove_if(|entry| entry.request.attempt == request.attempt);
         }
         let pool = &self.spec.pool;
         let counter = self.runners[decode].advance(now, pool);
--- a/crates/place/tests/grant_life.rs
+++ b/crates/place/tests/grant_life.rs
@@ -5,7 +5,7 @@
 use bv_place::{Class, Event, Policy};
 use bv_types::{HostId, Incarnation, Millis, Refusal};
 use common::{
-    START, adoption, attempt, cancels, denied, grants, host_dead, patient, proceeds, request,
+    START, adoption, attempt, cancels, denied, grants, host_dead, id, patient, proceeds, request,
     shard, spec, start,
 };
 
@@ -95,6 +95,39 @@
     assert_eq!(proceeds(&done), [1]);
 }
 
+/// Guards against a second reservation of a request that its entry host has placed elsewhere while
+/// it waited here or while the answer was under way.
+#[test]
+fn adopted_again() {
+    let mut shard = shard(spec(1, 2), Policy::Planned);
+    let first = request(START, 1, Class::Urgent);
+    let granted = grants(&shard.handle(START, Event::Reserve(first.clone())));
+    let elsewhere = match granted[0].decode == id("d-1") {
+        true => id("d-2"),
+        false => id("d-1"),
+    };
+    let Event::Adopt(mut moved) = adoption(first, true) else {
+        panic!("no adoption");
+    };
+    moved.decode = elsewhere.clone();
+    shard.handle(START, Event::Adopt(moved));
+    assert_eq!(shard.open_grants(), 1);
+    let pieces = shard.loads().into_iter().filter(|load| load.slots > 0);
+    assert_eq!(
+        pieces.map(|load| load.runner).collect::<Vec<_>>(),
+        [elsewhere]
+    );
+
+    for sequence in 2..9 {
+        start(&mut shard, START, patient(START, sequence, Class::Urgent));
+    }
+    let waiting = patient(START, 20, Class::Urgent);
+    shard.handle(START, Event::Reserve(waiting.clone()));
+    assert_eq!(shard.queued(), 1);
+    shard.handle(START, adoption(waiting, true));
+    assert_eq!(shard.queued(), 0);
+}
+
 /// Guards against a second reservation when a message is repeated.
 #[test]
 fn repeated_messages() {
--- a/crates/server/src/placement/ask.rs
+++ b/crates/server/src/placement/ask.rs
@@ -6,11 +6,11 @@
 use bv_place::{Class, score};
 use bv_types::{AttemptId, BackendId, Fingerprint, HostId, Millis, Refusal, RetryReason, Tokens};
 use bv_wire::frame::Body;
-use bv_wire::{AttemptEnd, PrefillDone, Reserve};
+use bv_wire::{PrefillDone, Reserve};
 use smol_str::SmolStr;
 use tracing::debug;
 
-use super::grants::{GrantGuard, OpenGrant, send_release};
+use super::grants::{GrantGuard, OpenGrant, send_withdrawal};
 use super::shards::class_of;
 use super::{Keeper, refusal_of, shards};
 use crate::peers::PeerCause;
@@ -152,6 +152,7 @@
                     slot_ready: grant.slot_ready,
                     decoding: false,
                     copied_to: None,
+                    is_registering: false,
                     reserve,
                     at: now,
                 };
@@ -195,9 +196,7 @@
 impl Drop for Withdraw<'_> {
     fn drop(&mut self) {
         if let Some(attempt) = self.attempt.take() {
-            let shard = self.shard.clone();
-            let end = AttemptEnd::Stopped;
-            send_release(self.host, self.home.clone(), shard, attempt, end);
+            send_withdrawal(self.host, self.home.clone(), self.shard.clone(), attempt);
         }
     }
 }
@@ -253,6 +252,7 @@
         slot_ready: true,
         decoding: false,
         copied_to: None,
+        is_registering: false,
         reserve: reserve(host, model, ask, shard, now, Millis::ZERO),
         at: now,
     };
--- a/crates/server/src/placement/grants.rs
+++ b/crates/server/src/placement/grants.rs
@@ -37,6 +37,8 @@
     pub decoding: bool,
     /// Host that knows the grant too, because this host is itself the home.
     pub(super) copied_to: Option<HostId>,
+    /// Whether a message that registers the grant is under way.
+    pub(super) is_registering: bool,
     /// The request as it was granted.
     pub(super) reserve: Reserve,
     /// Time of the grant.
@@ -57,13 +59,10 @@
 }
 
 impl GrantGuard {
-    pub(super) fn new(host: &Arc<Host>, mut grant: OpenGrant) -> Self {
+    pub(super) fn new(host: &Arc<Host>, grant: OpenGrant) -> Self {
         let attempt = grant.attempt.clone();
-        grant.copied_to = copy_holder(host, &grant);
-        if let Some(second) = grant.copied_to.clone() {
-            tokio::spawn(send_copy(host.clone(), second, grant.clone()));
-        }
         lock(&host.placement.open).push(grant);
+        register(host);
         GrantGuard {
             host: host.clone(),
             attempt,
@@ -117,7 +116,7 @@
     }
 }
 
-/// Tells a home that an attempt has ended or is withdrawn.
+/// Tells a home that an attempt has ended.
 pub(super) fn send_release(
     host: &Arc<Host>,
     home: HostId,
@@ -143,41 +142,144 @@
     });
 }
 
-/// Registers open grants with the present homes of their shards.
-pub(super) fn move_to_new_homes(host: &Arc<Host>) {
-    let members = host.peers.alive();
-    let mut moved = Vec::new();
-    for grant in lock(&host.placement.open).iter() {
-        let first = shards::homes(&grant.shard(), &members).into_iter().next();
-        match (&grant.keeper, first) {
-            (Keeper::Home(home), Some(first)) if *home != first => {
-                moved.push((first, grant.clone()));
+/// Tells a home that did not answer that it is not asked any more. The attempt may have been placed
+/// without it meanwhile; the home then learns of the grant, and a late withdrawal must not end it.
+pub(super) fn send_withdrawal(host: &Arc<Host>, home: HostId, shard: SmolStr, attempt: AttemptId) {
+    let host = host.clone();
+    let call = Body::Release(Release {
+        shard: shard.to_string(),
+        attempt: attempt.to_string(),
+        end: AttemptEnd::Stopped.into(),
+    });
+    let entry = (attempt.clone(), home.clone());
+    lock(&host.placement.withdrawals).push(entry.clone());
+    tokio::spawn(async move {
+        for _ in 0..RELEASE_TRIES {
+            let sent = host.peers.call(&home, call.clone(), CALL_TIMEOUT).await;
+            let Err(err) = sent else {
+                break;
+            };
+            debug!(%err, %attempt, "place: withdrawal failed");
+            if lock(&host.placement.open)
+                .iter()
+                .any(|g| g.attempt == attempt)
+            {
+                break;
             }
-            _ => {}
+            tokio::time::sleep(CALL_TIMEOUT.duration()).await;
+        }
+        lock(&host.placement.withdrawals).retain(|known| *known != entry);
+    });
+}
+
+/// A host that must learn of a grant, so that it can cancel the work when this host dies.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Registration {
+    /// The present home of the shard, for a grant of an earlier home or of none.
+    Home(HostId),
+    /// The second host in rank, because this host is itself the home.
+    Copy(HostId),
+}
+
+impl Registration {
+    fn receiver(&self) -> &HostId {
+        match self {
+            Registration::Home(home) => home,
+            Registration::Copy(second) => second,
         }
     }
-    for (home, grant) in moved {
-        tokio::spawn(send_adopt(host.clone(), home, grant));
+}
+
+/// Tells the present homes of open grants about those that they do not know. A message that is lost
+/// is sent again at the next call.
+pub(super) fn register(host: &Arc<Host>) {
+    let members = host.peers.alive();
+    let mut missing = Vec::new();
+    let withdrawals = lock(&host.placement.withdrawals).clone();
+    for grant in lock(&host.placement.open).iter_mut() {
+        if grant.is_registering {
+            continue;
+        }
+        let homes = shards::homes(&grant.shard(), &members);
+        let missed = missing_registration(&host.settings.host_id, &homes, grant);
+        let Some(registration) = missed else {
+            continue;
+        };
+        let receiver = registration.receiver();
+        let is_withdrawing = withdrawals
+            .iter()
+            .any(|(attempt, home)| *attempt == grant.attempt && home == receiver);
+        if !is_withdrawing {
+            grant.is_registering = true;
+            missing.push((registration, grant.clone()));
+        }
+    }
+    for (registration, grant) in missing {
+        tokio::spawn(send_registration(host.clone(), registration, grant));
     }
 }
 
-/// Second home in rank, if this host is the first. Nobody else would know the grants of a host
-/// that is home of its own requests, and cancel them when it dies.
-fn copy_holder(host: &Host, grant: &OpenGrant) -> Option<HostId> {
-    let this = &host.settings.host_id;
-    if grant.keeper != Keeper::Home(this.clone()) {
-        return None;
+/// Who must still learn of a grant of `this` host; `homes` are in order of rank.
+fn missing_registration(
+    this: &HostId,
+    homes: &[HostId],
+    grant: &OpenGrant,
+) -> Option<Registration> {
+    let first = homes.first()?;
+    if grant.keeper != Keeper::Home(first.clone()) {
+        return Some(Registration::Home(first.clone()));
     }
-    let ranked = shards::homes(&grant.shard(), &host.peers.alive());
-    ranked.into_iter().find(|home| home != this)
+    let second = homes.get(1).filter(|_| first == this)?;
+    (grant.copied_to.as_ref() != Some(second)).then(|| Registration::Copy(second.clone()))
 }
 
-async fn send_copy(host: Arc<Host>, second: HostId, mut grant: OpenGrant) {
-    // The copy lasts until the release or the deadline, whatever becomes of the prefill.
-    grant.decoding = true;
+async fn send_registration(host: Arc<Host>, registration: Registration, mut grant: OpenGrant) {
+    let receiver = registration.receiver().clone();
+    if let Registration::Copy(_) = registration {
+        // The copy lasts until the release or the deadline, whatever becomes of the prefill.
+        grant.decoding = true;
+    }
     let call = adopt(host.clock.now(), &grant);
-    if let Err(err) = host.peers.call(&second, call, CALL_TIMEOUT).await {
-        debug!(%err, "place: copying a grant failed");
+    let is_known = match host.peers.call(&receiver, call, CALL_TIMEOUT).await {
+        Ok(Body::Done(_)) => true,
+        Ok(_) => {
+            debug!(home = %receiver, attempt = %grant.attempt, "place: the grant is not adopted");
+            false
+        }
+        Err(err) => {
+            debug!(%err, attempt = %grant.attempt, "place: registering a grant failed");
+            false
+        }
+    };
+    let mut open = lock(&host.placement.open);
+    let Some(known) = open.iter_mut().find(|g| g.attempt == grant.attempt) else {
+        drop(open);
+        // The attempt ended while the message was under way.
+        let (shard, end) = (grant.shard(), AttemptEnd::Stopped);
+        send_release(&host, receiver, shard, grant.attempt, end);
+        return;
+    };
+    known.is_registering = false;
+    if !is_known {
+        return;
+    }
+    match registration {
+        Registration::Copy(second) => {
+            let before = known.copied_to.replace(second);
+            drop(open);
+            if let Some(before) = before {
+                let (shard, end) = (grant.shard(), AttemptEnd::Stopped);
+                send_release(&host, before, shard, grant.attempt, end);
+            }
+        }
+        Registration::Home(home) => {
+            let before = std::mem::replace(&mut known.keeper, Keeper::Home(home));
+            drop(open);
+            if before == Keeper::Blind {
+                let pair = [&grant.prefill, &grant.decode];
+                host.placement.release_blind(pair);
+            }
+        }
     }
 }
 
@@ -193,24 +295,3 @@
         decoding: grant.decoding,
     })
 }
-
-async fn send_adopt(host: Arc<Host>, home: HostId, grant: OpenGrant) {
-    let shard = grant.shard();
-    let call = adopt(host.clock.now(), &grant);
-    match host.peers.call(&home, call, CALL_TIMEOUT).await {
-        Ok(Body::Done(_)) => {}
-        Ok(_) => return,
-        Err(err) => {
-            debug!(%err, "place: adopt failed");
-            return;
-        }
-    }
-    let mut open = lock(&host.placement.open);
-    if let Some(known) = open.iter_mut().find(|g| g.attempt == grant.attempt) {
-        known.keeper = Keeper::Home(home);
-        return;
-    }
-    drop(open);
-    // The attempt ended while the message was under way.
-    send_release(&host, home, shard, grant.attempt, AttemptEnd::Stopped);
-}
--- a/crates/server/src/placement/mod.rs
+++ b/crates/server/src/placement/mod.rs
@@ -12,7 +12,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use bv_place::Policy;
-use bv_types::{BackendId, HostId, Millis, Refusal};
+use bv_types::{AttemptId, BackendId, HostId, Millis, Refusal};
 use smol_str::SmolStr;
 
 pub(crate) use answer::{adopt, prefill_done, release, reserve};
@@ -39,6 +39,8 @@
     homes: Mutex<Vec<Arc<Home>>>,
     /// Grants held by requests of this host.
     open: Mutex<Vec<OpenGrant>>,
+    /// Withdrawals under way: the attempt and the home that did not answer.
+    withdrawals: Mutex<Vec<(AttemptId, HostId)>>,
     /// Grants without a home, by runner.
     blind: Mutex<Vec<(BackendId, u32)>>,
     /// Homes that did not answer, and until when they are passed over.
@@ -58,6 +60,7 @@
             policy,
             homes: Mutex::default(),
             open: Mutex::default(),
+            withdrawals: Mutex::default(),
             blind: Mutex::default(),
             silent: Mutex::default(),
             loads: Mutex::default(),
--- a/crates/server/src/placement/poll.rs
+++ b/crates/server/src/placement/poll.rs
@@ -37,7 +37,7 @@
             });
         }
         tell_leaving(&host);
-        grants::move_to_new_homes(&host);
+        grants::register(&host);
         for _ in 0..TICKS {
             tokio::time::sleep((POLL.duration()) / TICKS).await;
             for home in homes(&host) {
