Keep a home while a call to it is under way

Cause of the rest of host_gone::paused_hosts: the second home in rank is created by the copy of a grant and polls its engines first. The death of the entry host then cancelled nothing.

Change: a home that a call holds is not dropped. The engine stand-in can delay its load reports.

--- a/crates/lab/src/stand_in/engine/count.rs
+++ b/crates/lab/src/stand_in/engine/count.rs
@@ -42,7 +42,9 @@
     Repeated,
     /// Load reports are 2 s old.
     StaleLoad,
+    /// Load reports arrive 300 ms late.
+    LateLoad,
 }
 
 /// Number of variants of [`EngineFault`].
-pub(super) const FAULTS: usize = 8;
+pub(super) const FAULTS: usize = 9;
--- a/crates/lab/src/stand_in/engine/report.rs
+++ b/crates/lab/src/stand_in/engine/report.rs
@@ -20,6 +20,8 @@
 /// Age of a report in ms.
 const REPORT_AGE_MS: std::ops::Range<u64> = 100..450;
 const STALE_AGE_MS: u64 = 2_000;
+/// Longer than a host waits for one load report.
+const LATE_LOAD: Duration = Duration::from_millis(300);
 
 #[derive(Debug, Clone, Copy)]
 struct Sample {
@@ -77,6 +79,9 @@
 }
 
 pub(super) async fn load(State(engine): State<Arc<Engine>>) -> Response {
+    if engine.hits(EngineFault::LateLoad) {
+        tokio::time::sleep(LATE_LOAD).await;
+    }
     let age = match engine.hits(EngineFault::StaleLoad) {
         true => STALE_AGE_MS,
         false => fastrand::u64(REPORT_AGE_MS),
--- a/crates/lab/tests/host_gone.rs
+++ b/crates/lab/tests/host_gone.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use bv_lab::Deployment;
+use bv_lab::stand_in::EngineFault;
 use common::{send_signal, start_hosts};
 use model::{Answer, chat, deployment, request};
 use rustix::process::Signal;
@@ -87,6 +88,26 @@
     tokio::join!(paused(0), paused(1), paused(2));
 }
 
+/// Pauses a host whose grant the second home learns of while its first poll of the engines is slow.
+async fn slow_polls(index: usize) {
+    let deployment = deployment().await;
+    let hosts = start_hosts(&deployment, HOSTS).await;
+    deployment.engines[0].set_fault(EngineFault::LateLoad, 1_000);
+    let caller = open_stream(hosts[index].spec.caller_addr, "n12-0").await;
+    wait_held(&deployment, "n12-0", true, Duration::from_secs(5)).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    send_signal(&hosts[index], Signal::STOP);
+    wait_held(&deployment, "n12-0", false, FREED_WITHIN).await;
+    send_signal(&hosts[index], Signal::CONT);
+    drop(caller);
+}
+
+/// Guards against a home that is dropped as idle while the first grant is on its way to it.
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_first_polls() {
+    tokio::join!(slow_polls(0), slow_polls(1), slow_polls(2));
+}
+
 /// Pauses the other hosts while one opens a stream, and then this one: what the others did not
 /// learn at the grant they must learn later.
 async fn unheard(index: usize) {
--- a/crates/server/src/placement/poll.rs
+++ b/crates/server/src/placement/poll.rs
@@ -176,11 +176,15 @@
             }
         }
     }
-    lock(&host.placement.homes).retain(|home| match shards::find(&inventory, &home.key) {
-        Some(spec) => {
-            home.configure(spec, host.placement.policy);
-            is_home(&home.key) || !home.is_idle()
+    lock(&host.placement.homes).retain(|home| {
+        // A call that still polls the runners is about to add its grant.
+        let is_needed = !home.is_idle() || Arc::strong_count(home) > 1;
+        match shards::find(&inventory, &home.key) {
+            Some(spec) => {
+                home.configure(spec, host.placement.policy);
+                is_home(&home.key) || is_needed
+            }
+            None => is_needed,
         }
-        None => !home.is_idle(),
     });
 }
