Reserve room at the decode engine before a prompt is read; fewer store calls with many hosts

Change: a slot and memory are reserved at the engine by the platform's hold call; a refused one costs no prompt. Waits of store calls, pauses after changes and the interval of a host's row grow with the number of hosts up to 10 s, 600 ms and 20 s; datagrams name the newest change, and a call that others have outpaced for 300 ms is made again. Sums of other hosts' use are kept instead of added up for each datagram. Hosts that wait for room look for it in turns, and only the first call in a host's queue is woken.

Ruled out: wrong estimates of the answer (engines that refused held 26,500 of 27,800 tokens at the median).

--- a/crates/admit/src/fleet.rs
+++ b/crates/admit/src/fleet.rs
@@ -5,7 +5,7 @@
 
 use crate::health::Fault;
 use crate::peers::{PeerUse, Peers, Use};
-use crate::server::{Load, Report, Send, Server};
+use crate::server::{Report, Send, Server};
 
 /// Names one send.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -232,22 +232,30 @@
     /// Takes over what another host has in progress. `order` is the start of its process and the
     /// number of its message; older messages are ignored.
     pub fn hear(&mut self, now: Millis, host: HostId, order: (u64, u64), said: PeerUse) {
-        let changing = said.changing.clone();
-        if self.peers.hear(now, host, order, said) {
-            self.add_up_peers();
-            for engine in changing {
-                self.server(&engine).changing_until = now + CHANGE_HEARD;
-            }
+        let (uses, changing) = (said.uses.clone(), said.changing.clone());
+        let Some(before) = self.peers.hear(now, host, order, said) else {
+            return;
+        };
+        self.count_peer(&before.uses, -1.0);
+        self.count_peer(&uses, 1.0);
+        for engine in changing {
+            self.server(&engine).changing_until = now + CHANGE_HEARD;
         }
     }
 
     /// Forgets hosts that are silent.
     pub fn expire_peers(&mut self, now: Millis) {
-        if self.peers.expire(now) {
-            self.add_up_peers();
+        for silent in self.peers.expire(now) {
+            self.count_peer(&silent.uses, -1.0);
         }
     }
 
+    /// Other hosts that have calls waiting for room.
+    pub fn hosts_waiting(&self) -> usize {
+        let peers = self.peers.iter();
+        peers.filter(|peer| peer.said.waiting.0 > 0).count()
+    }
+
     /// Tokens that wait for room at other hosts.
     pub fn peers_waiting(&self) -> Tokens {
         Tokens(self.peers.iter().map(|peer| peer.said.waiting.0).sum())
@@ -268,19 +276,13 @@
         self.peers.len() >= self.expected_peers
     }
 
-    fn add_up_peers(&mut self) {
-        for server in &mut self.servers {
-            server.peers = Load::default();
-        }
-        let uses: Vec<Use> = self
-            .peers
-            .iter()
-            .flat_map(|peer| peer.said.uses.iter().cloned())
-            .collect();
+    /// Adds or subtracts what one host has in progress. The numbers are whole, so that sums stay
+    /// exact.
+    fn count_peer(&mut self, uses: &[Use], sign: f64) {
         for part in uses {
             let peers = &mut self.server(&part.server).peers;
-            peers.requests += f64::from(part.requests);
-            peers.tokens += part.tokens.0 as f64;
+            peers.requests += sign * f64::from(part.requests);
+            peers.tokens += sign * part.tokens.0 as f64;
         }
     }
 
@@ -296,8 +298,10 @@
 
     /// Forgets servers without work that `is_known` does not know.
     pub fn retain(&mut self, is_known: impl Fn(&BackendId) -> bool) {
+        // Other hosts' work is subtracted again when they say that it has ended.
+        let is_busy = |s: &Server| !s.sends.is_empty() || s.peers.requests > 0.0;
         self.servers
-            .retain(|server| !server.sends.is_empty() || is_known(&server.id));
+            .retain(|server| is_busy(server) || is_known(&server.id));
     }
 
     pub(crate) fn call_ms(&self, service: &ServiceId) -> f64 {
--- a/crates/admit/src/model.rs
+++ b/crates/admit/src/model.rs
@@ -182,6 +182,12 @@
         taken + ask.total.0 as f64 <= ask.kv_capacity.0 as f64 * AMPLE_MEMORY
     }
 
+    /// Tokens in use at an engine, as far as this host knows.
+    pub fn known_tokens(&self, now: Millis, engine: &BackendId) -> Tokens {
+        let load = self.find(engine).map(|s| s.load(now, self.all_heard()));
+        Tokens(load.unwrap_or_default().tokens as u64)
+    }
+
     /// Predicted time until there is room for this many tokens, behind `ahead` tokens that wait.
     pub fn room_wait<'a>(
         &self,
--- a/crates/admit/src/peers.rs
+++ b/crates/admit/src/peers.rs
@@ -42,8 +42,14 @@
 pub(crate) struct Peers(Vec<Peer>);
 
 impl Peers {
-    /// Takes a message over; false if a newer one is known.
-    pub fn hear(&mut self, now: Millis, host: HostId, order: (u64, u64), said: PeerUse) -> bool {
+    /// Takes a message over and returns what it replaces; none if a newer one is known.
+    pub fn hear(
+        &mut self,
+        now: Millis,
+        host: HostId,
+        order: (u64, u64),
+        said: PeerUse,
+    ) -> Option<PeerUse> {
         let peer = Peer {
             host,
             order,
@@ -51,23 +57,20 @@
             said,
         };
         match self.0.binary_search_by(|p| p.host.cmp(&peer.host)) {
-            Ok(at) if self.0[at].order >= order => false,
-            Ok(at) => {
-                self.0[at] = peer;
-                true
-            }
+            Ok(at) if self.0[at].order >= order => None,
+            Ok(at) => Some(std::mem::replace(&mut self.0[at], peer).said),
             Err(at) => {
                 self.0.insert(at, peer);
-                true
+                Some(PeerUse::default())
             }
         }
     }
 
-    /// Forgets hosts that are silent; true if there were any.
-    pub fn expire(&mut self, now: Millis) -> bool {
-        let before = self.0.len();
-        self.0.retain(|peer| now < peer.heard + PEER_LIFETIME);
-        self.0.len() < before
+    /// Forgets hosts that are silent, and returns what they said.
+    pub fn expire(&mut self, now: Millis) -> Vec<PeerUse> {
+        let is_silent = |peer: &mut Peer| now >= peer.heard + PEER_LIFETIME;
+        let silent = self.0.extract_if(.., is_silent);
+        silent.map(|peer| peer.said).collect()
     }
 
     pub fn iter(&self) -> impl Iterator<Item = &Peer> {
--- a/crates/admit/tests/decode_room.rs
+++ b/crates/admit/tests/decode_room.rs
@@ -74,6 +74,54 @@
     assert_eq!(names(&plan(&mut fleet, 2_000, &engines()).unwrap()).1, "d1");
 }
 
+/// Guards against sums that drift while hosts are heard, fall silent and servers come and go.
+#[test]
+fn sums_of_other_hosts() {
+    let hosts = ["host-b", "host-c", "host-d"];
+    arbtest::arbtest(|u| {
+        let mut fleet = Fleet::new(1);
+        let mut now = 0;
+        for sequence in 1..u.int_in_range(2..=40)? {
+            now += u.int_in_range(0..=700)?;
+            let host = u.choose(&hosts)?;
+            let said = match u.int_in_range(0..=3)? {
+                0 => PeerUse::default(),
+                1 => told("d2", 3, 12_000),
+                _ => told("d1", u.int_in_range(0..=9)?, u.int_in_range(0..=43_000)?),
+            };
+            fleet.hear(Millis(now), host.parse().unwrap(), (1, sequence), said);
+            fleet.expire_peers(Millis(now));
+            if u.ratio(1, 4)? {
+                fleet.retain(|_| false);
+            }
+        }
+        fleet.expire_peers(Millis(now + 10_000));
+        for sequence in 100..102 {
+            let host = hosts[0].parse().unwrap();
+            fleet.hear(
+                Millis(now + 10_000),
+                host,
+                (1, sequence),
+                told("d1", 9, 43_000),
+            );
+        }
+        // One host's 43,000 tokens leave no room; a sum below zero would show some.
+        let only = [
+            server("p1", "north", Some(Stage::Prefill)),
+            server("d1", "north", Some(Stage::Decode)),
+        ];
+        assert_eq!(plan(&mut fleet, now + 10_000, &only), Err(Refused::NoRoom));
+        fleet.hear(
+            Millis(now + 10_000),
+            hosts[0].parse().unwrap(),
+            (1, 102),
+            PeerUse::default(),
+        );
+        assert!(plan(&mut fleet, now + 10_000, &only).is_ok());
+        Ok(())
+    });
+}
+
 #[test]
 fn late_datagrams_are_ignored() {
     let mut fleet = Fleet::new(1);
--- a/crates/edge/src/counters.rs
+++ b/crates/edge/src/counters.rs
@@ -10,6 +10,7 @@
 const RETRIES: &str = "burdockvale_retries_total";
 const BROKEN: &str = "burdockvale_streams_broken_total";
 const HANDLES: &str = "burdockvale_handles_freed_total";
+const HOLDS: &str = "burdockvale_holds_total";
 const LATENCY: &str = "burdockvale_latency_seconds";
 const STORE_CALLS: &str = "burdockvale_store_calls_total";
 const PEER_CALLS: &str = "burdockvale_peer_calls_total";
@@ -34,6 +35,7 @@
     describe_counter!(RETRIES, "Sends that were repeated, by reason.");
     describe_counter!(BROKEN, "Streams that ended early, by reason.");
     describe_counter!(HANDLES, "Unused prompts that were freed, by success.");
+    describe_counter!(HOLDS, "Reservations of room at engines, by result.");
     describe_histogram!(LATENCY, "Time to the answer or to the first event.");
     describe_counter!(STORE_CALLS, "Calls of the store, by table and result.");
     describe_counter!(PEER_CALLS, "Questions to other hosts, by result.");
@@ -65,6 +67,10 @@
     counter!(HANDLES, "freed" => if freed { "yes" } else { "no" }).increment(1);
 }
 
+pub(crate) fn hold(result: &'static str) {
+    counter!(HOLDS, "result" => result).increment(1);
+}
+
 pub(crate) fn store_call(table: &'static str, ok: bool) {
     counter!(STORE_CALLS, "table" => table, "result" => if ok { "ok" } else { "failed" })
         .increment(1);
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -27,6 +27,10 @@
     pub logs: LogBudget,
     /// Signalled when a request ends or another host's load changes.
     pub room: Notify,
+    /// Signalled when a model call leaves the queue of this host.
+    pub queue_moved: Notify,
+    /// Signalled when another host knows a newer change of the store.
+    pub news: Notify,
     /// Signalled when this host's own requests change.
     pub own_use: Notify,
     state: Mutex<State>,
@@ -50,6 +54,8 @@
             pool: Pool::default(),
             room: Notify::new(),
             own_use: Notify::new(),
+            queue_moved: Notify::new(),
+            news: Notify::new(),
             stopping_since: AtomicU64::new(0),
             in_progress: AtomicUsize::new(0),
             connections: AtomicUsize::new(0),
@@ -65,6 +71,11 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Number of live hosts, with this one; 1 before others are known.
+    pub fn host_count(&self) -> usize {
+        self.state().hosts.count().unwrap_or(1)
+    }
+
     /// Terms of the retry budget.
     pub fn budget_terms(&self) -> BudgetTerms {
         BudgetTerms {
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use bv_platform::{HostRow, Rows, StoreError, Table};
+use bv_roster::pace;
 use bv_route::Offer;
 use bv_types::{Millis, Version};
 use tracing::{info, warn};
@@ -11,12 +12,9 @@
 use crate::edge::Edge;
 use crate::hosts::Hosts;
 
-/// Longest wait of a call for changes. A connection may fall silent without a reset; its call ends
-/// at most a second later, well within the bounds for leaving servers and for the configuration.
-const CHANGE_WAIT: Millis = Millis(2_000);
-/// Shortest time between two calls for changes of the servers: rows written together are read
-/// together.
-const SERVERS_PAUSE: Millis = Millis(150);
+/// Time for which other hosts may know a newer change before the call that waits for it is given up:
+/// its connection may have fallen silent.
+const NEWS_GRACE: Millis = Millis(300);
 /// Pause after a failed call; random up to twice as long, so that hosts do not call together.
 const FAILURE_PAUSE: Millis = Millis(120);
 /// Time without an answer of the store after which other hosts are asked.
@@ -26,8 +24,6 @@
 /// Time without an answer of the store from which its return is the end of an outage: entries may
 /// have lapsed meanwhile.
 const OUTAGE: Millis = Millis(1_500);
-/// Interval of the host's own row.
-const HOST_ROW_INTERVAL: Millis = Millis(10_000);
 /// Intervals after the start: hosts that start together find each other within the first seconds.
 const FIRST_HOST_INTERVALS: [Millis; 3] = [Millis(1_500), Millis(2_500), Millis(4_000)];
 
@@ -49,7 +45,8 @@
     }
 
     /// Records an answer; true if an outage ends with it.
-    fn answered(&mut self, now: Millis) -> bool {
+    fn answered(&mut self, edge: &Edge, now: Millis) -> bool {
+        edge.state().store_failed(self.table, false);
         counters::store_call(self.table, true);
         let was_failing = self.failing_since.take();
         if let Some(since) = was_failing {
@@ -72,7 +69,9 @@
         pause_after_failure().await;
     }
 
-    async fn failed(&mut self, now: Millis, err: &StoreError) {
+    async fn failed(&mut self, edge: &Edge, err: &StoreError) {
+        let now = edge.now();
+        edge.state().store_failed(self.table, true);
         counters::store_call(self.table, false);
         if self.failing_since.is_none() {
             self.failing_since = Some(now);
@@ -87,6 +86,48 @@
     tokio::time::sleep(Millis(pause).duration()).await;
 }
 
+/// Waits for changes of a table. The call is made again when other hosts have known a newer change
+/// for a while.
+async fn changes(edge: &Edge, table: Table, after: Version) -> Result<Rows, StoreError> {
+    loop {
+        let wait = pace::change_wait(edge.host_count());
+        tokio::select! {
+            result = edge.store.changes(table, after, wait) => return result,
+            () = outpaced(edge, table) => {}
+        }
+        counters::store_call(name(table), false);
+        info!(
+            table = name(table),
+            "store: another host knows a newer change, calling again"
+        );
+        edge.state().store_failed(name(table), true);
+    }
+}
+
+fn name(table: Table) -> &'static str {
+    match table {
+        Table::Config => "config",
+        Table::Servers => "servers",
+        Table::Hosts => "hosts",
+        Table::Terms => "terms",
+    }
+}
+
+/// Ends when other hosts have known a newer change of a table for a while.
+async fn outpaced(edge: &Edge, table: Table) {
+    loop {
+        let news = edge.news.notified();
+        if edge.state().known.is_outpaced(table) {
+            tokio::time::sleep(NEWS_GRACE.duration()).await;
+            if edge.state().known.is_outpaced(table) {
+                return;
+            }
+        } else {
+            news.await;
+        }
+    }
+}
+
 /// Whether rows show an earlier moment than is known here.
 fn is_outdated(known: Option<Version>, rows: &Rows) -> bool {
     known.is_some_and(|known| rows.version < known)
@@ -104,11 +145,7 @@
         let after = edge.state().known.config_version.filter(|_| !reread);
         let began = edge.now();
         let result = match after {
-            Some(version) => {
-                edge.store
-                    .changes(Table::Config, version, CHANGE_WAIT)
-                    .await
-            }
+            Some(version) => changes(&edge, Table::Config, version).await,
             None => edge.store.read_all(Table::Config).await,
         };
         let now = edge.now();
@@ -117,7 +154,7 @@
                 health.outdated(&rows).await;
             }
             Ok(rows) => {
-                health.answered(now);
+                health.answered(&edge, now);
                 reread = false;
                 // The store had no newer version when it answered, which was after the call began.
                 let applied = edge.state().apply_config(began, &rows);
@@ -137,7 +174,7 @@
                 reread = true;
             }
             Err(err) => {
-                health.failed(now, &err).await;
+                health.failed(&edge, &err).await;
                 reread = true;
             }
         }
@@ -168,11 +205,7 @@
     loop {
         let after = edge.state().known.servers_version.filter(|_| !reread);
         let result = match after {
-            Some(version) => {
-                edge.store
-                    .changes(Table::Servers, version, CHANGE_WAIT)
-                    .await
-            }
+            Some(version) => changes(&edge, Table::Servers, version).await,
             None => edge.store.read_all(Table::Servers).await,
         };
         let now = edge.now();
@@ -184,7 +217,7 @@
                 continue;
             }
             Err(err) => {
-                health.failed(now, &err).await;
+                health.failed(&edge, &err).await;
                 reread = true;
                 continue;
             }
@@ -193,7 +226,7 @@
             health.outdated(&rows).await;
             continue;
         }
-        if health.answered(now) {
+        if health.answered(&edge, now) {
             edge.state().roster.store_returned(now);
         }
         let mut errors = Vec::new();
@@ -225,7 +258,8 @@
             warn!(error = %err, "servers: row ignored");
         }
         if after.is_some() && !rows.rows.is_empty() {
-            tokio::time::sleep(SERVERS_PAUSE.duration()).await;
+            let pause = pace::change_pause(edge.host_count());
+            tokio::time::sleep(pause.duration()).await;
         }
     }
 }
@@ -237,12 +271,13 @@
     loop {
         match exchange_hosts(&edge, peer_addr).await {
             Ok(()) => {
-                health.answered(edge.now());
-                let interval = intervals.next().unwrap_or(HOST_ROW_INTERVAL);
+                health.answered(&edge, edge.now());
+                let usual = pace::row_interval(edge.host_count());
+                let interval = intervals.next().unwrap_or(usual);
                 tokio::time::sleep(interval.duration()).await;
             }
             Err(err) => {
-                health.failed(edge.now(), &err).await;
+                health.failed(&edge, &err).await;
                 // Hosts change rarely; a refusing store is not called more often for them.
                 tokio::time::sleep(ASK_PEERS_AFTER.duration()).await;
             }
@@ -257,7 +292,18 @@
         peer_addr,
         written_at: before.store_time,
     };
-    edge.store.write_host(own.as_str(), &row).await?;
+    // The first rounds only look for others; the row is written again when half of its usual time
+    // is over.
+    let fresh_until = pace::row_interval(before.rows.len()).0 / 2;
+    let written = before.get(own.as_str()).and_then(|row| row.value.as_ref());
+    let is_fresh = written
+        .and_then(|body| HostRow::decode(body).ok())
+        .is_some_and(|known| {
+            known.peer_addr == peer_addr && (before.store_time - known.written_at).0 < fresh_until
+        });
+    if !is_fresh {
+        edge.store.write_host(own.as_str(), &row).await?;
+    }
     let hosts = Hosts::read(own, &before);
     let mut state = edge.state();
     if hosts.count() != state.hosts.count() {
@@ -276,9 +322,11 @@
         let now = edge.now();
         let peer = {
             let state = edge.state();
-            let limit = CHANGE_WAIT + ASK_PEERS_AFTER;
+            let hosts = state.hosts.count().unwrap_or(1);
+            let limit = pace::change_wait(hosts) + ASK_PEERS_AFTER;
             let is_current = state.in_force.age(now).is_some_and(|age| age < limit);
-            if is_current {
+            let is_failing = state.is_store_failing();
+            if is_current && !is_failing {
                 continue;
             }
             turn += 1;
--- a/crates/edge/src/hosts.rs
+++ b/crates/edge/src/hosts.rs
@@ -3,10 +3,8 @@
 use std::net::SocketAddr;
 
 use bv_platform::{HostRow, Rows};
-use bv_types::{HostId, Millis};
-
-/// Age above which the row of a host no longer counts; a host writes it every ten seconds.
-const ROW_LIFETIME: Millis = Millis(25_000);
+use bv_roster::pace;
+use bv_types::HostId;
 
 /// Live hosts, without this one.
 #[derive(Debug, Clone, Default)]
@@ -19,10 +17,11 @@
     /// Reads the rows of all hosts; rows that cannot be read name no host.
     pub fn read(own: &HostId, rows: &Rows) -> Self {
         let is_other = |key: &str| key != own.as_str();
+        let lifetime = pace::row_lifetime(rows.rows.len());
         let others = rows.rows.iter().filter(|row| is_other(&row.key));
         let live = others.filter_map(|row| {
             let host = HostRow::decode(row.value.as_ref()?).ok()?;
-            (host.written_at + ROW_LIFETIME > rows.store_time).then_some(host.peer_addr)
+            (host.written_at + lifetime > rows.store_time).then_some(host.peer_addr)
         });
         Hosts {
             others: Some(live.collect()),
--- a/crates/edge/src/logs.rs
+++ b/crates/edge/src/logs.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::{Mutex, PoisonError};
 
-use bv_types::{BackendId, Millis};
+use bv_types::{BackendId, Millis, Tokens};
 use http::StatusCode;
 use tracing::{debug, info, warn};
 
@@ -159,6 +159,41 @@
         }
     }
 
+    /// An engine did not reserve room; nothing was sent to it.
+    pub fn hold_refused(
+        &self,
+        now: Millis,
+        req: &CallerRequest,
+        engine: &BackendId,
+        asked: Tokens,
+        known: Tokens,
+    ) {
+        if self.take(now) {
+            info!(
+                id = %req.facts.request_id,
+                server = %engine,
+                asked_tokens = asked.0,
+                known_tokens = known.0,
+                ms = (now - req.arrived).0,
+                "hold: the engine has no room"
+            );
+        }
+    }
+
+    /// An engine does not know reservations.
+    pub fn hold_unsupported(&self, now: Millis, engine: &BackendId, status: StatusCode) {
+        if self.take(now) {
+            info!(server = %engine, status = status.as_u16(), "hold: not supported");
+        }
+    }
+
+    /// A reservation could not be freed.
+    pub fn hold_not_freed(&self, now: Millis, addr: SocketAddr, err: &str) {
+        if self.take(now) {
+            info!(peer = %addr, error = err, "hold: not freed, it ends by itself");
+        }
+    }
+
     /// The KV cache of a prompt could not be freed.
     pub fn handle_not_freed(&self, now: Millis, addr: SocketAddr, err: &str) {
         if self.take(now) {
--- a/crates/edge/src/model/decode.rs
+++ b/crates/edge/src/model/decode.rs
@@ -6,6 +6,7 @@
 use bv_route::Kind;
 use bv_types::{Millis, Refusal, ZoneId};
 
+use super::hold::Hold;
 use super::prompt::ReadPrompt;
 use super::{MAX_PRIORITY, MAX_SENDS, ModelCall, Opened, STALL, Step};
 use crate::answer::{Failure, USUAL_RETRY_AFTER};
@@ -26,6 +27,7 @@
     pub engine: Entry,
     pub room: Attempt,
     pub connection: Connection,
+    pub hold: Option<Hold>,
 }
 
 impl ModelCall {
@@ -47,7 +49,7 @@
                 return step;
             };
             // The prompt need not be read again as long as its handle lives.
-            match self.next_decode(read).await {
+            match self.next_decode(read, predicted).await {
                 Some(next) => target = next,
                 None => return Step::Next,
             }
@@ -55,7 +57,7 @@
     }
 
     /// Another engine that can take over a prompt that was read, as soon as one has room.
-    pub(super) async fn next_decode(&self, prompt: &ReadPrompt) -> Option<Target> {
+    async fn next_decode(&mut self, prompt: &ReadPrompt, predicted: Millis) -> Option<Target> {
         let service = self.req.table.service(&self.req.service)?;
         let ttl = service.engine.as_ref()?.handle_ttl;
         let zone: Option<&ZoneId> = Some(&prompt.engine.zone);
@@ -73,11 +75,10 @@
             };
             if let Ok(engine) = placed {
                 let room = self.begin(&engine, self.planned, STALL);
-                return Some(Target {
-                    engine,
-                    room,
-                    connection: Connection::Fresh,
-                });
+                if let Some(target) = self.reserve(&engine, room, predicted).await {
+                    return Some(target);
+                }
+                continue;
             }
             tokio::time::sleep(HANDLE_POLL.duration()).await;
         }
@@ -93,6 +94,7 @@
             engine,
             room: attempt,
             connection,
+            mut hold,
         } = target;
         let now = self.edge.now();
         // An engine that left while the prompt was read gets no new work.
@@ -109,11 +111,15 @@
             cache_from: prompt
                 .as_ref()
                 .map(|prompt| (prompt.engine.address, prompt.handle.as_str())),
+            hold: hold.as_ref().map(|hold| hold.name.as_str()),
             last_event: self.last_event,
             priority: Some(self.req.route.priority.min(MAX_PRIORITY)),
             ..Marks::default()
         };
         let sent = send(&self.edge, &self.req, &engine, &marks, connection, patience).await;
+        if let (Some(hold), Ok(_)) = (&mut hold, &sent) {
+            hold.used = true;
+        }
         match sent {
             Ok(answer) if answer.facts.not_run => {
                 self.arrivals += 1;
@@ -158,7 +164,7 @@
     }
 
     /// Another process has the engine's address, or it has another role now.
-    fn misdirected(&mut self, engine: &Entry, attempt: Attempt) {
+    pub(super) fn misdirected(&mut self, engine: &Entry, attempt: Attempt) {
         counters::retry("misdirected");
         attempt.end(Ended::Failed(Fault::Misdirected));
         self.avoid(&engine.id);
--- a/crates/edge/src/model/mod.rs
+++ b/crates/edge/src/model/mod.rs
@@ -1,6 +1,7 @@
 //! Model calls: the prompt is read by one engine, the tokens come from another one.
 
 mod decode;
+mod hold;
 mod place;
 mod prompt;
 
@@ -15,7 +16,7 @@
 use crate::counters;
 use crate::edge::{Attempt, Edge};
 use crate::request::CallerRequest;
-use crate::send::{Answer, Connection, SendError, open};
+use crate::send::{Answer, Connection, SendError};
 
 /// Tokens assumed for a prompt whose size the caller does not name.
 const USUAL_PROMPT: Tokens = Tokens(2_000);
@@ -128,6 +129,7 @@
                         engine: decode,
                         room,
                         connection: Connection::Fresh,
+                        hold: None,
                     };
                     self.run_decode(target, None, predicted).await
                 }
@@ -201,35 +203,14 @@
         room: Attempt,
         predicted: Millis,
     ) -> Step {
-        // The connection for the tokens is opened meanwhile: an engine that does not answer is
-        // noticed before the prompt waits for it.
-        let patience = self.req.remaining(self.edge.now());
-        let (prompt, opened) = tokio::join!(
-            self.read_prompt(&prefill, predicted),
-            open(&decode, patience)
-        );
-        let target = match opened {
-            Ok(channel) => Some(Target {
-                engine: decode,
-                room,
-                connection: Connection::Open(channel),
-            }),
-            Err(err) => {
-                self.send_failed(&decode, room, &err);
-                None
-            }
-        };
-        let Some(prompt) = prompt else {
+        // An engine that does not answer or has no room is noticed before the prompt is read.
+        let Some(target) = self.reserve(&decode, room, predicted).await else {
             return Step::Next;
         };
-        let target = match target {
-            Some(target) => target,
-            None => match self.next_decode(&prompt).await {
-                Some(target) => target,
-                None => return Step::Next,
-            },
-        };
-        self.run_decode(target, Some(prompt), predicted).await
+        match self.read_prompt(&prefill, predicted).await {
+            Some(prompt) => self.run_decode(target, Some(prompt), predicted).await,
+            None => Step::Next,
+        }
     }
 
     /// Records a send that failed.
--- a/crates/edge/src/model/place.rs
+++ b/crates/edge/src/model/place.rs
@@ -19,6 +19,13 @@
 /// Interval at which a waiting call looks for room if nothing wakes it: avoided engines return with
 /// time.
 const ROOM_POLL: Millis = Millis(50);
+/// Time within which the hosts that wait for room look for it after a change, for each of them. All
+/// at once would ask the same engine for the same room.
+const TURN_PER_HOST: Millis = Millis(2);
+/// Longest time until a host that waits looks for room.
+const MAX_TURN: Millis = Millis(40);
+/// Interval at which a call behind others looks whether it is first; the order changes with time.
+const QUEUE_POLL: Millis = Millis(100);
 /// Share of the time left that a caller honours of a Retry-After.
 const RETRY_AFTER_SHARE: u64 = 3;
 
@@ -34,10 +41,18 @@
 impl Drop for Waiter {
     fn drop(&mut self) {
         self.edge.state().queue.remove(self.ticket);
+        self.edge.queue_moved.notify_waiters();
         self.edge.use_changed();
     }
 }
 
+/// Result of looking for room.
+enum Try {
+    Placed(Box<(ModelPlan, Attempt)>),
+    NotFirst,
+    NoRoom,
+}
+
 impl ModelCall {
     /// Waits for room at a decode engine and takes it.
     pub(super) async fn place(&mut self) -> Result<(ModelPlan, Attempt), Failure> {
@@ -45,11 +60,20 @@
         let waiter = self.wait_in_queue()?;
         loop {
             let room = edge.room.notified();
-            if let Some(placed) = self.try_place(&waiter)? {
-                return Ok(placed);
+            let moved = edge.queue_moved.notified();
+            // Without a signal the polls look again.
+            match self.try_place(&waiter)? {
+                Try::Placed(placed) => return Ok(*placed),
+                Try::NotFirst => {
+                    let _ = tokio::time::timeout(QUEUE_POLL.duration(), moved).await;
+                }
+                Try::NoRoom => {
+                    let _ = tokio::time::timeout(ROOM_POLL.duration(), room).await;
+                    let waiting = edge.state().fleet.hosts_waiting() as u64;
+                    let turn = (TURN_PER_HOST.0 * waiting).min(MAX_TURN.0);
+                    tokio::time::sleep(Millis(fastrand::u64(..=turn)).duration()).await;
+                }
             }
-            // Without a signal the poll looks again.
-            let _ = tokio::time::timeout(ROOM_POLL.duration(), room).await;
         }
     }
 
@@ -100,7 +124,7 @@
         wait.max(USUAL_RETRY_AFTER).min(honoured)
     }
 
-    fn try_place(&self, waiter: &Waiter) -> Result<Option<(ModelPlan, Attempt)>, Failure> {
+    fn try_place(&self, waiter: &Waiter) -> Result<Try, Failure> {
         let now = self.edge.now();
         if now >= waiter.until {
             let retry_after = self.come_back(now, USUAL_RETRY_AFTER);
@@ -112,13 +136,13 @@
         let mut guard = self.edge.state();
         let state = &mut *guard;
         if state.queue.first(now) != Some(waiter.ticket) {
-            return Ok(None);
+            return Ok(Try::NotFirst);
         }
         let ask = self.ask(now);
         let entries = state.roster.of_service(now, &self.req.service);
         let plan = match state.fleet.place_model(now, ask, entries) {
             Ok(plan) => plan,
-            Err(Refused::NoRoom) => return Ok(None),
+            Err(Refused::NoRoom) => return Ok(Try::NoRoom),
             Err(Refused::NoServer) => {
                 return Err(self.ended(Refusal::NoBackend, USUAL_RETRY_AFTER));
             }
@@ -135,6 +159,7 @@
         let send = state.fleet.begin(now, &decode.id, work);
         let decode = decode.id.clone();
         drop(guard);
-        Ok(Some((plan, Attempt::begun(&self.edge, &decode, send))))
+        let attempt = Attempt::begun(&self.edge, &decode, send);
+        Ok(Try::Placed(Box::new((plan, attempt))))
     }
 }
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -29,6 +29,35 @@
     pub servers: Vec<(SmolStr, Bytes)>,
     /// Version of the store up to which changes of the servers are known.
     pub servers_version: Option<Version>,
+    /// Newest change of the configuration.
+    pub config_changed: Version,
+    /// Newest change of the servers.
+    pub servers_changed: Version,
+    /// Newest changes that other hosts know, of the configuration and of the servers.
+    pub heard: (Version, Version),
+}
+
+impl Known {
+    /// Whether other hosts know a newer change of a table than this one has read.
+    pub fn is_outpaced(&self, table: Table) -> bool {
+        let (version, heard) = match table {
+            Table::Config => (self.config_version, self.heard.0),
+            Table::Servers => (self.servers_version, self.heard.1),
+            Table::Hosts | Table::Terms => return false,
+        };
+        version.is_some_and(|version| version < heard)
+    }
+
+    /// Notes the newest changes that another host knows.
+    pub fn hear(&mut self, config: Version, servers: Version) {
+        self.heard = (self.heard.0.max(config), self.heard.1.max(servers));
+    }
+
+    fn note_changes(&mut self, rows: &Rows) {
+        for row in &rows.rows {
+            self.servers_changed = self.servers_changed.max(row.version);
+        }
+    }
 }
 
 /// All state behind the lock of the host.
@@ -41,6 +70,8 @@
     pub queue: Queue,
     pub hosts: Hosts,
     pub known: Known,
+    /// Tables whose last call failed.
+    failing: Vec<&'static str>,
     /// Sorted by service.
     budgets: Vec<(ServiceId, SharedBudget)>,
 }
@@ -54,10 +85,24 @@
             queue: Queue::default(),
             hosts: Hosts::default(),
             known: Known::default(),
+            failing: Vec::new(),
             budgets: Vec::new(),
         }
     }
 
+    /// Notes whether the last call for a table failed.
+    pub fn store_failed(&mut self, table: &'static str, failed: bool) {
+        self.failing.retain(|other| *other != table);
+        if failed {
+            self.failing.push(table);
+        }
+    }
+
+    /// Whether the last call for some table failed.
+    pub fn is_store_failing(&self) -> bool {
+        !self.failing.is_empty()
+    }
+
     /// Whether requests can be served.
     pub fn is_ready(&self) -> bool {
         self.in_force.table().is_some() && self.known.servers_version.is_some()
@@ -111,10 +156,12 @@
 
     /// Takes over rows of the configuration's table.
     pub fn apply_config(&mut self, now: Millis, rows: &Rows) -> Result<Offer, DecodeError> {
-        let body = rows
-            .get(Table::CONFIG_KEY)
-            .and_then(|row| row.value.clone());
-        let offer = match body {
+        let row = rows.get(Table::CONFIG_KEY);
+        if let Some(row) = row {
+            let changed = &mut self.known.config_changed;
+            *changed = row.version.max(*changed);
+        }
+        let offer = match row.and_then(|row| row.value.clone()) {
             Some(body) => self.offer_config(body)?,
             None => Offer::Same,
         };
@@ -150,6 +197,7 @@
         known.sort_by(|a, b| a.0.cmp(&b.0));
         self.known.servers = known;
         self.known.servers_version = Some(rows.version);
+        self.known.note_changes(rows);
         self.roster.replace(now, entries);
         self.forget(now);
         errors
@@ -157,6 +205,7 @@
 
     /// Takes over a changed row of the servers' table.
     pub fn change_server(&mut self, now: Millis, row: &Row) -> Result<Outcome, DecodeError> {
+        self.known.servers_changed = self.known.servers_changed.max(row.version);
         let found = self
             .known
             .servers
--- a/crates/edge/src/usage.rs
+++ b/crates/edge/src/usage.rs
@@ -7,7 +7,8 @@
 use std::sync::Arc;
 
 use bv_admit::{PeerUse, Use};
-use bv_types::{BackendId, HostId, Millis, Tokens};
+use bv_platform::Table;
+use bv_types::{BackendId, HostId, Millis, Tokens, Version};
 use prost::Message;
 use tokio::net::UdpSocket;
 use tracing::debug;
@@ -38,6 +39,12 @@
     waiting_tokens: u64,
     #[prost(string, repeated, tag = "6")]
     changing: Vec<String>,
+    /// Version of the newest change of the configuration that the sender knows.
+    #[prost(uint64, tag = "7")]
+    config_changed: u64,
+    /// The same for the servers.
+    #[prost(uint64, tag = "8")]
+    servers_changed: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -62,7 +69,7 @@
         let _ = tokio::time::timeout(REFRESH.duration(), change).await;
         tokio::time::sleep(COALESCE.duration()).await;
         let now = edge.now();
-        let (current, others) = {
+        let (current, others, changed) = {
             let mut state = edge.state();
             state.fleet.expire_peers(now);
             let others: Vec<SocketAddr> = state.hosts.others().to_vec();
@@ -71,7 +78,9 @@
                 waiting: state.queue.tokens(),
                 changing: state.fleet.changing(now),
             };
-            (current, others)
+            let known = &state.known;
+            let changed = (known.config_changed.0, known.servers_changed.0);
+            (current, others, changed)
         };
         if current == last && now < told_at + REFRESH {
             continue;
@@ -84,6 +93,8 @@
             uses: current.uses.iter().map(told_use).collect(),
             waiting_tokens: current.waiting.0,
             changing: current.changing.iter().map(BackendId::to_string).collect(),
+            config_changed: changed.0,
+            servers_changed: changed.1,
         };
         let datagram = told.encode_to_vec();
         for peer in others {
@@ -141,7 +152,15 @@
     };
     let order = (told.incarnation, told.sequence);
     let now = edge.now();
-    edge.state().fleet.hear(now, host, order, said);
+    let mut state = edge.state();
+    state.fleet.hear(now, host, order, said);
+    let known = &mut state.known;
+    known.hear(Version(told.config_changed), Version(told.servers_changed));
+    let is_outpaced = known.is_outpaced(Table::Config) || known.is_outpaced(Table::Servers);
+    drop(state);
+    if is_outpaced {
+        edge.news.notify_waiters();
+    }
     edge.room.notify_waiters();
     Ok(())
 }
--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -1,6 +1,7 @@
 //! Backend servers that may receive work, from rows that come late, out of order or damaged.
 
 mod entry;
+pub mod pace;
 mod roster;
 
 pub use entry::{Entry, Stage, State};
--- a/crates/route/src/route.rs
+++ b/crates/route/src/route.rs
@@ -96,6 +96,8 @@
     pub role_change: Millis,
     /// Time for which an engine keeps a prefill result that nobody takes.
     pub handle_ttl: Millis,
+    /// Longest time for which an engine reserves room before a request; none if it does not.
+    pub longest_hold: Option<Millis>,
 }
 
 /// One service.
