--- a/crates/admit/src/fleet.rs
+++ b/crates/admit/src/fleet.rs
@@ -106,16 +106,32 @@
 
     /// Records a send.
     pub fn begin(&mut self, now: Millis, id: &BackendId, work: Work) -> SendId {
+        let send = self.begin_asking(now, id, work);
+        self.confirm(id, send);
+        send
+    }
+
+    /// Records a send whose server is still asked for room. Other hosts are told once it is
+    /// confirmed.
+    pub fn begin_asking(&mut self, now: Millis, id: &BackendId, work: Work) -> SendId {
         self.next_send += 1;
         let send = SendId(self.next_send);
         self.server(id).sends.push(Send {
             id: send,
             at: now,
             work,
+            is_asking: true,
         });
         send
     }
 
+    /// Records that the server has room for a send.
+    pub fn confirm(&mut self, id: &BackendId, send: SendId) {
+        if let Some(send) = self.server(id).sends.iter_mut().find(|s| s.id == send) {
+            send.is_asking = false;
+        }
+    }
+
     /// Records a sign of progress of a send, such as an event of its stream, and that it needs at
     /// least this many tokens.
     pub fn progress(&mut self, now: Millis, id: &BackendId, send: SendId, tokens: Tokens) {
@@ -263,13 +279,19 @@
 
     /// What this host has in progress at servers that work by tokens.
     pub fn uses(&self) -> Vec<Use> {
-        let busy = self.servers.iter().filter(|s| s.own_tokens().0 > 0);
-        let uses = busy.map(|server| Use {
-            server: server.id.clone(),
-            requests: server.sends.len() as u32,
-            tokens: server.own_tokens(),
+        let uses = self.servers.iter().map(|server| {
+            let sends = server.sends.iter().filter(|send| !send.is_asking);
+            Use {
+                server: server.id.clone(),
+                requests: sends.clone().count() as u32,
+                tokens: Tokens(sends.map(|send| send.work.tokens.0).sum()),
+            }
         });
-        uses.collect()
+        uses.filter(|part| part.tokens.0 > 0).collect()
+    }
+
+    pub(crate) fn expected_peers(&self) -> usize {
+        self.expected_peers
     }
 
     pub(crate) fn all_heard(&self) -> bool {
@@ -299,7 +321,8 @@
     /// Forgets servers without work that `is_known` does not know.
     pub fn retain(&mut self, is_known: impl Fn(&BackendId) -> bool) {
         // Other hosts' work is subtracted again when they say that it has ended.
-        let is_busy = |s: &Server| !s.sends.is_empty() || s.peers.requests > 0.0;
+        let is_busy =
+            |s: &Server| !s.sends.is_empty() || s.peers.requests > 0.0 || s.peers.tokens > 0.0;
         self.servers
             .retain(|server| is_busy(server) || is_known(&server.id));
     }
--- a/crates/admit/src/model.rs
+++ b/crates/admit/src/model.rs
@@ -14,6 +14,14 @@
 /// Added where the KV cache crosses zones, in ms: the transfer takes twice as long and its price is
 /// up to three times as high.
 const CROSS_TRANSFER_MS: f64 = 40.0;
+/// Range of the random part of a choice, in ms: equal engines are chosen in turn.
+const CHOICE_NOISE_MS: f64 = 1.0;
+/// The same for each other host, and for each of them that waits for room. All hosts together would
+/// choose the same engine before they hear of each other's choice.
+const NOISE_PER_HOST_MS: f64 = 0.1;
+const NOISE_PER_WAITING_HOST_MS: f64 = 2.0;
+/// Largest range of the random part, in ms; more would ignore how full engines are.
+const MAX_NOISE_MS: f64 = 40.0;
 /// Added for each request in progress at a decode engine, in ms: each one slows the others' tokens.
 const SHARED_STEP_MS: f64 = 4.0;
 /// Share of an engine's memory that is planned. Requests are planned with their whole answer, so
@@ -263,12 +271,13 @@
         stage: Stage,
         cost: impl Fn(&Fleet, &Entry) -> Option<Cost>,
     ) -> Option<(Cost, &'a Entry)> {
+        let noise = self.choice_noise();
         let mut best: Option<(f64, Cost, &Entry)> = None;
         for entry in entries.iter().filter(|e| runs(e, stage)) {
             let Some(cost) = cost(self, entry) else {
                 continue;
             };
-            let score = cost.score() + self.rng.f64();
+            let score = cost.score() + self.rng.f64() * noise;
             if best.is_none_or(|(lowest, _, _)| score < lowest) {
                 best = Some((score, cost, entry));
             }
@@ -276,6 +285,13 @@
         best.map(|(_, cost, entry)| (cost, entry))
     }
 
+    /// Range of the random part of a choice, in ms.
+    fn choice_noise(&self) -> f64 {
+        let hosts = self.expected_peers() as f64 * NOISE_PER_HOST_MS;
+        let waiting = self.hosts_waiting() as f64 * NOISE_PER_WAITING_HOST_MS;
+        (CHOICE_NOISE_MS + hosts + waiting).min(MAX_NOISE_MS)
+    }
+
     fn direct_ms(&self, ask: &ModelAsk<'_>) -> f64 {
         ask.prompt.0 as f64 / self.prefill_per_ms(ask.service) * DIRECT_SLOWDOWN + DIRECT_PENALTY_MS
     }
--- a/crates/admit/src/server.rs
+++ b/crates/admit/src/server.rs
@@ -34,6 +34,8 @@
     /// Start, or the latest sign of progress.
     pub at: Millis,
     pub work: Work,
+    /// Whether the server has not said yet that it has room.
+    pub is_asking: bool,
 }
 
 #[derive(Debug, Clone)]
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -164,9 +164,8 @@
 }
 
 impl Attempt {
-    /// Takes a send over that was begun while the server was chosen.
+    /// Takes over a send that was begun while the server was chosen, and that is to be confirmed.
     pub fn begun(edge: &Arc<Edge>, server: &BackendId, send: SendId) -> Self {
-        edge.use_changed();
         Attempt {
             edge: edge.clone(),
             server: server.clone(),
@@ -184,6 +183,12 @@
         }
     }
 
+    /// Records that the server has room.
+    pub fn confirm(&self) {
+        self.edge.state().fleet.confirm(&self.server, self.send);
+        self.edge.own_use.notify_one();
+    }
+
     /// Records a sign of progress, and that the request needs at least this many tokens.
     pub fn progress(&self, tokens: Tokens) {
         let now = self.edge.now();
--- a/crates/edge/src/model/hold.rs
+++ b/crates/edge/src/model/hold.rs
@@ -98,6 +98,7 @@
             }
         };
         let Some(lasts) = self.hold_time(predicted) else {
+            room.confirm();
             return Some(Target {
                 engine: engine.clone(),
                 room,
@@ -143,6 +144,7 @@
                 return None;
             }
         };
+        room.confirm();
         let connection = match stays_open {
             true => Connection::Open(channel),
             false => Connection::Fresh,
--- a/crates/edge/src/model/mod.rs
+++ b/crates/edge/src/model/mod.rs
@@ -125,6 +125,7 @@
                     predicted,
                 } => self.run_split(prefill, decode, room, predicted).await,
                 ModelPlan::Direct { decode, predicted } => {
+                    room.confirm();
                     let target = Target {
                         engine: decode,
                         room,
--- a/crates/edge/src/model/place.rs
+++ b/crates/edge/src/model/place.rs
@@ -156,7 +156,7 @@
             tokens: self.planned,
             stuck_after: plan.predicted() + STALL,
         };
-        let send = state.fleet.begin(now, &decode.id, work);
+        let send = state.fleet.begin_asking(now, &decode.id, work);
         let decode = decode.id.clone();
         drop(guard);
         let attempt = Attempt::begun(&self.edge, &decode, send);
--- a/crates/edge/src/usage.rs
+++ b/crates/edge/src/usage.rs
@@ -19,6 +19,9 @@
 const REFRESH: Millis = Millis(500);
 /// Shortest time between two datagrams to a host.
 const COALESCE: Millis = Millis(8);
+/// The same for each other host, in microseconds: what a host sends and reads grows with the square
+/// of this number.
+const COALESCE_PER_HOST_US: u64 = 400;
 /// Largest datagram; room for some hundred engines.
 const MAX_DATAGRAM: usize = 16 << 10;
 /// Pause after a failed read of the socket.
@@ -67,7 +70,9 @@
         let change = edge.own_use.notified();
         // The refresh is only for lost datagrams.
         let _ = tokio::time::timeout(REFRESH.duration(), change).await;
-        tokio::time::sleep(COALESCE.duration()).await;
+        let hosts = edge.host_count() as u64;
+        let pause = COALESCE + Millis(hosts * COALESCE_PER_HOST_US / 1_000);
+        tokio::time::sleep(pause.duration()).await;
         let now = edge.now();
         let (current, others, changed) = {
             let mut state = edge.state();
