Let waiting hosts look for room in the order of their callers; soak; help of the platform command

Change: a host tells the first call of its queue, and asks only if more engines have room than hosts wait before it. The soak plays random, overlapping series of the lab's faults against real hosts.

--- a/crates/admit/src/fleet.rs
+++ b/crates/admit/src/fleet.rs
@@ -5,6 +5,7 @@
 
 use crate::health::Fault;
 use crate::peers::{PeerUse, Peers, Use};
+use crate::queue::Waiting;
 use crate::server::{Report, Send, Server};
 
 /// Names one send.
@@ -71,6 +72,8 @@
 /// Time for which an engine is left alone after a host said that it changes its role; the host says
 /// so twice a second.
 const CHANGE_HEARD: Millis = Millis(1_200);
+/// Time after which a waiting call moves one host forward in the order of all hosts.
+const TURN: Millis = Millis(100);
 /// Weight of the newest observation of a service's pace.
 const PACE_WEIGHT: f64 = 0.05;
 /// Weight of an observation that may be slow for another reason.
@@ -266,6 +269,14 @@
         }
     }
 
+    /// Other hosts whose waiting call goes before `own`. `first_for` is the time for which that call
+    /// has been the first of its host: it moves forward with time, as a host before it may have no
+    /// use for the room.
+    pub fn hosts_before(&self, now: Millis, own: &Waiting, first_for: Millis) -> usize {
+        let skipped = (first_for.0 / TURN.0) as usize;
+        self.peers.heads_before(now, own).saturating_sub(skipped)
+    }
+
     /// Other hosts that have calls waiting for room.
     pub fn hosts_waiting(&self) -> usize {
         let peers = self.peers.iter();
--- a/crates/admit/src/model.rs
+++ b/crates/admit/src/model.rs
@@ -51,6 +51,9 @@
     pub kv_capacity: Tokens,
     /// Time that is left for the first token.
     pub remaining: Millis,
+    /// Hosts whose waiting calls go before this one: as many engines with room are left to them.
+    /// Otherwise all hosts that wait would ask the same engine for the same room.
+    pub hosts_before: usize,
 }
 
 /// Where a model call runs.
@@ -148,7 +151,11 @@
             let cost = fleet.decode_cost(now, &ask, entry, None, view)?;
             Some(cost.plus(reading))
         });
-        let Some((direct_cost, direct_at)) = direct else {
+        let rooms = entries.iter().filter(|entry| {
+            runs(entry, Stage::Decode) && self.decode_cost(now, &ask, entry, None, view).is_some()
+        });
+        let is_turn = ask.hosts_before == 0 || rooms.count() > ask.hosts_before;
+        let Some((direct_cost, direct_at)) = direct.filter(|_| is_turn) else {
             let has_decode = entries.iter().any(|e| runs(e, Stage::Decode));
             return Err(match has_decode {
                 true => Refused::NoRoom,
--- a/crates/admit/src/peers.rs
+++ b/crates/admit/src/peers.rs
@@ -2,9 +2,14 @@
 
 use bv_types::{BackendId, HostId, Millis, Tokens};
 
+use crate::queue::{Waiting, rank};
+
 /// Time after which a host that is not heard no longer counts. Its streams end with its process, and
 /// a live host is heard twice a second.
 const PEER_LIFETIME: Millis = Millis(1_600);
+/// Time for which the waiting call of a host that is not heard again counts; a live host is heard
+/// twice a second.
+const HEAD_LIFETIME: Millis = Millis(700);
 
 /// Requests of one host at one engine.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -24,6 +29,8 @@
     pub uses: Vec<Use>,
     /// Tokens of the requests that wait for room.
     pub waiting: Tokens,
+    /// The call that gets the next room there, in times of the host that was told.
+    pub head: Option<Waiting>,
     /// Engines that change their role on an order of this host.
     pub changing: Vec<BackendId>,
 }
@@ -73,6 +80,15 @@
         silent.map(|peer| peer.said).collect()
     }
 
+    /// Hosts whose waiting call goes before `own`.
+    pub fn heads_before(&self, now: Millis, own: &Waiting) -> usize {
+        let heard = self.0.iter().filter(|p| now < p.heard + HEAD_LIFETIME);
+        let heads = heard.filter_map(|peer| peer.said.head);
+        heads
+            .filter(|head| rank(now, head) < rank(now, own))
+            .count()
+    }
+
     pub fn iter(&self) -> impl Iterator<Item = &Peer> {
         self.0.iter()
     }
--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -53,6 +53,12 @@
         best.map(|(ticket, _)| *ticket)
     }
 
+    /// The waiting call that gets the next room.
+    pub fn head(&self, now: Millis) -> Option<Waiting> {
+        let best = self.waiting.iter().min_by_key(|(_, w)| rank(now, w));
+        best.map(|(_, waiting)| *waiting)
+    }
+
     /// Tokens of the calls that go before this one.
     pub fn ahead(&self, now: Millis, ticket: Ticket) -> Tokens {
         let Some((_, own)) = self.waiting.iter().find(|(t, _)| *t == ticket) else {
@@ -82,7 +88,7 @@
     }
 }
 
-fn rank(now: Millis, waiting: &Waiting) -> (u8, bool, Millis) {
+pub(crate) fn rank(now: Millis, waiting: &Waiting) -> (u8, bool, Millis) {
     let is_late = now > waiting.on_time_until;
     (waiting.priority, is_late, waiting.arrived)
 }
--- a/crates/admit/tests/common/mod.rs
+++ b/crates/admit/tests/common/mod.rs
@@ -54,6 +54,7 @@
         prompt: Tokens(3_000),
         total: Tokens(4_000),
         kv_capacity: CAPACITY,
+        hosts_before: 0,
         remaining: Millis(14_000),
     }
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -26,4 +26,4 @@
 mod stop;
 mod usage;
 
-pub use run::{EdgeError, run};
+pub use run::{EdgeError, help, run};
--- a/crates/edge/src/logs.rs
+++ b/crates/edge/src/logs.rs
@@ -137,24 +137,27 @@
 
     /// A server answered that it is not the one that was meant.
     pub fn misdirected(&self, now: Millis, req: &CallerRequest, server: &BackendId) {
-        if self.take(now) {
-            info!(
-                id = %req.facts.request_id,
-                server = %server,
-                ms = (now - req.arrived).0,
-                "send: misdirected, the server's row is outdated"
-            );
-        }
+        self.note(
+            now,
+            req,
+            server,
+            "send: misdirected, the server's row is outdated",
+        );
     }
 
     /// An engine refused for lack of room.
     pub fn engine_full(&self, now: Millis, req: &CallerRequest, engine: &BackendId) {
+        self.note(now, req, engine, "engine: refused for lack of room");
+    }
+
+    /// A decision about a request at a server that needs no further inputs.
+    fn note(&self, now: Millis, req: &CallerRequest, server: &BackendId, what: &'static str) {
         if self.take(now) {
             info!(
                 id = %req.facts.request_id,
-                server = %engine,
+                server = %server,
                 ms = (now - req.arrived).0,
-                "engine: refused for lack of room"
+                "{what}"
             );
         }
     }
@@ -225,15 +228,8 @@
 
     /// A caller left a stream.
     pub fn caller_gone(&self, edge: &Edge, call: &ModelCall, server: &BackendId) {
-        let now = edge.now();
-        if self.take(now) {
-            info!(
-                id = %call.req.facts.request_id,
-                server = %server,
-                ms = (now - call.req.arrived).0,
-                "stream: caller gone, server's connection closed"
-            );
-        }
+        let what = "stream: caller gone, server's connection closed";
+        self.note(edge.now(), &call.req, server, what);
     }
 
     /// A stream goes on at another server.
--- a/crates/edge/src/model/mod.rs
+++ b/crates/edge/src/model/mod.rs
@@ -170,6 +170,7 @@
             total: self.planned,
             kv_capacity: capacity.unwrap_or(Tokens(u64::MAX)),
             remaining: self.req.remaining(now),
+            hosts_before: 0,
         }
     }
 
--- a/crates/edge/src/model/place.rs
+++ b/crates/edge/src/model/place.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use bv_admit::{ModelPlan, Refused, Ticket, Waiting, Work};
+use bv_admit::{ModelAsk, ModelPlan, Refused, Ticket, Waiting, Work};
 use bv_types::{Millis, Refusal, Tokens};
 
 use super::{MAX_SENDS, ModelCall, STALL};
@@ -34,6 +34,7 @@
 struct Waiter {
     edge: Arc<Edge>,
     ticket: Ticket,
+    waiting: Waiting,
     /// When waiting longer is of no use to the caller.
     until: Millis,
 }
@@ -58,11 +59,12 @@
     pub(super) async fn place(&mut self) -> Result<(ModelPlan, Attempt), Failure> {
         let edge = self.edge.clone();
         let waiter = self.wait_in_queue()?;
+        let mut first_since = None;
         loop {
             let room = edge.room.notified();
             let moved = edge.queue_moved.notified();
             // Without a signal the polls look again.
-            match self.try_place(&waiter)? {
+            match self.try_place(&waiter, &mut first_since)? {
                 Try::Placed(placed) => return Ok(*placed),
                 Try::NotFirst => {
                     let _ = tokio::time::timeout(QUEUE_POLL.duration(), moved).await;
@@ -109,6 +111,7 @@
         let waiter = Waiter {
             edge: self.edge.clone(),
             ticket,
+            waiting,
             until,
         };
         if now + wait > until {
@@ -124,7 +127,7 @@
         wait.max(USUAL_RETRY_AFTER).min(honoured)
     }
 
-    fn try_place(&self, waiter: &Waiter) -> Result<Try, Failure> {
+    fn try_place(&self, waiter: &Waiter, first_since: &mut Option<Millis>) -> Result<Try, Failure> {
         let now = self.edge.now();
         if now >= waiter.until {
             let retry_after = self.come_back(now, USUAL_RETRY_AFTER);
@@ -138,7 +141,12 @@
         if state.queue.first(now) != Some(waiter.ticket) {
             return Ok(Try::NotFirst);
         }
-        let ask = self.ask(now);
+        let first_for = now - *first_since.get_or_insert(now);
+        let fleet = &state.fleet;
+        let ask = ModelAsk {
+            hosts_before: fleet.hosts_before(now, &waiter.waiting, first_for),
+            ..self.ask(now)
+        };
         let entries = state.roster.of_service(now, &self.req.service);
         let plan = match state.fleet.place_model(now, ask, entries) {
             Ok(plan) => plan,
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -55,6 +55,16 @@
     Metrics(#[from] metrics_exporter_prometheus::BuildError),
 }
 
+/// Help text of the command.
+pub fn help() -> String {
+    format!(
+        "Usage: burdockvaled platform\n\n\
+         Runs an entry host on the users' platform. It takes no options: the path of the platform's\n\
+         settings file is in the environment variable {SETTINGS_VARIABLE}, and RUST_LOG sets which\n\
+         log lines are written (default info). See docs/platform.md and docs/OPERATIONS.md."
+    )
+}
+
 /// Runs the host until SIGTERM. Blocks the calling thread, which does all the work.
 ///
 /// # Errors
--- a/crates/edge/src/usage.rs
+++ b/crates/edge/src/usage.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use bv_admit::{PeerUse, Use};
+use bv_admit::{PeerUse, Use, Waiting};
 use bv_platform::Table;
 use bv_types::{BackendId, HostId, Millis, Tokens, Version};
 use prost::Message;
@@ -48,6 +48,23 @@
     /// The same for the servers.
     #[prost(uint64, tag = "8")]
     servers_changed: u64,
+    #[prost(message, optional, tag = "9")]
+    head: Option<ToldHead>,
+}
+
+/// The first call in the sender's queue. Times are told as differences, since clocks differ.
+#[derive(Clone, PartialEq, Message)]
+struct ToldHead {
+    #[prost(uint32, tag = "1")]
+    priority: u32,
+    /// Time since its arrival, in ms.
+    #[prost(uint64, tag = "2")]
+    age_ms: u64,
+    /// Time after its arrival by which it must be placed to be on time, in ms.
+    #[prost(uint64, tag = "3")]
+    on_time_ms: u64,
+    #[prost(uint64, tag = "4")]
+    tokens: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -81,6 +98,7 @@
             let current = PeerUse {
                 uses: state.fleet.uses(),
                 waiting: state.queue.tokens(),
+                head: state.queue.head(now),
                 changing: state.fleet.changing(now),
             };
             let known = &state.known;
@@ -100,6 +118,7 @@
             changing: current.changing.iter().map(BackendId::to_string).collect(),
             config_changed: changed.0,
             servers_changed: changed.1,
+            head: current.head.map(|head| told_head(now, head)),
         };
         let datagram = told.encode_to_vec();
         for peer in others {
@@ -120,6 +139,25 @@
     }
 }
 
+fn told_head(now: Millis, head: Waiting) -> ToldHead {
+    ToldHead {
+        priority: u32::from(head.priority),
+        age_ms: (now - head.arrived).0,
+        on_time_ms: (head.on_time_until - head.arrived).0,
+        tokens: head.tokens.0,
+    }
+}
+
+fn head_of(now: Millis, told: &ToldHead) -> Waiting {
+    let arrived = now - Millis(told.age_ms);
+    Waiting {
+        priority: u8::try_from(told.priority).unwrap_or(u8::MAX),
+        arrived,
+        on_time_until: arrived + Millis(told.on_time_ms),
+        tokens: Tokens(told.tokens),
+    }
+}
+
 /// Takes over what other hosts tell.
 pub(crate) async fn hear(edge: Arc<Edge>, socket: Arc<UdpSocket>) {
     let mut buf = vec![0; MAX_DATAGRAM];
@@ -150,13 +188,14 @@
         });
     }
     let changing: Result<Vec<BackendId>, _> = told.changing.iter().map(|id| id.parse()).collect();
+    let now = edge.now();
     let said = PeerUse {
+        head: told.head.as_ref().map(|head| head_of(now, head)),
         uses,
         waiting: Tokens(told.waiting_tokens),
         changing: changing?,
     };
     let order = (told.incarnation, told.sequence);
-    let now = edge.now();
     let mut state = edge.state();
     state.fleet.hear(now, host, order, said);
     let known = &mut state.known;
--- a/crates/lab/src/commands/mod.rs
+++ b/crates/lab/src/commands/mod.rs
@@ -2,6 +2,7 @@
 
 mod report;
 mod run;
+mod soak;
 
 use std::process::ExitCode;
 
@@ -10,6 +11,7 @@
 use crate::faults::FAULT_NOTE;
 pub use report::ReportRuns;
 pub use run::Run;
+pub use soak::Soak;
 
 /// Stand-ins, bounded load and measurement for burdockvale.
 #[derive(Debug, FromArgs)]
@@ -22,6 +24,7 @@
 #[argh(subcommand)]
 enum Command {
     Run(Run),
+    Soak(Soak),
     Report(ReportRuns),
 }
 
@@ -46,6 +49,7 @@
     pub fn run(self) -> miette::Result<ExitCode> {
         match self.command {
             Command::Run(run) => run.run(),
+            Command::Soak(soak) => soak.run(),
             Command::Report(report) => report.run(),
         }
     }
--- a/crates/lab/src/commands/report.rs
+++ b/crates/lab/src/commands/report.rs
@@ -7,7 +7,7 @@
 use miette::IntoDiagnostic;
 use serde_json::json;
 
-use crate::{Fault, LabError, RunSettings, Study, measure_until_signal, plot};
+use crate::{Fault, LabError, RunSettings, Study, measure_until_signal, plot, schedule};
 
 /// run each policy at each load, or read the outputs of earlier runs, and write report.json and
 /// report.svg. Exit status 1 if a promise was broken.
@@ -61,7 +61,8 @@
             for settings in self.runs() {
                 // A runtime of its own ends the stand-ins of the run before.
                 let runtime = tokio::runtime::Runtime::new().into_diagnostic()?;
-                let report = runtime.block_on(measure_until_signal(&settings))?;
+                let events = schedule(settings.seed, settings.length(), &settings.faults);
+                let report = runtime.block_on(measure_until_signal(&settings, events))?;
                 study.add(settings.report(&report));
             }
         }
--- a/crates/lab/src/commands/run.rs
+++ b/crates/lab/src/commands/run.rs
@@ -6,7 +6,7 @@
 use argh::FromArgs;
 use miette::IntoDiagnostic;
 
-use crate::{Fault, RunSettings, measure_until_signal};
+use crate::{Fault, RunSettings, measure_until_signal, schedule};
 
 /// run entry hosts under load against stand-ins and print a report; the last line of standard
 /// output is one JSON object. Exit status 1 if a promise was broken.
@@ -56,7 +56,8 @@
             burst: self.burst,
             faults: self.fault,
         };
-        let report = runtime.block_on(measure_until_signal(&settings))?;
+        let events = schedule(settings.seed, settings.length(), &settings.faults);
+        let report = runtime.block_on(measure_until_signal(&settings, events))?;
         println!("{}", report.summary());
         println!("{}", settings.report(&report));
         Ok(match report.violations() {
--- a/crates/lab/src/faults/mod.rs
+++ b/crates/lab/src/faults/mod.rs
@@ -3,6 +3,7 @@
 mod operators;
 mod rig;
 mod schedule;
+mod series;
 
 use std::str::FromStr;
 
@@ -10,6 +11,7 @@
 
 pub use rig::Rig;
 pub use schedule::{FaultEvent, schedule};
+pub use series::series;
 
 macro_rules! faults {
     ($($variant:ident = $name:literal, $help:literal;)*) => {
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -10,8 +10,8 @@
 use crate::deployment::CONFIG_KEY;
 use crate::monitor::Monitor;
 use crate::{
-    CallerFaults, Deployment, Fault, Fleet, LabError, Load, LoadSettings, Observer, Report, Rig,
-    schedule,
+    CallerFaults, Deployment, Fault, FaultEvent, Fleet, LabError, Load, LoadSettings, Observer,
+    Report, Rig, schedule,
 };
 
 /// Largest length of a run in seconds.
@@ -41,6 +41,11 @@
 }
 
 impl RunSettings {
+    /// Length of the load in seconds, within the limits.
+    pub fn length(&self) -> u64 {
+        self.seconds.clamp(1, MAX_SECONDS)
+    }
+
     /// The report of a run with these settings, as one JSON object.
     pub fn report(&self, report: &Report) -> Value {
         let mut value = report.value();
@@ -53,27 +58,42 @@
 ///
 /// # Errors
 /// Fails as [`measure`] does, or if a signal ended the run.
-pub async fn measure_until_signal(settings: &RunSettings) -> Result<Report, LabError> {
+pub async fn measure_until_signal(
+    settings: &RunSettings,
+    events: Vec<FaultEvent>,
+) -> Result<Report, LabError> {
     let mut interrupt = signal(SignalKind::interrupt()).map_err(LabError::Signal)?;
     let mut terminate = signal(SignalKind::terminate()).map_err(LabError::Signal)?;
     tokio::select! {
-        report = measure(settings) => report,
+        report = measure_events(settings, events) => report,
         _ = interrupt.recv() => Err(LabError::Interrupted),
         _ = terminate.recv() => Err(LabError::Interrupted),
     }
 }
 
-/// Runs the load and returns the report.
+/// Runs the load with the faults of the settings and returns the report.
 ///
 /// # Errors
 /// Fails if the stand-ins or entry hosts cannot be started.
 pub async fn measure(settings: &RunSettings) -> Result<Report, LabError> {
+    let events = schedule(settings.seed, settings.length(), &settings.faults);
+    measure_events(settings, events).await
+}
+
+/// Runs the load with these faults and returns the report.
+///
+/// # Errors
+/// Fails if the stand-ins or entry hosts cannot be started.
+pub async fn measure_events(
+    settings: &RunSettings,
+    events: Vec<FaultEvent>,
+) -> Result<Report, LabError> {
     let path = &settings.inventory;
     let text = std::fs::read_to_string(path).map_err(|source| LabError::Read {
         path: path.clone(),
         source,
     })?;
-    let seconds = settings.seconds.clamp(1, MAX_SECONDS);
+    let seconds = settings.length();
     let count = settings.hosts.clamp(1, MAX_HOSTS);
     let deployment = Arc::new(Deployment::start(&text).await?);
     let observer = Arc::new(Observer::default());
@@ -104,7 +124,6 @@
         observer: observer.clone(),
         faults: callers,
     });
-    let events = schedule(settings.seed, seconds, &settings.faults);
     let (offered, ()) = tokio::join!(load.run(&deployment.inventory), rig.run(events));
     let mut report = deployment.report(offered);
     report.held_after_gone = observer.held_after_gone();
--- /dev/null
+++ b/crates/lab/tests/fault_soak.rs
@@ -0,0 +1,46 @@
+//! A short soak in CI, and every seed that ever broke a promise.
+
+use std::path::Path;
+
+use bv_lab::commands::Soak;
+use bv_lab::{Fault, measure_events, series};
+
+/// Length of a soak here; longer ones are run by hand.
+const MINUTES: f64 = 0.5;
+
+async fn soak(seed: u64, minutes: f64) {
+    let mut settings = Soak { seed, minutes }.settings();
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    settings.inventory = root.join(&settings.inventory);
+    let events = series(seed, settings.length());
+    let report = measure_events(&settings, events).await.unwrap();
+    assert_eq!(report.violations(), 0, "seed {seed}: {}", report.summary());
+}
+
+/// Guards against promises that hold under one fault at a time only.
+#[tokio::test(flavor = "multi_thread")]
+async fn short_soak() {
+    soak(1, MINUTES).await;
+}
+
+/// Guards against a soak that plays the same few faults, or two that undo each other.
+#[test]
+fn varied_faults() {
+    let mut seen: Vec<&str> = Vec::new();
+    for seed in 0..50 {
+        let events = series(seed, 60);
+        assert_eq!(events, series(seed, 60));
+        assert!(events.len() >= 8, "seed {seed}: {} faults", events.len());
+        for event in &events {
+            let same = events.iter().filter(|other| other.fault == event.fault);
+            let overlapping = same.filter(|other| {
+                other.start < event.start + event.length && event.start < other.start + other.length
+            });
+            assert_eq!(overlapping.count(), 1, "seed {seed}: {:?}", event.fault);
+        }
+        seen.extend(events.iter().map(|event| event.fault.name()));
+    }
+    seen.sort_unstable();
+    seen.dedup();
+    assert_eq!(seen.len(), Fault::ALL.len());
+}
