Await joining engines before the first round of orders

Cause: 94 to 116 engines join within 4 s of the start; the first round of orders went out while a part of them was known, and the next one is possible 16 s later, in the middle of the first burst.

Change: while nothing is served, a change of the number of engines starts the observation again.

--- a/crates/lease/src/split.rs
+++ b/crates/lease/src/split.rs
@@ -45,6 +45,8 @@
 pub struct SplitWatch {
     /// The role that is short of engines, and since when.
     short: Option<(Role, Millis)>,
+    /// Engines at the last look.
+    engines: usize,
 }
 
 impl SplitWatch {
@@ -56,7 +58,13 @@
         cost: RequestCost,
         is_idle: bool,
     ) -> Option<(Role, usize)> {
-        let target = prefill_target(split.prefill + split.decode, cost);
+        let engines = split.prefill + split.decode;
+        if is_idle && engines != self.engines {
+            // Engines that join one by one are counted together: the next round comes much later.
+            self.short = None;
+        }
+        self.engines = engines;
+        let target = prefill_target(engines, cost);
         let apart = split.prefill.abs_diff(target);
         let is_lopsided = split.prefill == 0 || split.decode == 0;
         let tolerated = if is_idle || is_lopsided {
--- a/crates/lease/tests/order_rounds.rs
+++ b/crates/lease/tests/order_rounds.rs
@@ -56,6 +56,30 @@
     );
 }
 
+/// Guards against a first round for the few engines that have joined so far; the next one comes 16 s
+/// later.
+#[test]
+fn joining_engines_are_awaited() {
+    let mut watch = SplitWatch::default();
+    let split = |engines: usize| PoolSplit {
+        prefill: engines / 2,
+        decode: engines - engines / 2,
+    };
+    for (at, engines) in [(0, 20), (1_000, 50), (2_000, 90)] {
+        assert_eq!(watch.observe(Millis(at), split(engines), COST, true), None);
+    }
+    assert!(
+        watch
+            .observe(Millis(3_100), split(90), COST, true)
+            .is_none()
+    );
+    assert!(
+        watch
+            .observe(Millis(3_200), split(90), COST, true)
+            .is_some()
+    );
+}
+
 #[test]
 fn busy_pool_keeps_its_split() {
     let mut watch = SplitWatch::default();
