retry, edge: take the retries of a resumed stream together, before its prompt is read again

The host took a retry for the prompt, had it prefilled, and was then refused the retry for the tokens, so it ended the caller's stream right after a prompt was read for nothing. Change: bv_retry::ModelSends counts what the next sends need; SharedBudget::take_many takes all or none. The pair is taken before capacity is reserved; a call without a retry left ends at once instead of waiting in the queue for capacity. A retry paid for a decode whose prefill failed serves the next try.

--- a/crates/edge/src/model/decode.rs
+++ b/crates/edge/src/model/decode.rs
@@ -4,12 +4,12 @@
 use bv_platform::BackendHeaders;
 use bv_roster::Registration;
 use bv_route::Kind;
-use bv_types::{Millis, Refusal, ZoneId};
+use bv_types::{Millis, ZoneId};
 
 use super::prefill::PrefilledPrompt;
 use super::reservation::Reservation;
 use super::{MAX_PRIORITY, MAX_SENDS, ModelCall, OpenedStream, PlanResult, STALL_TIMEOUT};
-use crate::answer::{DEFAULT_RETRY_AFTER, Failure};
+use crate::answer::Failure;
 use crate::counters;
 use crate::edge::TrackedSend;
 use crate::plain::implies_not_run;
@@ -43,11 +43,11 @@
         let mut target = target;
         let mut prompt = prompt;
         loop {
-            if !self.count_send(self.delivered == 0) {
-                return PlanResult::Fail(
-                    self.final_failure(Refusal::RetryBudget, DEFAULT_RETRY_AFTER),
-                );
+            if !self.prepay(self.retries.missing_for_decode()) {
+                return PlanResult::Fail(self.no_retry_left());
             }
+            self.sends += 1;
+            self.retries.begin_decode();
             let result = self.send_decode(target, prompt.as_mut(), predicted).await;
             let (PlanResult::TryNextPlan, Some(prefilled)) = (&result, &prompt) else {
                 return result;
@@ -142,7 +142,7 @@
         }
         match sent {
             Ok(answer) if answer.facts.not_run => {
-                self.delivered += 1;
+                self.retries.decode_delivered();
                 if prompt.is_some() {
                     // The first prefill of a request takes no retry from the budget when it is
                     // sent. Its result is wasted now, so it is charged.
@@ -157,7 +157,7 @@
                 PlanResult::TryNextPlan
             }
             Ok(answer) => {
-                self.delivered += 1;
+                self.retries.decode_delivered();
                 self.runs += 1;
                 if let Some(prompt) = prompt {
                     prompt.consumed = true;
@@ -170,7 +170,7 @@
                 if let SendError::Unsent(_) = err {
                     return PlanResult::TryNextPlan;
                 }
-                self.delivered += 1;
+                self.retries.decode_delivered();
                 self.runs += 1;
                 if let Some(prompt) = prompt {
                     prompt.consumed = true;
--- a/crates/edge/src/model/mod.rs
+++ b/crates/edge/src/model/mod.rs
@@ -8,11 +8,12 @@
 use std::sync::Arc;
 
 use bv_admit::{ModelPlan, ModelRequest, SendOutcome, Work};
+use bv_retry::ModelSends;
 use bv_roster::Registration;
 use bv_types::{BackendId, Millis, Refusal, Tokens};
 
 use self::decode::DecodeTarget;
-use crate::answer::Failure;
+use crate::answer::{DEFAULT_RETRY_AFTER, Failure};
 use crate::counters;
 use crate::edge::{Edge, TrackedSend};
 use crate::request::CallerRequest;
@@ -42,10 +43,8 @@
     pub runs: u32,
     /// Number of sends of all kinds.
     sends: u32,
-    /// Number of sends to prefill engines.
-    prefills: u32,
-    /// Number of decode sends that reached an engine.
-    delivered: u32,
+    /// Sends that count towards the retry budget.
+    retries: ModelSends,
     /// Tokens of prompt and answer for which KV cache capacity is planned.
     planned_tokens: Tokens,
     /// Tokens in one event of the service's streams.
@@ -100,8 +99,7 @@
             tried: Vec::new(),
             runs: 0,
             sends: 0,
-            prefills: 0,
-            delivered: 0,
+            retries: ModelSends::default(),
             first_at: None,
             longest_pause: Millis::ZERO,
         }
@@ -126,6 +124,10 @@
     /// No engine can run it in time, or it may have run without an answer.
     pub async fn open(&mut self) -> Result<OpenedStream, Failure> {
         loop {
+            // A stream that cannot be resumed ends at once instead of waiting for capacity.
+            if self.retries.is_decode_repeat() && !self.may_retry() {
+                return Err(self.no_retry_left());
+            }
             let (plan, tracked_send) = self.place().await?;
             let result = match plan {
                 ModelPlan::Split {
@@ -201,17 +203,33 @@
         }
     }
 
-    /// Counts a send and, unless it is the first of its kind, takes a retry from the budget.
-    /// Returns false if the budget allows none.
-    fn count_send(&mut self, is_first: bool) -> bool {
-        self.sends += 1;
-        if is_first {
+    /// Whether the next decode is paid or the budget allows a retry.
+    fn may_retry(&self) -> bool {
+        let now = self.edge.now();
+        let limits = self.edge.budget_limits();
+        let mut state = self.edge.state();
+        self.retries.missing_for_decode() == 0 || state.allows_retry(now, &self.req.service, limits)
+    }
+
+    /// Takes the missing retries for the next sends from the budget, all or none. Returns false if
+    /// the budget does not allow all.
+    fn prepay(&mut self, missing: u32) -> bool {
+        if missing == 0 {
             return true;
         }
         let now = self.edge.now();
         let limits = self.edge.budget_limits();
         let mut state = self.edge.state();
-        state.take_retry(now, &self.req.service, limits)
+        let is_taken = state.take_retries(now, &self.req.service, limits, missing);
+        drop(state);
+        if is_taken {
+            self.retries.prepay(missing);
+        }
+        is_taken
+    }
+
+    fn no_retry_left(&self) -> Failure {
+        self.final_failure(Refusal::RetryBudget, DEFAULT_RETRY_AFTER)
     }
 
     async fn run_split(
@@ -221,6 +239,10 @@
         tracked_send: TrackedSend,
         predicted: Millis,
     ) -> PlanResult {
+        // Without a retry for the decode, the prompt would be prefilled in vain.
+        if !self.prepay(self.retries.missing_for_split()) {
+            return PlanResult::Fail(self.no_retry_left());
+        }
         // Reserving before the prefill detects a decode engine that does not answer or is full
         // before work is spent on the prompt.
         let Some(target) = self.reserve(&decode, tracked_send, predicted).await else {
--- a/crates/edge/src/model/prefill.rs
+++ b/crates/edge/src/model/prefill.rs
@@ -83,13 +83,10 @@
         engine: &Registration,
         predicted: Millis,
     ) -> Option<PrefilledPrompt> {
-        let is_first = self.prefills == 0;
-        self.prefills += 1;
+        self.sends += 1;
+        self.retries.begin_prefill();
         // The engine stays excluded unless the prefill succeeds.
         self.exclude(&engine.id);
-        if !self.count_send(is_first) {
-            return None;
-        }
         let began = self.edge.now();
         let was_idle = self.edge.state().fleet.own_sends(&engine.id) == 0;
         let tokens = self.prompt();
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -119,8 +119,19 @@
 
     /// Takes one retry for a service from this host's share of the budget.
     pub fn take_retry(&mut self, now: Millis, service: &ServiceId, limits: BudgetLimits) -> bool {
+        self.take_retries(now, service, limits, 1)
+    }
+
+    /// Takes `count` retries for a service from this host's share of the budget, or none of them.
+    pub fn take_retries(
+        &mut self,
+        now: Millis,
+        service: &ServiceId,
+        limits: BudgetLimits,
+        count: u32,
+    ) -> bool {
         let (limits, hosts) = self.own_share(limits);
-        self.budget(service).take(now, limits, hosts)
+        self.budget(service).take_many(now, limits, hosts, count)
     }
 
     /// Charges a retry that was made without taking it from the budget first, such as a wasted
--- a/crates/retry/src/lib.rs
+++ b/crates/retry/src/lib.rs
@@ -24,9 +24,11 @@
 mod backoff;
 mod budget;
 mod ejection;
+mod model_sends;
 mod shared;
 
 pub use backoff::Backoff;
 pub use budget::Budget;
 pub use ejection::{Ejection, Outcome};
+pub use model_sends::ModelSends;
 pub use shared::{BudgetLimits, SharedBudget};
--- a/crates/retry/src/shared.rs
+++ b/crates/retry/src/shared.rs
@@ -43,19 +43,35 @@
 
     /// Whether the budget of this host, one of `hosts`, allows another retry.
     pub fn allows(&mut self, now: Millis, limits: BudgetLimits, hosts: usize) -> bool {
+        self.allows_many(now, limits, hosts, 1)
+    }
+
+    fn allows_many(&mut self, now: Millis, limits: BudgetLimits, hosts: usize, count: u32) -> bool {
         self.current_bucket(now, limits);
         let requests: u32 = self.in_window(now, limits.window).map(|b| b.requests).sum();
         let retries: u32 = self.buckets.iter().map(|b| b.retries).sum();
         let allowed = limits.ratio * f64::from(requests) + limits.extra / hosts.max(1) as f64;
-        f64::from(retries) + 1.0 <= allowed
+        f64::from(retries) + f64::from(count) <= allowed
     }
 
     /// Takes one retry from the budget of this host, one of `hosts`; returns whether the budget
     /// allows it.
     pub fn take(&mut self, now: Millis, limits: BudgetLimits, hosts: usize) -> bool {
-        let allowed = self.allows(now, limits, hosts);
+        self.take_many(now, limits, hosts, 1)
+    }
+
+    /// Takes `count` retries from the budget of this host, one of `hosts`, or none of them; returns
+    /// whether the budget allows all.
+    pub fn take_many(
+        &mut self,
+        now: Millis,
+        limits: BudgetLimits,
+        hosts: usize,
+        count: u32,
+    ) -> bool {
+        let allowed = self.allows_many(now, limits, hosts, count);
         if allowed {
-            self.current_bucket(now, limits).retries += 1;
+            self.current_bucket(now, limits).retries += count;
         }
         allowed
     }
