edge: send the role orders of a term at the same time

Cause: the orders of a round were sent one after the other, each with a connection and an answer (10 to 20 ms between zones), within a send window of 600 ms. A pool of 204 engines needs 38 orders at its start, so the last ones were not sent, and the next round is possible only 16 s later. Change: up to 32 orders at a time; each still checks the window before it is sent.

--- a/crates/edge/src/roles.rs
+++ b/crates/edge/src/roles.rs
@@ -10,6 +10,7 @@
 use bv_platform::{StoreError, Table, decode_term, role_order};
 use bv_roster::{Registration, Stage};
 use bv_types::{Millis, ServiceId, Version};
+use futures_util::future::join_all;
 use http::{StatusCode, header};
 use tracing::{info, warn};
 
@@ -24,6 +25,8 @@
 const ATTEMPT_PAUSE: Millis = Millis(4_000);
 /// Timeout of an order to an engine.
 const ORDER_TIMEOUT: Millis = Millis(500);
+/// Orders that are sent at once.
+const CONCURRENT_ORDERS: usize = 32;
 /// Time added to the configured duration of a role change, during which the engine gets neither
 /// work nor another order.
 const CHANGE_MARGIN: Millis = Millis(500);
@@ -133,21 +136,41 @@
     {
         return Ok(());
     }
-    for engine in &change.engines {
-        // No order is sent after the send window of the term, even if the process was paused
-        // in between.
-        if edge.now() >= term_requested_at + TERM_SEND_WINDOW {
-            warn!(
-                fence = term.fence.0,
-                "roles: the time for orders of this term is over, remaining orders not sent"
-            );
-            break;
-        }
-        order_role_change(edge, engine, change, &term).await;
+    let send_until = term_requested_at + TERM_SEND_WINDOW;
+    // One order after the other would take longer than the send window with many engines.
+    let mut sent = Vec::new();
+    for engines in change.engines.chunks(CONCURRENT_ORDERS) {
+        let orders = engines
+            .iter()
+            .map(|engine| order_in_time(edge, engine, change, &term, send_until));
+        sent.extend(join_all(orders).await);
+    }
+    let unsent = sent.iter().filter(|sent| !**sent).count();
+    if unsent > 0 {
+        warn!(
+            fence = term.fence.0,
+            unsent, "roles: the time for orders of this term is over, remaining orders not sent"
+        );
     }
     Ok(())
 }
 
+/// Sends an order unless the send window of the term is over; the process may have been paused in
+/// between. Returns whether it was sent.
+async fn order_in_time(
+    edge: &Edge,
+    engine: &Registration,
+    change: &RoleChange,
+    term: &Term,
+    send_until: Millis,
+) -> bool {
+    let is_in_time = edge.now() < send_until;
+    if is_in_time {
+        order_role_change(edge, engine, change, term).await;
+    }
+    is_in_time
+}
+
 async fn order_role_change(edge: &Edge, engine: &Registration, change: &RoleChange, term: &Term) {
     let until = edge.now() + change.duration + CHANGE_MARGIN;
     edge.state().fleet.record_role_change(&engine.id, until);
