edge, roster: one reader of the store in each zone, the other hosts follow it

Cause: every host followed both tables by its own long polls and read all changes itself, so the store calls of all hosts grew with their number; while the store was away, each host called it every 120 to 240 ms. Besides, a long poll was confirmed at its start, so healthy hosts took their configuration for old and asked peers every 300 ms; and before the first configuration each host read the table every 120 ms, while every registration of a server was read at once by every host. Change: with more than 15 hosts, bv_roster::SourceChoice derives one reader for each zone by rendezvous hashing; the others hold a long poll at a reader and get only what changed (bv_roster::RowLog), the list of hosts included. A host whose sources fail reads the store itself, with pauses that double. Changes are followed from 1.6 s after the start. Only readers change roles. A configuration row that cannot be read is no longer read again without a pause, and a wrong version in a datagram no longer causes a call each 300 ms.

--- a/crates/edge/src/counters.rs
+++ b/crates/edge/src/counters.rs
@@ -14,6 +14,7 @@
 const LATENCY: &str = "burdockvale_latency_seconds";
 const STORE_CALLS: &str = "burdockvale_store_calls_total";
 const PEER_CALLS: &str = "burdockvale_peer_calls_total";
+const ROW_SOURCES: &str = "burdockvale_row_source_changes_total";
 const BAD_ROWS: &str = "burdockvale_unreadable_rows_total";
 const CONFIG_VERSION: &str = "burdockvale_config_version";
 const SERVERS: &str = "burdockvale_backend_servers";
@@ -39,6 +40,10 @@
     describe_histogram!(LATENCY, "Time to the answer or to the first event.");
     describe_counter!(STORE_CALLS, "Calls of the store, by table and result.");
     describe_counter!(PEER_CALLS, "Questions to other hosts, by result.");
+    describe_counter!(
+        ROW_SOURCES,
+        "Changes of the source of the store's rows, by new source."
+    );
     describe_counter!(BAD_ROWS, "Rows of the store that cannot be read, by table.");
     describe_gauge!(CONFIG_VERSION, "Version of the configuration in force.");
     describe_gauge!(SERVERS, "Backend servers that may receive work.");
@@ -80,6 +85,10 @@
     counter!(PEER_CALLS, "result" => if ok { "ok" } else { "failed" }).increment(1);
 }
 
+pub(crate) fn row_source(source: &'static str) {
+    counter!(ROW_SOURCES, "source" => source).increment(1);
+}
+
 pub(crate) fn unreadable_row(table: &'static str) {
     counter!(BAD_ROWS, "table" => table).increment(1);
 }
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -6,8 +6,9 @@
 use bv_admit::{SendId, SendOutcome, Work};
 use bv_platform::{PlatformSettings, StoreClient};
 use bv_retry::BudgetLimits;
+use bv_roster::HostEntry;
 use bv_types::{BackendId, Clock, Millis, Tokens};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 use crate::logs::LogBudget;
 use crate::send::ConnectionPool;
@@ -23,6 +24,8 @@
 pub(crate) struct Edge {
     pub settings: PlatformSettings,
     pub clock: Clock,
+    /// Start of the process.
+    pub started_at: Millis,
     pub store: StoreClient,
     pub pool: ConnectionPool,
     pub logs: LogBudget,
@@ -32,6 +35,10 @@
     pub queue_changed: Notify,
     /// Notified when another host reports a newer version of a table than this host has.
     pub newer_version_reported: Notify,
+    /// Notified when this host learns of changed rows, which other hosts may wait for.
+    pub rows_changed: Notify,
+    /// Whether this host reads the tables of the store itself.
+    reads_store: watch::Sender<bool>,
     /// Notified when the load that this host reports to the others changes.
     pub own_load_changed: Notify,
     state: Mutex<State>,
@@ -48,6 +55,7 @@
         let state = Mutex::new(State::new(fastrand::u64(..)));
         Edge {
             logs: LogBudget::new(clock.now()),
+            started_at: clock.now(),
             settings,
             clock,
             store,
@@ -57,6 +65,8 @@
             own_load_changed: Notify::new(),
             queue_changed: Notify::new(),
             newer_version_reported: Notify::new(),
+            rows_changed: Notify::new(),
+            reads_store: watch::Sender::new(true),
             stopping_since: AtomicU64::new(0),
             in_progress: AtomicUsize::new(0),
             connections: AtomicUsize::new(0),
@@ -78,6 +88,32 @@
         self.state().hosts.count().unwrap_or(1)
     }
 
+    /// This host as an entry of the list of hosts.
+    pub fn own_entry(&self) -> HostEntry {
+        HostEntry {
+            id: self.settings.host.clone(),
+            zone: Some(self.settings.zone.clone()),
+            addr: self.settings.peer_addr(),
+        }
+    }
+
+    /// Sets whether this host reads the tables of the store itself; returns whether that changed.
+    pub fn set_reads_store(&self, reads: bool) -> bool {
+        self.reads_store
+            .send_if_modified(|current| std::mem::replace(current, reads) != reads)
+    }
+
+    pub fn reads_store(&self) -> bool {
+        *self.reads_store.borrow()
+    }
+
+    /// Waits until this host does, or does not, read the tables of the store itself.
+    pub async fn wait_for_reads_store(&self, reads: bool) {
+        let mut rx = self.reads_store.subscribe();
+        // The sender is a field of this struct, so it is not closed.
+        let _ = rx.wait_for(|current| *current == reads).await;
+    }
+
     pub fn budget_limits(&self) -> BudgetLimits {
         BudgetLimits {
             ratio: self.settings.retry_ratio,
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -15,9 +15,11 @@
 /// Time for which other hosts may have a newer version before the call that waits for changes is
 /// made again: its connection may be dead.
 const PEER_VERSION_GRACE: Millis = Millis(300);
-/// Minimum pause after a failed call. A random extra of up to the same time keeps hosts from
-/// calling at once.
-const FAILURE_PAUSE: Millis = Millis(120);
+/// Pause between two reads of the configuration before the operator wrote the first one.
+const NO_CONFIG_PAUSE: Millis = Millis(400);
+/// Time after the start of the process from which on changes are followed. By then the list of hosts
+/// says whether this host does so itself, and servers that start together have registered.
+const SETTLE_TIME: Millis = Millis(1_600);
 /// Time without an answer of the store after which other hosts are queried.
 const PEER_QUERY_DELAY: Millis = Millis(500);
 /// Time between two queries to other hosts.
@@ -25,6 +27,8 @@
 /// Minimum time without an answer of the store that counts as an outage. Rows may have expired
 /// during it, so their servers get a grace period when the store answers again.
 const OUTAGE_THRESHOLD: Millis = Millis(1_500);
+/// Interval at which a host that does not read the store checks whether its own row is due.
+const ROW_CHECK_INTERVAL: Millis = Millis(2_000);
 /// First intervals between two exchanges of host rows; short, so that hosts that start together
 /// find each other within the first seconds.
 const FIRST_HOST_INTERVALS: [Millis; 3] = [Millis(1_500), Millis(2_500), Millis(4_000)];
@@ -34,6 +38,8 @@
 struct StoreHealth {
     table: &'static str,
     failing_since: Option<Millis>,
+    /// Failed calls since the last answer.
+    failures: u32,
     last_answer: Millis,
 }
 
@@ -42,14 +48,28 @@
         StoreHealth {
             table,
             failing_since: None,
+            failures: 0,
             last_answer: now,
         }
     }
 
+    /// Waits until this host reads the store itself. Returns true if it did not before; the time
+    /// without calls is no outage then.
+    async fn wait_for_turn(&mut self, edge: &Edge) -> bool {
+        if edge.reads_store() {
+            return false;
+        }
+        edge.state().set_store_failing(self.table, false);
+        edge.wait_for_reads_store(true).await;
+        *self = StoreHealth::new(self.table, edge.now());
+        true
+    }
+
     /// Records an answer; returns true if it ends an outage.
     fn record_answer(&mut self, edge: &Edge, now: Millis) -> bool {
         edge.state().set_store_failing(self.table, false);
         counters::store_call(self.table, true);
+        self.failures = 0;
         let was_failing = self.failing_since.take();
         if let Some(since) = was_failing {
             let down_ms = (now - since).0;
@@ -61,14 +81,14 @@
     }
 
     /// Records an answer whose rows are older than those already known, and pauses.
-    async fn record_outdated_and_pause(&mut self, rows: &Rows) {
+    async fn record_outdated_and_pause(&mut self, edge: &Edge, rows: &Rows) {
         counters::store_call(self.table, false);
         warn!(
             table = self.table,
             version = rows.version.0,
             "store: rows are outdated"
         );
-        pause_after_failure().await;
+        self.pause_after_failure(edge).await;
     }
 
     /// Records a failed call, and pauses.
@@ -80,22 +100,87 @@
             self.failing_since = Some(now);
             warn!(table = self.table, error = %err, "store: call failed");
         }
-        pause_after_failure().await;
+        self.pause_after_failure(edge).await;
+    }
+
+    /// Pauses; a random extra of up to the same time keeps hosts from calling at once.
+    async fn pause_after_failure(&mut self, edge: &Edge) {
+        self.failures = self.failures.saturating_add(1);
+        let is_reader = edge.state().sources.is_reader();
+        let pause = store_intervals::failure_pause(is_reader, self.failures);
+        let pause = Millis(pause.0 + fastrand::u64(..=pause.0));
+        tokio::select! {
+            () = tokio::time::sleep(pause.duration()) => {}
+            () = edge.wait_for_reads_store(false) => {}
+        }
     }
 }
 
-async fn pause_after_failure() {
-    let pause = FAILURE_PAUSE.0 + fastrand::u64(..=FAILURE_PAUSE.0);
-    tokio::time::sleep(Millis(pause).duration()).await;
+/// What a call for the rows of a table brought.
+struct Reading {
+    rows: Rows,
+    /// Time at which the store had no newer version.
+    confirmed_at: Millis,
+    /// Whether `rows` is the whole table.
+    is_whole: bool,
+}
+
+/// Reads the whole table, or waits for changes after a version. Completes with `None` when another
+/// host provides the rows meanwhile.
+async fn read(
+    edge: &Edge,
+    table: Table,
+    after: Option<Version>,
+) -> Option<Result<Reading, StoreError>> {
+    let reading = async {
+        match after {
+            Some(version) => {
+                let settles_in = (edge.started_at + SETTLE_TIME) - edge.now();
+                tokio::time::sleep(settles_in.duration()).await;
+                wait_for_changes(edge, table, version).await
+            }
+            None => {
+                let began = edge.now();
+                let rows = edge.store.read_all(table).await?;
+                Ok(Reading {
+                    rows,
+                    confirmed_at: began,
+                    is_whole: true,
+                })
+            }
+        }
+    };
+    tokio::select! {
+        result = reading => {
+            if let Ok(reading) = &result {
+                let mut state = edge.state();
+                state.observe_store_time(edge.now(), reading.rows.store_time);
+                state.known.cap_reported(table, reading.rows.version);
+            }
+            Some(result)
+        }
+        () = edge.wait_for_reads_store(false) => None,
+    }
 }
 
 /// Waits for changes of a table. The call is made again when other hosts have had a newer version
 /// for [`PEER_VERSION_GRACE`].
-async fn wait_for_changes(edge: &Edge, table: Table, after: Version) -> Result<Rows, StoreError> {
+async fn wait_for_changes(
+    edge: &Edge,
+    table: Table,
+    after: Version,
+) -> Result<Reading, StoreError> {
+    let wait = store_intervals::change_wait(edge.host_count());
     loop {
-        let wait = store_intervals::change_wait(edge.host_count());
+        let began = edge.now();
         tokio::select! {
-            result = edge.store.changes(table, after, wait) => return result,
+            result = edge.store.changes(table, after, wait) => {
+                let rows = result?;
+                // The store held an answer without rows for the whole wait.
+                let was_held = rows.rows.is_empty() && edge.now() - began >= wait;
+                let confirmed_at = if was_held { began + wait } else { began };
+                return Ok(Reading { rows, confirmed_at, is_whole: false });
+            }
             () = wait_until_behind(edge, table) => {}
         }
         counters::store_call(table_name(table), false);
@@ -117,7 +202,7 @@
 }
 
 /// Completes when other hosts have had a newer version of a table for [`PEER_VERSION_GRACE`].
-async fn wait_until_behind(edge: &Edge, table: Table) {
+pub(crate) async fn wait_until_behind(edge: &Edge, table: Table) {
     loop {
         let reported = edge.newer_version_reported.notified();
         if edge.state().known.is_behind(table) {
@@ -145,23 +230,21 @@
     let mut health = StoreHealth::new("config", edge.now());
     let mut reread = true;
     loop {
+        reread |= health.wait_for_turn(&edge).await;
         let after = edge.state().known.config_read_up_to.filter(|_| !reread);
-        let began = edge.now();
-        let result = match after {
-            Some(version) => wait_for_changes(&edge, Table::Config, version).await,
-            None => edge.store.read_all(Table::Config).await,
+        let Some(result) = read(&edge, Table::Config, after).await else {
+            continue;
         };
-        let now = edge.now();
         match result {
-            Ok(rows) if is_outdated(edge.state().known.config_read_up_to, &rows) => {
-                health.record_outdated_and_pause(&rows).await;
+            Ok(reading) if is_outdated(edge.state().known.config_read_up_to, &reading.rows) => {
+                health.record_outdated_and_pause(&edge, &reading.rows).await;
             }
-            Ok(rows) => {
-                health.record_answer(&edge, now);
+            Ok(reading) => {
+                health.record_answer(&edge, edge.now());
                 reread = false;
-                // The store had no newer version when it answered, so the time at which the call
-                // began is a safe confirmation time.
-                let applied = edge.state().apply_config(began, &rows);
+                let applied = edge
+                    .state()
+                    .apply_config(reading.confirmed_at, &reading.rows);
                 match applied {
                     Ok(result) => log_applied_config(&edge, result, "store"),
                     Err(err) => {
@@ -169,8 +252,11 @@
                         warn!(error = %err, "configuration: unreadable row ignored");
                     }
                 }
+                if !reading.rows.rows.is_empty() {
+                    edge.rows_changed.notify_waiters();
+                }
                 if edge.state().in_force.table().is_none() {
-                    tokio::time::sleep(FAILURE_PAUSE.duration()).await;
+                    tokio::time::sleep(NO_CONFIG_PAUSE.duration()).await;
                 }
             }
             Err(StoreError::HistoryGone) => {
@@ -207,14 +293,14 @@
     let mut health = StoreHealth::new("servers", edge.now());
     let mut reread = true;
     loop {
+        reread |= health.wait_for_turn(&edge).await;
         let after = edge.state().known.servers_read_up_to.filter(|_| !reread);
-        let result = match after {
-            Some(version) => wait_for_changes(&edge, Table::Servers, version).await,
-            None => edge.store.read_all(Table::Servers).await,
+        let Some(result) = read(&edge, Table::Servers, after).await else {
+            continue;
         };
         let now = edge.now();
-        let rows = match result {
-            Ok(rows) => rows,
+        let reading = match result {
+            Ok(reading) => reading,
             Err(StoreError::HistoryGone) => {
                 info!("servers: the store has lost its history, reading the whole table");
                 reread = true;
@@ -226,57 +312,61 @@
                 continue;
             }
         };
-        if is_outdated(edge.state().known.servers_read_up_to, &rows) {
-            health.record_outdated_and_pause(&rows).await;
+        let rows = &reading.rows;
+        if is_outdated(edge.state().known.servers_read_up_to, rows) {
+            health.record_outdated_and_pause(&edge, rows).await;
             continue;
         }
         if health.record_answer(&edge, now) {
             edge.state().roster.store_recovered(now);
         }
-        let mut errors = Vec::new();
-        {
+        reread = false;
+        let errors = {
             let mut state = edge.state();
-            if after.is_none() {
-                errors = state.replace_servers(now, &rows);
-                reread = false;
-            } else {
-                for row in &rows.rows {
-                    match state.change_server(now, row) {
-                        Ok(bv_roster::RowEffect::Unchanged | bv_roster::RowEffect::Stale) => {}
-                        Ok(outcome) => info!(
-                            server = %row.key,
-                            version = row.version.0,
-                            outcome = ?outcome,
-                            "servers: changed"
-                        ),
-                        Err(err) => errors.push(err),
-                    }
-                }
-                state.known.servers_read_up_to = Some(rows.version);
-                state.forget(now);
-            }
+            let errors = match reading.is_whole {
+                true => state.replace_servers(now, rows),
+                false => state.change_servers(now, &rows.rows, rows.version),
+            };
             counters::servers(state.roster.usable_count(now));
-        }
+            errors
+        };
         for err in errors {
             counters::unreadable_row("servers");
             warn!(error = %err, "servers: unreadable row ignored");
         }
-        if after.is_some() && !rows.rows.is_empty() {
-            let pause = store_intervals::change_pause(edge.host_count());
-            tokio::time::sleep(pause.duration()).await;
+        if !rows.rows.is_empty() {
+            edge.rows_changed.notify_waiters();
+        }
+        if !reading.is_whole && !rows.rows.is_empty() {
+            tokio::time::sleep(store_intervals::CHANGE_PAUSE.duration()).await;
         }
     }
 }
 
-/// Writes this host's row and reads those of the other hosts.
-pub(crate) async fn hosts(edge: Arc<Edge>, peer_addr: std::net::SocketAddr) {
+/// Writes this host's row and, unless another host provides them, reads those of the other hosts.
+pub(crate) async fn hosts(edge: Arc<Edge>) {
     let mut health = StoreHealth::new("hosts", edge.now());
     let mut intervals = FIRST_HOST_INTERVALS.into_iter();
+    let mut row_due = Millis::ZERO;
     loop {
-        match exchange_hosts(&edge, peer_addr).await {
+        let now = edge.now();
+        let store_time = edge.state().store_time(now);
+        let result = match store_time {
+            Some(_) if !edge.reads_store() && now < row_due => {
+                let pause = ROW_CHECK_INTERVAL.min(row_due - now);
+                tokio::time::sleep(pause.duration()).await;
+                continue;
+            }
+            Some(store_time) if !edge.reads_store() => write_own_row(&edge, store_time).await,
+            _ => exchange_hosts(&edge).await,
+        };
+        match result {
             Ok(()) => {
                 health.record_answer(&edge, edge.now());
                 let usual = store_intervals::row_interval(edge.host_count());
+                // Hosts that start together do not write together.
+                let usual = Millis(usual.0 - fastrand::u64(..=usual.0 / 5));
+                row_due = edge.now() + usual;
                 let interval = intervals.next().unwrap_or(usual);
                 tokio::time::sleep(interval.duration()).await;
             }
@@ -290,40 +380,52 @@
     }
 }
 
-async fn exchange_hosts(edge: &Edge, peer_addr: std::net::SocketAddr) -> Result<(), StoreError> {
-    let own = &edge.settings.host;
-    let before = edge.store.read_all(Table::Hosts).await?;
+async fn write_own_row(edge: &Edge, store_time: Millis) -> Result<(), StoreError> {
     let row = HostRow {
-        peer_addr,
-        written_at: before.store_time,
+        peer_addr: edge.settings.peer_addr(),
+        zone: Some(edge.settings.zone.clone()),
+        written_at: store_time,
     };
+    edge.store
+        .write_host(edge.settings.host.as_str(), &row)
+        .await
+}
+
+async fn exchange_hosts(edge: &Edge) -> Result<(), StoreError> {
+    let own = edge.own_entry();
+    let before = edge.store.read_all(Table::Hosts).await?;
     // The first rounds only look for other hosts; the row is written again after half of the usual
     // interval.
     let fresh_until = store_intervals::row_interval(before.rows.len()).0 / 2;
-    let written = before.get(own.as_str()).and_then(|row| row.value.as_ref());
+    let written = before
+        .get(own.id.as_str())
+        .and_then(|row| row.value.as_ref());
     let is_fresh = written
         .and_then(|body| HostRow::decode(body).ok())
         .is_some_and(|known| {
-            known.peer_addr == peer_addr && (before.store_time - known.written_at).0 < fresh_until
+            known.peer_addr == own.addr && (before.store_time - known.written_at).0 < fresh_until
         });
     if !is_fresh {
-        edge.store.write_host(own.as_str(), &row).await?;
+        write_own_row(edge, before.store_time).await?;
     }
-    let hosts = Hosts::read(own, &before);
+    let now = edge.now();
     let mut state = edge.state();
-    if hosts.count() != state.hosts.count() {
-        info!(count = hosts.count(), "hosts: changed");
-    }
-    state.fleet.expect_peers(hosts.others().len());
-    state.hosts = hosts;
+    state.observe_store_time(now, before.store_time);
+    state.set_hosts(&own, Hosts::read(&own, &before));
+    drop(state);
+    edge.rows_changed.notify_waiters();
     Ok(())
 }
 
-/// Queries other hosts for rows while the store does not answer this host.
+/// Queries other hosts, one after the other, for rows while the store does not answer a host that
+/// reads it.
 pub(crate) async fn query_peers(edge: Arc<Edge>) {
     let mut round = fastrand::usize(..1_000);
     loop {
         tokio::time::sleep(PEER_QUERY_INTERVAL.duration()).await;
+        if !edge.reads_store() {
+            continue;
+        }
         let now = edge.now();
         let peer = {
             let state = edge.state();
--- a/crates/edge/src/hosts.rs
+++ b/crates/edge/src/hosts.rs
@@ -3,28 +3,42 @@
 use std::net::SocketAddr;
 
 use bv_platform::{HostRow, Rows};
-use bv_roster::store_intervals;
-use bv_types::HostId;
+use bv_roster::{HostEntry, store_intervals};
+use bv_types::{Fingerprint, HostId};
 
 /// Live hosts, without this one.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Hosts {
-    /// `None` until the rows were read.
-    others: Option<Vec<SocketAddr>>,
+    /// `None` until the rows were read; sorted by id.
+    others: Option<Vec<HostEntry>>,
+    /// Digest of all live hosts, this one included.
+    digest: u64,
 }
 
 impl Hosts {
     /// Reads the rows of all hosts; unreadable rows are ignored.
-    pub fn read(own: &HostId, rows: &Rows) -> Self {
-        let is_other = |key: &str| key != own.as_str();
+    pub fn read(own: &HostEntry, rows: &Rows) -> Self {
         let lifetime = store_intervals::row_lifetime(rows.rows.len());
-        let others = rows.rows.iter().filter(|row| is_other(&row.key));
-        let live = others.filter_map(|row| {
+        let live = rows.rows.iter().filter_map(|row| {
             let host = HostRow::decode(row.value.as_ref()?).ok()?;
-            (host.written_at + lifetime > rows.store_time).then_some(host.peer_addr)
+            let entry = HostEntry {
+                id: HostId::try_from(row.key.clone()).ok()?,
+                zone: host.zone,
+                addr: host.peer_addr,
+            };
+            (host.written_at + lifetime > rows.store_time).then_some(entry)
         });
+        Hosts::from_entries(own, live)
+    }
+
+    /// The hosts among these entries, which may include this one.
+    pub fn from_entries(own: &HostEntry, entries: impl Iterator<Item = HostEntry>) -> Self {
+        let mut others: Vec<HostEntry> = entries.filter(|entry| entry.id != own.id).collect();
+        others.sort_by(|a, b| a.id.cmp(&b.id));
+        let digest = digest(own, &others);
         Hosts {
-            others: Some(live.collect()),
+            others: Some(others),
+            digest,
         }
     }
 
@@ -33,8 +47,13 @@
         self.others.as_ref().map(|others| others.len() + 1)
     }
 
-    /// Addresses of the other hosts.
-    pub fn others(&self) -> &[SocketAddr] {
+    /// Digest of all live hosts, the same on hosts with the same list; 0 before they are known.
+    pub fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    /// The other hosts.
+    pub fn others(&self) -> &[HostEntry] {
         self.others.as_deref().unwrap_or_default()
     }
 
@@ -42,6 +61,21 @@
     pub fn peer(&self, round: usize) -> Option<SocketAddr> {
         let others = self.others();
         let at = round.checked_rem(others.len())?;
-        Some(others[at])
+        Some(others[at].addr)
     }
 }
+
+fn digest(own: &HostEntry, others: &[HostEntry]) -> u64 {
+    let mut lines: Vec<String> = others
+        .iter()
+        .chain([own])
+        .map(|host| {
+            let zone = host.zone.as_ref().map_or("", |zone| zone.as_str());
+            format!("{} {zone} {}", host.id, host.addr)
+        })
+        .collect();
+    lines.sort_unstable();
+    let Fingerprint([a, b, c, d, e, f, g, h, ..]) =
+        Fingerprint::digest(lines.iter().map(String::as_bytes));
+    u64::from_le_bytes([a, b, c, d, e, f, g, h])
+}
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -2,7 +2,7 @@
 //! each entry host.
 //!
 //! This crate does the I/O: it reads callers' requests, lets `bv-admit`, `bv-retry` and `bv-route`
-//! decide where they go, forwards them and follows the tables of the store. The platform's names
+//! decide where they go, forwards them and follows the tables of the store or another host that does. The platform's names
 //! and formats are defined in `bv-platform` only.
 
 mod answer;
@@ -25,6 +25,7 @@
 mod serve;
 mod state;
 mod stop;
+mod subscribe;
 mod usage;
 
 pub use run::{EdgeError, help, run};
--- a/crates/edge/src/roles.rs
+++ b/crates/edge/src/roles.rs
@@ -47,6 +47,11 @@
         if edge.is_stopping() {
             return;
         }
+        // The readers of the store are enough, and every other host would read the term's row too.
+        if !edge.state().sources.is_reader() {
+            watches.clear();
+            continue;
+        }
         let Some(change) = find_change(&edge, &mut watches) else {
             continue;
         };
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -13,7 +13,7 @@
 use tracing_subscriber::EnvFilter;
 
 use crate::edge::Edge;
-use crate::{counters, follow, listen, peers, roles, stop, usage};
+use crate::{counters, follow, listen, peers, roles, stop, subscribe, usage};
 
 /// Port of the metrics endpoint; must match `deploy/system.toml`.
 const METRICS_PORT: u16 = 9464;
@@ -94,7 +94,7 @@
 async fn serve(path: PathBuf, settings: PlatformSettings) -> Result<(), EdgeError> {
     let metrics = counters::install()?;
     let ip = settings.ip;
-    let peer_addr = SocketAddr::new(ip, settings.first_peer_port);
+    let peer_addr = settings.peer_addr();
     info!(
         host = %settings.host,
         zone = %settings.zone,
@@ -120,7 +120,8 @@
     let (drain_tx, drain_rx) = watch::channel(stop::DrainPhase::Serving);
     tokio::spawn(follow::config(edge.clone()));
     tokio::spawn(follow::servers(edge.clone()));
-    tokio::spawn(follow::hosts(edge.clone(), peer_addr));
+    tokio::spawn(follow::hosts(edge.clone()));
+    tokio::spawn(subscribe::follow(edge.clone()));
     tokio::spawn(follow::query_peers(edge.clone()));
     tokio::spawn(roles::balance(edge.clone()));
     tokio::spawn(usage::send_updates(edge.clone(), datagrams.clone()));
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -3,11 +3,11 @@
 use bv_admit::{Fleet, Queue};
 use bv_platform::{DecodeError, Row, Rows, Table, decode_config, decode_server};
 use bv_retry::{BudgetLimits, SharedBudget};
-use bv_roster::{Roster, RowEffect};
+use bv_roster::{HostEntry, Roster, RowEffect, RowLog, SourceChoice};
 use bv_route::{ApplyResult, InForce};
 use bv_types::{BackendId, Millis, ServiceId, Version};
 use bytes::Bytes;
-use smol_str::SmolStr;
+use tracing::info;
 
 use crate::hosts::Hosts;
 
@@ -18,28 +18,26 @@
 /// the others only some seconds later, and each host counts its own periods.
 const BUDGET_SHARE: f64 = 0.85;
 
-/// Latest rows of the store that this host has read; also served to hosts that cannot read the
-/// store.
+/// Latest rows of the store that this host knows; also served to the hosts that do not read the
+/// store themselves.
 #[derive(Debug, Default)]
 pub(crate) struct KnownRows {
     /// The operator's configuration row.
     pub config: Option<Bytes>,
-    /// Version of the store up to which this host has read configuration changes.
+    /// Version of the store up to which this host knows all configuration changes.
     pub config_read_up_to: Option<Version>,
-    /// Rows of backend servers, sorted by key.
-    pub servers: Vec<(SmolStr, Bytes)>,
-    /// Version of the store up to which this host has read server changes.
+    /// Rows of backend servers.
+    pub servers: RowLog,
+    /// Version of the store up to which this host knows all server changes.
     pub servers_read_up_to: Option<Version>,
     /// Version of the newest configuration change.
     pub newest_config_change: Version,
-    /// Version of the newest server change.
-    pub newest_server_change: Version,
     /// Newest versions that other hosts reported, of the configuration and of the servers.
-    pub reported_versions: (Version, Version),
+    reported_versions: (Version, Version),
 }
 
 impl KnownRows {
-    /// Whether another host reported a newer version of a table than this host has read.
+    /// Whether another host reported a newer version of a table than this host knows.
     pub fn is_behind(&self, table: Table) -> bool {
         let (version, reported) = match table {
             Table::Config => (self.config_read_up_to, self.reported_versions.0),
@@ -57,10 +55,15 @@
         );
     }
 
-    fn record_server_changes(&mut self, rows: &Rows) {
-        for row in &rows.rows {
-            self.newest_server_change = self.newest_server_change.max(row.version);
-        }
+    /// Records the version of an answer of the store. A report of a newer one was wrong, or the
+    /// next report repeats it.
+    pub fn cap_reported(&mut self, table: Table, answered: Version) {
+        let reported = match table {
+            Table::Config => &mut self.reported_versions.0,
+            Table::Servers => &mut self.reported_versions.1,
+            Table::Hosts | Table::Terms => return,
+        };
+        *reported = (*reported).min(answered);
     }
 }
 
@@ -74,6 +77,10 @@
     pub queue: Queue,
     pub hosts: Hosts,
     pub known: KnownRows,
+    /// Where the rows of the store come from.
+    pub sources: SourceChoice,
+    /// Time of the store's clock, and when it was observed by this host's clock.
+    store_time: Option<(Millis, Millis)>,
     /// Tables whose last store call failed.
     failing: Vec<&'static str>,
     /// Sorted by service.
@@ -89,6 +96,8 @@
             queue: Queue::default(),
             hosts: Hosts::default(),
             known: KnownRows::default(),
+            sources: SourceChoice::default(),
+            store_time: None,
             failing: Vec::new(),
             budgets: Vec::new(),
         }
@@ -107,6 +116,28 @@
         !self.failing.is_empty()
     }
 
+    /// Records the time of the store's clock in an answer.
+    pub fn observe_store_time(&mut self, now: Millis, store_time: Millis) {
+        if store_time > Millis::ZERO {
+            self.store_time = Some((store_time, now));
+        }
+    }
+
+    /// Time of the store's clock, as far as known.
+    pub fn store_time(&self, now: Millis) -> Option<Millis> {
+        self.store_time.map(|(time, at)| time + (now - at))
+    }
+
+    /// Sets the live hosts.
+    pub fn set_hosts(&mut self, own: &HostEntry, hosts: Hosts) {
+        if hosts.count() != self.hosts.count() {
+            info!(count = hosts.count(), "hosts: changed");
+        }
+        self.fleet.expect_peers(hosts.others().len());
+        self.sources.set_hosts(own, hosts.others());
+        self.hosts = hosts;
+    }
+
     /// Whether requests can be served.
     pub fn is_ready(&self) -> bool {
         self.in_force.table().is_some() && self.known.servers_read_up_to.is_some()
@@ -170,22 +201,34 @@
         &mut self.budgets[at].1
     }
 
-    /// Applies rows of the configuration table.
-    pub fn apply_config(&mut self, now: Millis, rows: &Rows) -> Result<ApplyResult, DecodeError> {
+    /// Applies rows of the configuration table. At `confirmed_at` no newer version existed.
+    pub fn apply_config(
+        &mut self,
+        confirmed_at: Millis,
+        rows: &Rows,
+    ) -> Result<ApplyResult, DecodeError> {
         let row = rows.get(Table::CONFIG_KEY);
         if let Some(row) = row {
             let changed = &mut self.known.newest_config_change;
             *changed = row.version.max(*changed);
         }
         let result = match row.and_then(|row| row.value.clone()) {
-            Some(body) => self.apply_config_row(body)?,
-            None => ApplyResult::Same,
+            Some(body) => self.apply_config_row(body),
+            None => Ok(ApplyResult::Same),
         };
+        // A row that cannot be read counts as read, or it would be read again without end.
+        self.confirm_config(confirmed_at, rows.version);
+        result
+    }
+
+    /// Records that this host knows all configuration changes up to a version, and that no newer
+    /// one existed at `confirmed_at`.
+    pub fn confirm_config(&mut self, confirmed_at: Millis, version: Version) {
         if self.in_force.table().is_some() {
-            self.known.config_read_up_to = Some(rows.version);
-            self.in_force.confirm(now);
+            let read_up_to = &mut self.known.config_read_up_to;
+            *read_up_to = (*read_up_to).max(Some(version));
+            self.in_force.confirm(confirmed_at);
         }
-        Ok(result)
     }
 
     /// Applies an operator's configuration row if it is newer than the one in force.
@@ -201,44 +244,53 @@
     pub fn replace_servers(&mut self, now: Millis, rows: &Rows) -> Vec<DecodeError> {
         let mut errors = Vec::new();
         let mut entries = Vec::new();
-        let mut known = Vec::new();
         for row in &rows.rows {
             let Some(body) = &row.value else { continue };
-            known.push((row.key.clone(), body.clone()));
             match decode_server(&row.key, body) {
                 Ok(entry) => entries.push(entry),
                 Err(err) => errors.push(err),
             }
         }
-        known.sort_by(|a, b| a.0.cmp(&b.0));
-        self.known.servers = known;
+        self.known
+            .servers
+            .replace(rows.rows.iter().cloned(), rows.version);
         self.known.servers_read_up_to = Some(rows.version);
-        self.known.record_server_changes(rows);
         self.roster.replace(now, entries);
         self.forget(now);
         errors
     }
 
+    /// Applies changed rows of the server table, which include all changes up to `version`.
+    pub fn change_servers(
+        &mut self,
+        now: Millis,
+        rows: &[Row],
+        version: Version,
+    ) -> Vec<DecodeError> {
+        let mut errors = Vec::new();
+        for row in rows {
+            match self.change_server(now, row) {
+                Ok(RowEffect::Unchanged | RowEffect::Stale) => {}
+                Ok(effect) => info!(
+                    server = %row.key,
+                    version = row.version.0,
+                    outcome = ?effect,
+                    "servers: changed"
+                ),
+                Err(err) => errors.push(err),
+            }
+        }
+        self.known.servers_read_up_to = Some(version);
+        self.forget(now);
+        errors
+    }
+
     /// Applies a changed row of the server table.
-    pub fn change_server(&mut self, now: Millis, row: &Row) -> Result<RowEffect, DecodeError> {
-        self.known.newest_server_change = self.known.newest_server_change.max(row.version);
-        let found = self
-            .known
-            .servers
-            .binary_search_by(|(key, _)| key.cmp(&row.key));
+    fn change_server(&mut self, now: Millis, row: &Row) -> Result<RowEffect, DecodeError> {
+        self.known.servers.change(row.clone());
         let Some(body) = &row.value else {
-            if let Ok(at) = found {
-                self.known.servers.remove(at);
-            }
             return Ok(self.remove_server(now, &row.key));
         };
-        match found {
-            Ok(at) => self.known.servers[at].1 = body.clone(),
-            Err(at) => self
-                .known
-                .servers
-                .insert(at, (row.key.clone(), body.clone())),
-        }
         match decode_server(&row.key, body) {
             Ok(entry) => Ok(self.roster.put(now, entry)),
             Err(err) => {
--- /dev/null
+++ b/crates/edge/src/subscribe.rs
@@ -0,0 +1,123 @@
+//! Taking over the store's rows from a reader, so that this host need not read the store itself.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bv_platform::Table;
+use bv_roster::{Source, store_intervals};
+use bv_types::Millis;
+use tracing::info;
+
+use crate::counters;
+use crate::edge::Edge;
+use crate::follow::wait_until_behind;
+use crate::peers::{self, PeerLink};
+
+/// Wait of a query at a reader. A reader that stops responding is noticed after it.
+const QUERY_WAIT: Millis = Millis(1_000);
+/// Time for which a slow call may delay the store's confirmation of a reader's rows beyond the longest
+/// wait of that call.
+const CALL_SLACK: Millis = Millis(1_500);
+/// Time without an answer of any source after which the host reads the store itself.
+const MAX_SILENCE: Millis = Millis(1_500);
+/// Interval at which a host that reads the store checks whether it should.
+const SOURCE_CHECK: Millis = Millis(250);
+
+/// How a query at a source ended.
+enum Reply {
+    Current {
+        changed: bool,
+    },
+    /// The source knows less than others, or has not reached the store for too long.
+    Outdated,
+}
+
+/// Follows the source that [`bv_roster::SourceChoice`] names, and switches the host's own reading of
+/// the store on and off.
+pub(crate) async fn follow(edge: Arc<Edge>) {
+    let mut link = None;
+    let mut answered_at = Millis::ZERO;
+    loop {
+        let source = edge.state().sources.current(edge.now());
+        let Source::Host(peer) = source else {
+            link = None;
+            read_store(&edge, "no other host");
+            tokio::time::sleep(SOURCE_CHECK.duration()).await;
+            continue;
+        };
+        let reply = ask(&edge, peer, &mut link).await;
+        let now = edge.now();
+        counters::peer_call(matches!(reply, Ok(Reply::Current { .. })));
+        let reason = match reply {
+            Ok(Reply::Current { changed }) => {
+                answered_at = now;
+                edge.state().sources.record_answer(peer);
+                if edge.set_reads_store(false) {
+                    counters::row_source("host");
+                    info!(source = %peer, "rows: taken from another host");
+                }
+                if changed {
+                    // Rows that are written together are passed on together.
+                    tokio::time::sleep(store_intervals::CHANGE_PAUSE.duration()).await;
+                }
+                continue;
+            }
+            Ok(Reply::Outdated) => {
+                edge.state().sources.record_outdated(now, peer);
+                "the source is outdated".to_owned()
+            }
+            Err(err) => {
+                link = None;
+                edge.state().sources.record_silent(now, peer);
+                format!("the source does not answer: {err}")
+            }
+        };
+        // The next source is asked first: it usually answers within milliseconds.
+        if now >= answered_at + MAX_SILENCE {
+            read_store(&edge, &reason);
+        }
+    }
+}
+
+/// Makes the host read the store itself until a source answers.
+fn read_store(edge: &Edge, reason: &str) {
+    if edge.set_reads_store(true) {
+        counters::row_source("store");
+        info!(reason, "rows: read from the store");
+    }
+}
+
+async fn ask(
+    edge: &Edge,
+    peer: SocketAddr,
+    link: &mut Option<(SocketAddr, PeerLink)>,
+) -> io::Result<Reply> {
+    let (_, open) = match link {
+        Some(open) if open.0 == peer => open,
+        _ => link.insert((peer, peers::connect(peer).await?)),
+    };
+    // The first answer comes at once, so that a host that reads the store stops doing so.
+    let wait = match edge.reads_store() {
+        true => Millis::ZERO,
+        false => QUERY_WAIT,
+    };
+    let result = tokio::select! {
+        result = peers::query(edge, peer, open, wait) => result?,
+        () = wait_until_behind(edge, Table::Config) => return Ok(drop_link(link)),
+        () = wait_until_behind(edge, Table::Servers) => return Ok(drop_link(link)),
+    };
+    let max_age = store_intervals::change_wait(edge.host_count()) + CALL_SLACK;
+    Ok(match result.age <= max_age {
+        true => Reply::Current {
+            changed: result.changed,
+        },
+        false => Reply::Outdated,
+    })
+}
+
+/// Closes a connection on which an answer may still arrive.
+fn drop_link(link: &mut Option<(SocketAddr, PeerLink)>) -> Reply {
+    *link = None;
+    Reply::Outdated
+}
--- a/crates/edge/src/usage.rs
+++ b/crates/edge/src/usage.rs
@@ -97,7 +97,8 @@
         let (current, others, newest_changes) = {
             let mut state = edge.state();
             state.fleet.expire_peers(now);
-            let others: Vec<SocketAddr> = state.hosts.others().to_vec();
+            let others: Vec<SocketAddr> =
+                state.hosts.others().iter().map(|host| host.addr).collect();
             let current = PeerLoad {
                 loads: state.fleet.own_loads(),
                 waiting_tokens: state.queue.tokens(),
@@ -105,7 +106,10 @@
                 engines_changing_role: state.fleet.engines_changing_role(now),
             };
             let known = &state.known;
-            let newest_changes = (known.newest_config_change.0, known.newest_server_change.0);
+            let newest_changes = (
+                known.newest_config_change.0,
+                known.servers.newest_change().0,
+            );
             (current, others, newest_changes)
         };
         if current == last && now < sent_at + REFRESH_INTERVAL {
--- a/crates/roster/src/roster.rs
+++ b/crates/roster/src/roster.rs
@@ -54,6 +54,16 @@
         self.grace_until = now + EXPIRY_GRACE;
     }
 
+    /// Time left of the grace period after the latest outage of the store.
+    pub fn grace_left(&self, now: Millis) -> Millis {
+        self.grace_until - now
+    }
+
+    /// Extends the grace period to at least `left` from now, as another host observed it.
+    pub fn extend_grace(&mut self, now: Millis, left: Millis) {
+        self.grace_until = self.grace_until.max(now + left.min(EXPIRY_GRACE));
+    }
+
     /// Applies a row.
     pub fn put(&mut self, now: Millis, registration: Registration) -> RowEffect {
         let at = match self.find(&registration.id) {
