admit, edge: tell hosts of other zones the load at intervals that grow with the number of hosts

Change: hosts of the same zone are told as before, sooner than before in large installations, since only they count for the pause. Those of other zones are told every 3.4 ms for each host (1 s at 295), and at once when a call begins or ceases to wait. The lifetimes of what is known about a host grow by the same interval. Up to 15 hosts nothing changes.

--- a/crates/admit/src/fleet.rs
+++ b/crates/admit/src/fleet.rs
@@ -7,6 +7,7 @@
 use crate::peers::{PeerLoad, Peers, ServerLoad};
 use crate::queue::QueuedCall;
 use crate::server::{InFlightSend, Report, Server};
+use crate::update_intervals;
 
 /// Identifies one send.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -70,8 +71,8 @@
 const INITIAL_STREAM_MS: f64 = 3_500.0;
 const INITIAL_OUTPUT_TOKENS: f64 = 1_000.0;
 const INITIAL_PROMPT_TOKENS: f64 = 3_000.0;
-/// Time for which an engine gets no requests after another host reported that the engine changes
-/// its role; the report is repeated twice a second.
+/// Time, beyond the interval of the reports, for which an engine gets no requests after another host
+/// reported that the engine changes its role.
 const ROLE_CHANGE_TTL: Millis = Millis(1_200);
 /// Time after which a waiting call moves one host forward in the admission order of the hosts.
 const ADMISSION_STEP_TIME: Millis = Millis(100);
@@ -280,14 +281,15 @@
         };
         self.add_peer_load(&before.loads, -1.0);
         self.add_peer_load(&loads, 1.0);
+        let ttl = ROLE_CHANGE_TTL + update_intervals::remote_interval(self.expected_peers + 1);
         for engine in changing {
-            self.server_or_insert(&engine).changing_until = now + ROLE_CHANGE_TTL;
+            self.server_or_insert(&engine).changing_until = now + ttl;
         }
     }
 
     /// Removes the load of hosts whose messages have stopped.
     pub fn expire_peers(&mut self, now: Millis) {
-        for expired in self.peers.expire(now) {
+        for expired in self.peers.expire(now, self.expected_peers + 1) {
             self.add_peer_load(&expired.loads, -1.0);
         }
     }
@@ -297,7 +299,10 @@
     /// one host less is counted, since the hosts before this one may not use the capacity.
     pub fn peers_before(&self, now: Millis, own: &QueuedCall, first_for: Millis) -> usize {
         let skipped = (first_for.0 / ADMISSION_STEP_TIME.0) as usize;
-        self.peers.calls_before(now, own).saturating_sub(skipped)
+        let hosts = self.expected_peers + 1;
+        self.peers
+            .calls_before(now, hosts, own)
+            .saturating_sub(skipped)
     }
 
     /// Number of other hosts that have calls waiting for capacity.
--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -13,6 +13,7 @@
 mod peers;
 mod queue;
 mod server;
+pub mod update_intervals;
 
 pub use call::{CallRequest, Choice};
 pub use fleet::{Fleet, SendId, SendOutcome, Work};
--- a/crates/admit/src/peers.rs
+++ b/crates/admit/src/peers.rs
@@ -3,13 +3,7 @@
 use bv_types::{BackendId, HostId, Millis, Tokens};
 
 use crate::queue::{QueuedCall, rank};
-
-/// Time without a message after which a host's load no longer counts. Its streams end with its
-/// process, and a live host sends at least two messages a second.
-const PEER_LIFETIME: Millis = Millis(1_600);
-/// Time without a message after which a host's waiting call no longer counts; a live host sends at
-/// least two messages a second.
-const FIRST_CALL_LIFETIME: Millis = Millis(700);
+use crate::update_intervals;
 
 /// Requests of one host at one engine.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -75,18 +69,17 @@
     }
 
     /// Removes hosts whose messages have stopped, and returns their load.
-    pub fn expire(&mut self, now: Millis) -> Vec<PeerLoad> {
-        let is_expired = |peer: &mut Peer| now >= peer.received_at + PEER_LIFETIME;
+    pub fn expire(&mut self, now: Millis, hosts: usize) -> Vec<PeerLoad> {
+        let lifetime = update_intervals::load_lifetime(hosts);
+        let is_expired = |peer: &mut Peer| now >= peer.received_at + lifetime;
         let expired = self.0.extract_if(.., is_expired);
         expired.map(|peer| peer.load).collect()
     }
 
     /// Number of hosts whose first waiting call goes before `own`.
-    pub fn calls_before(&self, now: Millis, own: &QueuedCall) -> usize {
-        let recent = self
-            .0
-            .iter()
-            .filter(|p| now < p.received_at + FIRST_CALL_LIFETIME);
+    pub fn calls_before(&self, now: Millis, hosts: usize, own: &QueuedCall) -> usize {
+        let lifetime = update_intervals::waiting_lifetime(hosts);
+        let recent = self.0.iter().filter(|p| now < p.received_at + lifetime);
         let calls = recent.filter_map(|peer| peer.load.first_waiting);
         calls
             .filter(|call| rank(now, call) < rank(now, own))
--- a/crates/edge/src/hosts.rs
+++ b/crates/edge/src/hosts.rs
@@ -4,7 +4,7 @@
 
 use bv_platform::{HostRow, Rows};
 use bv_roster::{HostEntry, store_intervals};
-use bv_types::{Fingerprint, HostId};
+use bv_types::{Fingerprint, HostId, ZoneId};
 
 /// Live hosts, without this one.
 #[derive(Debug, Clone, Default)]
@@ -57,6 +57,16 @@
         self.others.as_deref().unwrap_or_default()
     }
 
+    /// Addresses of the other hosts of this zone, and of those of other zones.
+    pub fn addresses_by_zone(&self, own: &ZoneId) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
+        let (near, remote): (Vec<&HostEntry>, Vec<&HostEntry>) = self
+            .others()
+            .iter()
+            .partition(|host| host.zone.as_ref() == Some(own));
+        let addresses = |hosts: Vec<&HostEntry>| hosts.iter().map(|host| host.addr).collect();
+        (addresses(near), addresses(remote))
+    }
+
     /// The host to query in the given round; successive rounds go through all hosts.
     pub fn peer(&self, round: usize) -> Option<SocketAddr> {
         let others = self.others();
--- a/crates/edge/src/usage.rs
+++ b/crates/edge/src/usage.rs
@@ -1,13 +1,13 @@
 //! Usage updates: datagrams in which each host reports its requests in progress to the other hosts.
 //!
 //! Engines report their load with a lag of about a second; a host's own sends are known at once.
-//! Each host sends an update to all others whenever its own load changes, so that two hosts rarely
-//! choose the same free capacity.
+//! Each host sends an update to all others of its zone whenever its own load changes, so that two
+//! hosts rarely choose the same free capacity, and to those of other zones at the intervals of
+//! [`update_intervals`].
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 
-use bv_admit::{PeerLoad, QueuedCall, ServerLoad};
+use bv_admit::{PeerLoad, QueuedCall, ServerLoad, update_intervals};
 use bv_platform::Table;
 use bv_types::{BackendId, HostId, Millis, Tokens, Version};
 use prost::Message;
@@ -18,11 +18,11 @@
 
 /// Interval at which an unchanged update is sent again, since datagrams can be lost.
 const REFRESH_INTERVAL: Millis = Millis(500);
-/// Minimum time between two updates, with [`COALESCE_PER_HOST_US`] added for each host; changes
-/// within it are sent together.
+/// Minimum time between two updates, with [`COALESCE_PER_HOST_US`] added for each host of this zone;
+/// changes within it are sent together.
 const COALESCE_TIME: Millis = Millis(8);
-/// Increase of that time for each host, in microseconds: what a host sends and reads grows with the
-/// square of the number of hosts.
+/// Increase of that time for each host, in microseconds: what the hosts of a zone send and read grows
+/// with the square of their number.
 const COALESCE_PER_HOST_US: u64 = 400;
 /// Largest datagram; enough for some hundred engines.
 const MAX_DATAGRAM_BYTES: usize = 16 << 10;
@@ -80,68 +80,111 @@
     tokens: u64,
 }
 
+/// What was sent last to a group of hosts.
+#[derive(Debug, Default)]
+struct LastSent {
+    load: PeerLoad,
+    at: Millis,
+}
+
+impl LastSent {
+    /// Whether the group is to be told the current load. `interval` is the minimum time between two
+    /// updates; whether a call waits is told sooner, since other hosts leave capacity to it.
+    fn is_due(&self, now: Millis, load: &PeerLoad, interval: Millis) -> bool {
+        let is_waiting_changed = load.first_waiting.is_some() != self.load.first_waiting.is_some();
+        is_waiting_changed
+            || (*load != self.load && now >= self.at + interval)
+            || now >= self.at + interval.max(REFRESH_INTERVAL)
+    }
+}
+
 /// Sends this host's usage to the other hosts.
 pub(crate) async fn send_updates(edge: Arc<Edge>, socket: Arc<UdpSocket>) {
     let incarnation = edge.now().0;
     let mut sequence = 0;
-    let mut last = PeerLoad::default();
-    let mut sent_at = Millis::ZERO;
+    let mut last_near = LastSent::default();
+    let mut last_remote = LastSent::default();
     loop {
         let change = edge.own_load_changed.notified();
         // Without a change the update is sent again all the same, in case a datagram was lost.
         let _ = tokio::time::timeout(REFRESH_INTERVAL.duration(), change).await;
-        let hosts = edge.host_count() as u64;
-        let pause = COALESCE_TIME + Millis(hosts * COALESCE_PER_HOST_US / 1_000);
+        let (near, remote) = edge.state().hosts.addresses_by_zone(&edge.settings.zone);
+        let pause = COALESCE_TIME + Millis(near.len() as u64 * COALESCE_PER_HOST_US / 1_000);
         tokio::time::sleep(pause.duration()).await;
         let now = edge.now();
-        let (current, others, newest_changes) = {
-            let mut state = edge.state();
-            state.fleet.expire_peers(now);
-            let others: Vec<SocketAddr> =
-                state.hosts.others().iter().map(|host| host.addr).collect();
-            let current = PeerLoad {
-                loads: state.fleet.own_loads(),
-                waiting_tokens: state.queue.tokens(),
-                first_waiting: state.queue.first(now),
-                engines_changing_role: state.fleet.engines_changing_role(now),
+        let load = own_load(&edge, now);
+        let remote_interval = update_intervals::remote_interval(near.len() + remote.len() + 1);
+        let mut receivers = Vec::new();
+        if last_near.is_due(now, &load, Millis::ZERO) {
+            receivers.extend(near);
+            last_near = LastSent {
+                load: load.clone(),
+                at: now,
+            };
+        }
+        if last_remote.is_due(now, &load, remote_interval) {
+            receivers.extend(remote);
+            last_remote = LastSent {
+                load: load.clone(),
+                at: now,
             };
-            let known = &state.known;
-            let newest_changes = (
-                known.newest_config_change.0,
-                known.servers.newest_change().0,
-            );
-            (current, others, newest_changes)
-        };
-        if current == last && now < sent_at + REFRESH_INTERVAL {
+        }
+        if receivers.is_empty() {
             continue;
         }
         sequence += 1;
-        let update = UsageUpdate {
-            host: edge.settings.host.to_string(),
-            incarnation,
-            sequence,
-            uses: current.loads.iter().map(encode_use).collect(),
-            waiting_tokens: current.waiting_tokens.0,
-            changing: current
-                .engines_changing_role
-                .iter()
-                .map(BackendId::to_string)
-                .collect(),
-            config_changed: newest_changes.0,
-            servers_changed: newest_changes.1,
-            head: current.first_waiting.map(|call| encode_head(now, call)),
-        };
-        let datagram = update.encode_to_vec();
-        for peer in others {
+        let datagram = encode_update(&edge, now, (incarnation, sequence), &load);
+        for peer in receivers {
             if let Err(err) = socket.try_send_to(&datagram, peer) {
                 debug!(peer = %peer, error = %err, "usage: sending the update to a peer failed");
             }
         }
-        last = current;
-        sent_at = now;
     }
 }
 
+/// Load that this host reports to the others.
+fn own_load(edge: &Edge, now: Millis) -> PeerLoad {
+    let mut state = edge.state();
+    state.fleet.expire_peers(now);
+    PeerLoad {
+        loads: state.fleet.own_loads(),
+        waiting_tokens: state.queue.tokens(),
+        first_waiting: state.queue.first(now),
+        engines_changing_role: state.fleet.engines_changing_role(now),
+    }
+}
+
+fn encode_update(
+    edge: &Edge,
+    now: Millis,
+    (incarnation, sequence): (u64, u64),
+    load: &PeerLoad,
+) -> Vec<u8> {
+    let (config_changed, servers_changed) = {
+        let known = &edge.state().known;
+        (
+            known.newest_config_change.0,
+            known.servers.newest_change().0,
+        )
+    };
+    let update = UsageUpdate {
+        host: edge.settings.host.to_string(),
+        incarnation,
+        sequence,
+        uses: load.loads.iter().map(encode_use).collect(),
+        waiting_tokens: load.waiting_tokens.0,
+        changing: load
+            .engines_changing_role
+            .iter()
+            .map(BackendId::to_string)
+            .collect(),
+        config_changed,
+        servers_changed,
+        head: load.first_waiting.map(|call| encode_head(now, call)),
+    };
+    update.encode_to_vec()
+}
+
 fn encode_use(load: &ServerLoad) -> EngineUse {
     EngineUse {
         server: load.server.to_string(),
