link, edge: bound the memory of answers that never end

Cause: a server in trouble may send bytes without end. Each answer had a limit of 8 MiB and each connection a read buffer of up to 400 KB, so some dozen of them exceeded the 88 MB of a host. A stream could send comments for ever, which counted as progress. Change: bv_link::AnswerMemory bounds the long answers of a process together (0.15 of its memory); each answer has 64 KiB beside it, so usual answers are read meanwhile. Memory is taken as bytes arrive, not as announced. Read buffers and heads of answers have at most 32 KiB, events at most 64 KiB, which also bounds bytes without a numbered event. A slow caller of a stream holds 4 chunks instead of 16. Counter burdockvale_answers_given_up_total. Tests: platform endless_answers, 200 answers without end at the same time around the real daemon, nine kinds.

--- a/crates/edge/src/counters.rs
+++ b/crates/edge/src/counters.rs
@@ -14,6 +14,7 @@
 const LATENCY: &str = "burdockvale_latency_seconds";
 const STORE_CALLS: &str = "burdockvale_store_calls_total";
 const PEER_CALLS: &str = "burdockvale_peer_calls_total";
+const ANSWERS_GIVEN_UP: &str = "burdockvale_answers_given_up_total";
 const ROW_SOURCES: &str = "burdockvale_row_source_changes_total";
 const BAD_ROWS: &str = "burdockvale_unreadable_rows_total";
 const CONFIG_VERSION: &str = "burdockvale_config_version";
@@ -85,6 +86,10 @@
     counter!(PEER_CALLS, "result" => if ok { "ok" } else { "failed" }).increment(1);
 }
 
+pub(crate) fn answer_given_up(reason: &'static str) {
+    counter!(ANSWERS_GIVEN_UP, "reason" => reason).increment(1);
+}
+
 pub(crate) fn row_source(source: &'static str) {
     counter!(ROW_SOURCES, "source" => source).increment(1);
 }
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use bv_admit::{SendId, SendOutcome, Work};
+use bv_link::AnswerMemory;
 use bv_platform::{PlatformSettings, StoreClient};
 use bv_retry::BudgetLimits;
 use bv_roster::HostEntry;
@@ -19,6 +20,10 @@
 /// the grace period.
 const STREAM_ACCEPT_TIME: Millis = Millis(2_900);
 
+/// Share of the process's memory that long answers may use together. A buffer may be twice as large
+/// as the bytes in it.
+const ANSWER_MEMORY_SHARE: f64 = 0.15;
+
 /// Shared state of the process.
 #[derive(Debug)]
 pub(crate) struct Edge {
@@ -29,6 +34,8 @@
     pub store: StoreClient,
     pub pool: ConnectionPool,
     pub logs: LogBudget,
+    /// Memory for the long answers that are read at the same time.
+    pub answer_memory: Arc<AnswerMemory>,
     /// Notified when a request ends or another host's load changes.
     pub capacity_changed: Notify,
     /// Notified when a model call leaves the queue of this host.
@@ -53,7 +60,9 @@
         let clock = Clock::system();
         let store = StoreClient::new(settings.store_addr);
         let state = Mutex::new(State::new(fastrand::u64(..)));
+        let answer_bytes = settings.memory_mb * ANSWER_MEMORY_SHARE * 1e6;
         Edge {
+            answer_memory: Arc::new(AnswerMemory::new(answer_bytes as usize)),
             logs: LogBudget::new(clock.now()),
             started_at: clock.now(),
             settings,
--- a/crates/edge/src/events.rs
+++ b/crates/edge/src/events.rs
@@ -2,8 +2,8 @@
 
 use bytes::{Bytes, BytesMut};
 
-/// Largest event; a larger one ends the stream with an error.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+/// Largest event, and most bytes without a numbered event; more of them end the stream with an error.
+const MAX_EVENT_BYTES: usize = 64 << 10;
 
 /// Complete events taken from the front of a stream.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -17,6 +17,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct EventReader {
     buf: BytesMut,
+    /// Bytes taken since the last event with an id.
+    unnumbered_bytes: usize,
 }
 
 impl EventReader {
@@ -29,7 +31,11 @@
     pub fn take(&mut self) -> Option<Events> {
         let end = last_event_end(&self.buf)?;
         let bytes = self.buf.split_to(end).freeze();
-        let ids = bytes.split(|b| *b == b'\n').filter_map(event_id).collect();
+        let ids: Vec<u64> = bytes.split(|b| *b == b'\n').filter_map(event_id).collect();
+        self.unnumbered_bytes = match ids.is_empty() {
+            true => self.unnumbered_bytes + bytes.len(),
+            false => 0,
+        };
         Some(Events { bytes, ids })
     }
 
@@ -38,14 +44,16 @@
         !self.buf.is_empty()
     }
 
-    /// Whether the incomplete event exceeds the largest allowed size.
+    /// Whether the incomplete event, or the comments and events without an id since the last numbered
+    /// one, exceed the allowed size.
     pub fn is_overlong(&self) -> bool {
-        self.buf.len() > MAX_EVENT_BYTES
+        self.buf.len() > MAX_EVENT_BYTES || self.unnumbered_bytes > MAX_EVENT_BYTES
     }
 
     /// Discards an incomplete event.
     pub fn clear(&mut self) {
         self.buf.clear();
+        self.unnumbered_bytes = 0;
     }
 }
 
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -23,7 +23,7 @@
 use crate::send::read_answer;
 
 /// Chunks of a stream that are buffered for a slow caller.
-const QUEUED_CHUNKS: usize = 16;
+const QUEUED_CHUNKS: usize = 4;
 
 /// A message to the response body of a stream.
 enum Chunk {
@@ -236,10 +236,12 @@
                 },
             };
             self.reader.push(&data);
+            let events = self.reader.take();
             if self.reader.is_overlong() {
-                return SourceEnd::Broken("event_too_long", Fault::InvalidAnswer);
+                counters::answer_given_up("no_events");
+                return SourceEnd::Broken("event_too_long", Fault::NoAnswer);
             }
-            let Some(events) = self.reader.take() else {
+            let Some(events) = events else {
                 continue;
             };
             for id in &events.ids {
--- a/crates/edge/src/send.rs
+++ b/crates/edge/src/send.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 use bv_admit::{Fault, Report};
-use bv_link::{Channel, ConnectOptions, SendFailure, collect, connect};
+use bv_link::{Channel, CollectError, ConnectOptions, SendFailure, collect_within, connect};
 use bv_platform::{AnswerHead, BackendHeaders, parse_answer_head, set_backend_headers};
 use bv_roster::Registration;
 use bv_types::{BackendId, Millis};
@@ -11,6 +11,7 @@
 use http::Response;
 use hyper::body::Incoming;
 
+use crate::counters;
 use crate::edge::Edge;
 use crate::request::CallerRequest;
 
@@ -38,6 +39,9 @@
     /// The answer is damaged or belongs to another request; the server may have run this one.
     #[error("unusable answer: {0}")]
     InvalidAnswer(&'static str),
+    /// The answer does not end, or is longer than allowed; the server may have run the request.
+    #[error("answer given up: {0}")]
+    TooLong(String),
     /// No answer in time; the server may have run the request.
     #[error("no answer within {0}")]
     Timeout(Millis),
@@ -47,7 +51,9 @@
     pub fn fault(&self) -> Fault {
         match self {
             SendError::Unsent(_) => Fault::Connect,
-            SendError::ConnectionLost(_) | SendError::Timeout(_) => Fault::NoAnswer,
+            SendError::ConnectionLost(_) | SendError::TooLong(_) | SendError::Timeout(_) => {
+                Fault::NoAnswer
+            }
             SendError::InvalidAnswer(_) => Fault::InvalidAnswer,
         }
     }
@@ -58,6 +64,7 @@
             SendError::Unsent(_) => "connect_refused",
             SendError::ConnectionLost(_) => "connection_lost",
             SendError::InvalidAnswer(_) => "crossed_answer",
+            SendError::TooLong(_) => "answer_too_long",
             SendError::Timeout(_) => "timeout",
         }
     }
@@ -211,10 +218,19 @@
         facts,
     } = answer;
     let (parts, body) = response.into_parts();
-    let reading = collect(body, MAX_ANSWER_BYTES);
+    let reading = collect_within(body, MAX_ANSWER_BYTES, &edge.answer_memory);
     let body = match tokio::time::timeout(timeout.duration(), reading).await {
         Ok(Ok(body)) => body,
-        Ok(Err(err)) => return Err(SendError::ConnectionLost(err.to_string())),
+        Ok(Err(err @ CollectError::Broken(_))) => {
+            return Err(SendError::ConnectionLost(err.to_string()));
+        }
+        Ok(Err(err)) => {
+            counters::answer_given_up(match err {
+                CollectError::NoMemory { .. } => "no_memory",
+                _ => "too_long",
+            });
+            return Err(SendError::TooLong(err.to_string()));
+        }
         Err(_) => return Err(SendError::Timeout(timeout)),
     };
     if !facts.closes {
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -165,7 +165,7 @@
     match tokio::time::timeout(Duration::from_millis(timeout.0), reading).await {
         Ok(Ok(body)) => Ok(body),
         Ok(Err(bv_link::CollectError::TooLong { .. })) => Err(Refusal::BodyTooLarge),
-        Ok(Err(bv_link::CollectError::Broken(_))) => Err(Refusal::BadRequest),
+        Ok(Err(_)) => Err(Refusal::BadRequest),
         Err(_) => Err(Refusal::ReadTimeout),
     }
 }
--- a/crates/link/src/channel.rs
+++ b/crates/link/src/channel.rs
@@ -24,6 +24,11 @@
 /// Number of unanswered probes after which the connection is closed.
 const KEEPALIVE_PROBES: u32 = 2;
 
+/// Size of the read buffer of a connection, and with it of the longest head of an answer. The
+/// library's default of 400 KB is too much for some hundred connections on which bytes arrive without
+/// end.
+const MAX_READ_BUFFER_BYTES: usize = 32 << 10;
+
 /// Options for opening a connection.
 #[derive(Debug, Clone, Copy)]
 pub struct ConnectOptions {
@@ -99,7 +104,9 @@
         }
     };
     set_options(&stream, options).map_err(|source| ConnectError::Refused { peer, source })?;
-    let handshake = http1::Builder::new().handshake(TokioIo::new(stream));
+    let handshake = http1::Builder::new()
+        .max_buf_size(MAX_READ_BUFFER_BYTES)
+        .handshake(TokioIo::new(stream));
     let (sender, connection) = handshake
         .await
         .map_err(|source| ConnectError::Handshake { peer, source })?;
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -5,6 +5,8 @@
 
 mod channel;
 mod collect;
+mod memory;
 
 pub use channel::{Channel, ConnectError, ConnectOptions, SendFailure, connect};
-pub use collect::{CollectError, collect};
+pub use collect::{CollectError, collect, collect_within};
+pub use memory::{AnswerMemory, UNSHARED_BYTES};
