edge: read the first registrations of servers in batches, and log the parts of the time to the first event

And whether a late stream waited for capacity or for its prompt could not be read from the logs. Change: in the first 1.6 s changes of the servers are read every 500 ms. "stream: complete" has placed_ms and prefilled_ms. Ruled out: following no changes at all in that time failed host_lifecycle::leaving_server and newer_configuration.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -17,9 +17,12 @@
 const PEER_VERSION_GRACE: Millis = Millis(300);
 /// Pause between two reads of the configuration before the operator wrote the first one.
 const NO_CONFIG_PAUSE: Millis = Millis(400);
-/// Time after the start of the process from which on changes are followed. By then the list of hosts
-/// says whether this host does so itself, and servers that start together have registered.
+/// Time after the start of the process in which changes of the servers are read more rarely. Servers
+/// that start together register one after the other, and the list of hosts does not yet say whether
+/// this host reads the store itself.
 const SETTLE_TIME: Millis = Millis(1_600);
+/// Pause after changes of the servers in that time.
+const SETTLING_PAUSE: Millis = Millis(500);
 /// Time without an answer of the store after which other hosts are queried.
 const PEER_QUERY_DELAY: Millis = Millis(500);
 /// Time between two queries to other hosts.
@@ -31,7 +34,7 @@
 const ROW_CHECK_INTERVAL: Millis = Millis(2_000);
 /// First intervals between two exchanges of host rows; short, so that hosts that start together
 /// find each other within the first seconds.
-const FIRST_HOST_INTERVALS: [Millis; 3] = [Millis(1_500), Millis(2_500), Millis(4_000)];
+const FIRST_HOST_INTERVALS: [Millis; 3] = [Millis(1_200), Millis(2_800), Millis(4_000)];
 
 /// Health of the store calls for one table.
 #[derive(Debug)]
@@ -134,11 +137,7 @@
 ) -> Option<Result<Reading, StoreError>> {
     let reading = async {
         match after {
-            Some(version) => {
-                let settles_in = (edge.started_at + SETTLE_TIME) - edge.now();
-                tokio::time::sleep(settles_in.duration()).await;
-                wait_for_changes(edge, table, version).await
-            }
+            Some(version) => wait_for_changes(edge, table, version).await,
             None => {
                 let began = edge.now();
                 let rows = edge.store.read_all(table).await?;
@@ -337,8 +336,12 @@
         if !rows.rows.is_empty() {
             edge.rows_changed.notify_waiters();
         }
-        if !reading.is_whole && !rows.rows.is_empty() {
-            tokio::time::sleep(store_intervals::CHANGE_PAUSE.duration()).await;
+        let pause = match now < edge.started_at + SETTLE_TIME {
+            true => SETTLING_PAUSE,
+            false => store_intervals::CHANGE_PAUSE,
+        };
+        if !rows.rows.is_empty() && (!reading.is_whole || pause == SETTLING_PAUSE) {
+            tokio::time::sleep(pause.duration()).await;
         }
     }
 }
--- a/crates/edge/src/logs.rs
+++ b/crates/edge/src/logs.rs
@@ -227,6 +227,8 @@
             expected = req.facts.expected_output_tokens.map(|t| t.0),
             output = call.output().0,
             runs = call.runs,
+            placed_ms = (call.placed_at - req.arrived).0,
+            prefilled_ms = call.prefilled_at.map(|at| (at - req.arrived).0),
             first_ms = call.first_at.map(|at| (at - req.arrived).0),
             longest_pause_ms = call.longest_pause.0,
             ms = (now - req.arrived).0,
--- a/crates/edge/src/model/mod.rs
+++ b/crates/edge/src/model/mod.rs
@@ -51,6 +51,10 @@
     event_tokens: u64,
     /// Id of the last event that the caller received.
     pub last_event: Option<u64>,
+    /// When the latest plan was made, after the wait for capacity.
+    pub placed_at: Millis,
+    /// When the prompt of the latest plan was prefilled apart.
+    pub prefilled_at: Option<Millis>,
     /// When the first event was forwarded to the caller.
     pub first_at: Option<Millis>,
     /// Longest pause between two forwarded events.
@@ -100,6 +104,8 @@
             runs: 0,
             sends: 0,
             retries: ModelSends::default(),
+            placed_at: Millis::ZERO,
+            prefilled_at: None,
             first_at: None,
             longest_pause: Millis::ZERO,
         }
@@ -129,6 +135,8 @@
                 return Err(self.no_retry_left());
             }
             let (plan, tracked_send) = self.place().await?;
+            self.placed_at = self.edge.now();
+            self.prefilled_at = None;
             let result = match plan {
                 ModelPlan::Split {
                     prefill,
--- a/crates/edge/src/model/prefill.rs
+++ b/crates/edge/src/model/prefill.rs
@@ -118,6 +118,7 @@
                         .observe_prefill(&self.req.service, read.tokens, took);
                 }
                 self.tried.retain(|id| *id != engine.id);
+                self.prefilled_at = Some(now);
                 Some(PrefilledPrompt {
                     edge: self.edge.clone(),
                     engine: engine.clone(),
