admit: prefer engines of the own zone by what is not known about the others

Cause: the load of hosts in other zones is known late, so engines there were chosen that were full or busy. Change: a penalty for other zones of 0.2 ms for each ms of the update interval, at most 40 ms.

--- a/crates/admit/src/model.rs
+++ b/crates/admit/src/model.rs
@@ -6,6 +6,7 @@
 use crate::PlacementError;
 use crate::call::{CROSS_ZONE_MS, penalty_ms};
 use crate::fleet::Fleet;
+use crate::update_intervals;
 
 /// A decode engine prefills a prompt at half the speed of a prefill engine, between the tokens of
 /// other requests.
@@ -25,6 +26,11 @@
 const JITTER_PER_WAITING_HOST_MS: f64 = 2.0;
 /// Largest range of the random part, in ms; more would ignore how full engines are.
 const MAX_JITTER_MS: f64 = 40.0;
+/// Penalty of an engine in another zone for each ms of the interval at which the load of hosts there is
+/// known, in ms. Engines that are chosen on outdated knowledge are full, or busy with other prompts.
+const STALENESS_WEIGHT: f64 = 0.2;
+/// Largest such penalty, in ms.
+const MAX_STALENESS_MS: f64 = 40.0;
 /// Cost of each request in progress at a decode engine, in ms: each one slows the others' tokens.
 const SLOWDOWN_PER_REQUEST_MS: f64 = 4.0;
 /// Share of an engine's memory that is planned. Requests are planned with their whole answer, so
@@ -323,6 +329,15 @@
         (BASE_JITTER_MS + hosts + waiting).min(MAX_JITTER_MS)
     }
 
+    /// Time and penalty for the distance of an engine.
+    fn distance_ms(&self, request: &ModelRequest<'_>, entry: &Registration) -> f64 {
+        if entry.zone == *request.zone {
+            return 0.0;
+        }
+        let interval = update_intervals::remote_interval(self.expected_peers() + 1);
+        CROSS_ZONE_MS + (interval.0 as f64 * STALENESS_WEIGHT).min(MAX_STALENESS_MS)
+    }
+
     fn direct_ms(&self, request: &ModelRequest<'_>) -> f64 {
         request.prompt.0 as f64 / self.prefill_tokens_per_ms(request.service) * DIRECT_SLOWDOWN
             + DIRECT_PENALTY_MS
@@ -337,7 +352,7 @@
         summary: CandidateSummary,
     ) -> Option<Cost> {
         let rate = self.prefill_tokens_per_ms(request.service);
-        let own = request.prompt.0 as f64 / rate + distance_ms(request, entry);
+        let own = request.prompt.0 as f64 / rate + self.distance_ms(request, entry);
         let Some(server) = self.find(&entry.id) else {
             return Some(Cost::of(own));
         };
@@ -366,7 +381,7 @@
             Some(zone) if *zone != entry.zone => CROSS_ZONE_TRANSFER_MS,
             _ => 0.0,
         };
-        let own = distance_ms(request, entry) + transfer;
+        let own = self.distance_ms(request, entry) + transfer;
         let Some(server) = self.find(&entry.id) else {
             return Some(Cost::of(own));
         };
@@ -396,10 +411,3 @@
 fn serves(entry: &Registration, stage: Stage) -> bool {
     entry.stage.unwrap_or(Stage::Decode) == stage
 }
-
-fn distance_ms(request: &ModelRequest<'_>, entry: &Registration) -> f64 {
-    match entry.zone == *request.zone {
-        true => 0.0,
-        false => CROSS_ZONE_MS,
-    }
-}
