admit: plan answers with a quarter more than expected

Cause: prompts read for nothing are the largest price on the grown and large sites. Change: the planned answer is 1.25 times the expected one.

--- a/crates/admit/src/model.rs
+++ b/crates/admit/src/model.rs
@@ -43,6 +43,10 @@
 /// right at the median and often far off.
 const HINT_WEIGHT: f64 = 0.5;
 
+/// Tokens planned for an answer, as a multiple of the expected number. A stream that outgrows its
+/// reservation is likely to be preempted, and its prompt read again.
+const OUTPUT_HEADROOM: f64 = 1.25;
+
 /// A model call to place on engines.
 #[derive(Debug, Clone, Copy)]
 pub struct ModelRequest<'a> {
@@ -265,7 +269,8 @@
     ) -> Tokens {
         let usual = self.usual_output(service).0 as f64;
         let hint = hint.map_or(usual, |hint| hint.0 as f64);
-        let planned = Tokens((usual + (hint - usual) * HINT_WEIGHT) as u64);
+        let expected = usual + (hint - usual) * HINT_WEIGHT;
+        let planned = Tokens((expected * OUTPUT_HEADROOM) as u64);
         max.map_or(planned, |max| planned.min(max))
     }
 
