--- a/crates/roster/src/readers.rs
+++ b/crates/roster/src/readers.rs
@@ -16,12 +16,12 @@
 
 use crate::store_intervals::MAX_SELF_READING_HOSTS;
 
-/// Readers of other zones that a host asks when those of its own zone fail.
+/// Readers of other zones that a host asks when the reader of its own zone fails.
 const REMOTE_SOURCES: usize = 2;
 /// Time for which a source is not asked after it did not answer; it doubles with each further time. A
 /// host that restarts is back after some seconds.
 const SILENT_AVOIDANCE: Millis = Millis(3_000);
-/// Longest such time. The row of a dead host expires later.
+/// Longest such time. The row of a dead host, which still names it a reader, expires only later.
 const MAX_SILENT_AVOIDANCE: Millis = Millis(48_000);
 /// Time for which a source is not asked after an outdated answer.
 const OUTDATED_AVOIDANCE: Millis = Millis(1_000);
--- a/crates/roster/src/row_log.rs
+++ b/crates/roster/src/row_log.rs
@@ -14,7 +14,7 @@
 pub struct Row {
     /// Key within the table.
     pub key: SmolStr,
-    /// Content; `None` if the row was removed, empty if it is not valid base64.
+    /// Content; `None` if the row was removed, empty if it could not be decoded.
     pub value: Option<Bytes>,
     /// Version of the row. For a removal that was noticed later, an upper bound of it.
     pub version: Version,
