edge: log the source that a host drops, with its age and limit

Change: a line and a counter by reason for each source that is dropped; the version in the line of a refused request.

--- a/crates/edge/src/counters.rs
+++ b/crates/edge/src/counters.rs
@@ -16,6 +16,7 @@
 const PEER_CALLS: &str = "burdockvale_peer_calls_total";
 const ANSWERS_GIVEN_UP: &str = "burdockvale_answers_given_up_total";
 const ROW_SOURCES: &str = "burdockvale_row_source_changes_total";
+const SOURCES_DROPPED: &str = "burdockvale_row_sources_dropped_total";
 const BAD_ROWS: &str = "burdockvale_unreadable_rows_total";
 const CONFIG_VERSION: &str = "burdockvale_config_version";
 const SERVERS: &str = "burdockvale_backend_servers";
@@ -45,6 +46,10 @@
         ROW_SOURCES,
         "Changes of the source of the store's rows, by new source."
     );
+    describe_counter!(
+        SOURCES_DROPPED,
+        "Sources of the store's rows that were dropped, by reason."
+    );
     describe_counter!(BAD_ROWS, "Rows of the store that cannot be read, by table.");
     describe_gauge!(CONFIG_VERSION, "Version of the configuration in force.");
     describe_gauge!(SERVERS, "Backend servers that may receive work.");
@@ -94,6 +99,10 @@
     counter!(ROW_SOURCES, "source" => source).increment(1);
 }
 
+pub(crate) fn source_dropped(reason: &'static str) {
+    counter!(SOURCES_DROPPED, "reason" => reason).increment(1);
+}
+
 pub(crate) fn unreadable_row(table: &'static str) {
     counter!(BAD_ROWS, "table" => table).increment(1);
 }
--- a/crates/edge/src/logs.rs
+++ b/crates/edge/src/logs.rs
@@ -90,6 +90,7 @@
                 id = refused.request_id.as_deref().unwrap_or("unknown"),
                 status = refused.failure.status().as_u16(),
                 reason = refused.failure.code(),
+                config = refused.config.map(|version| version.0),
                 config_age_ms = refused.config_age.map(|age| age.0),
                 "request: refused"
             );
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bv_platform::{parse_caller_headers, strip_request};
-use bv_types::{Millis, Refusal};
+use bv_types::{Millis, Refusal, Version};
 use bytes::Bytes;
 use http::{Request, Response, header};
 use hyper::body::{Body as _, Incoming};
@@ -52,6 +52,8 @@
 pub(crate) struct RefusedRequest {
     pub failure: Failure,
     pub request_id: Option<smol_str::SmolStr>,
+    /// Version of the configuration in force.
+    pub config: Option<Version>,
     /// Time since the configuration was last confirmed to be the newest.
     pub config_age: Option<Millis>,
 }
@@ -61,6 +63,7 @@
         RefusedRequest {
             failure: Failure::refused(reason),
             request_id: None,
+            config: None,
             config_age: None,
         }
     }
@@ -78,11 +81,6 @@
     }
     let (parts, body) = req.into_parts();
     let facts = parse_caller_headers(&parts.headers).ok_or(Refusal::BadRequest)?;
-    let refuse = |reason: Refusal, config_age: Option<Millis>| RefusedRequest {
-        failure: Failure::refused(reason),
-        request_id: Some(facts.request_id.clone()),
-        config_age,
-    };
     let (table, age) = {
         let state = edge.state();
         (
@@ -90,6 +88,13 @@
             state.in_force.time_since_confirmed(arrived),
         )
     };
+    let config = table.as_ref().map(|table| table.version());
+    let refuse = |reason: Refusal, config_age: Option<Millis>| RefusedRequest {
+        failure: Failure::refused(reason),
+        request_id: Some(facts.request_id.clone()),
+        config,
+        config_age,
+    };
     let table = table.ok_or_else(|| refuse(Refusal::NotConfigured, None))?;
     if !edge.state().is_ready() {
         return Err(refuse(Refusal::NotConfigured, age));
--- a/crates/edge/src/subscribe.rs
+++ b/crates/edge/src/subscribe.rs
@@ -29,8 +29,13 @@
     Current {
         changed: bool,
     },
-    /// The source knows less than others, or has not reached the store for too long.
-    Outdated,
+    /// The store has not confirmed the source's rows for too long.
+    TooOld {
+        age: Millis,
+        max_age: Millis,
+    },
+    /// Another host reported a newer change.
+    Behind,
 }
 
 /// Follows the source that [`bv_roster::SourceChoice`] names, and switches the host's own reading of
@@ -63,13 +68,28 @@
                 }
                 continue;
             }
-            Ok(Reply::Outdated) => {
+            Ok(Reply::TooOld { age, max_age }) => {
                 edge.state().sources.record_outdated(now, peer);
+                counters::source_dropped("too_old");
+                info!(
+                    source = %peer,
+                    age_ms = age.0,
+                    max_age_ms = max_age.0,
+                    "rows: source is outdated"
+                );
                 "the source is outdated".to_owned()
             }
+            Ok(Reply::Behind) => {
+                edge.state().sources.record_outdated(now, peer);
+                counters::source_dropped("behind");
+                info!(source = %peer, "rows: source lacks a change that another host reported");
+                "the source lacks a change".to_owned()
+            }
             Err(err) => {
                 link = None;
                 edge.state().sources.record_silent(now, peer);
+                counters::source_dropped("silent");
+                info!(source = %peer, error = %err, "rows: source does not answer");
                 format!("the source does not answer: {err}")
             }
         };
@@ -112,12 +132,15 @@
         true => Reply::Current {
             changed: result.changed,
         },
-        false => Reply::Outdated,
+        false => Reply::TooOld {
+            age: result.age,
+            max_age,
+        },
     })
 }
 
 /// Closes a connection on which an answer may still arrive.
 fn drop_link(link: &mut Option<(SocketAddr, PeerLink)>) -> Reply {
     *link = None;
-    Reply::Outdated
+    Reply::Behind
 }
