roster, edge: decide in the roster crate when a host leaves its source and reads the store

Cause: the limits of age and silence that make a host leave its source stood in the task that asks the source, so no test without a network could play them. Change: SourceChoice::record_answer takes the age of an answer and says whether it is current, and reads_store says whether the host reads the store. No change of behaviour is meant.

--- a/crates/edge/src/subscribe.rs
+++ b/crates/edge/src/subscribe.rs
@@ -16,11 +16,6 @@
 
 /// Wait of a query at a reader. A reader that stops responding is noticed after it.
 const QUERY_WAIT: Millis = Millis(1_000);
-/// Time for which a slow call may delay the store's confirmation of a reader's rows beyond the longest
-/// wait of that call.
-const CALL_SLACK: Millis = Millis(1_500);
-/// Time without an answer of any source after which the host reads the store itself.
-const MAX_SILENCE: Millis = Millis(1_500);
 /// Interval at which a host that reads the store checks whether it should.
 const SOURCE_CHECK: Millis = Millis(250);
 
@@ -42,7 +37,6 @@
 /// the store on and off.
 pub(crate) async fn follow(edge: Arc<Edge>) {
     let mut link = None;
-    let mut answered_at = Millis::ZERO;
     loop {
         let source = edge.state().sources.current(edge.now());
         let Source::Host(peer) = source else {
@@ -56,8 +50,6 @@
         counters::peer_call(matches!(reply, Ok(Reply::Current { .. })));
         let reason = match reply {
             Ok(Reply::Current { changed }) => {
-                answered_at = now;
-                edge.state().sources.record_answer(peer);
                 if edge.set_reads_store(false) {
                     counters::row_source("host");
                     info!(source = %peer, "rows: taken from another host");
@@ -69,7 +61,6 @@
                 continue;
             }
             Ok(Reply::TooOld { age, max_age }) => {
-                edge.state().sources.record_outdated(now, peer);
                 counters::source_dropped("too_old");
                 info!(
                     source = %peer,
@@ -93,8 +84,8 @@
                 format!("the source does not answer: {err}")
             }
         };
-        // The next source is asked first: it usually answers within milliseconds.
-        if now >= answered_at + MAX_SILENCE {
+        let reads_store = edge.state().sources.reads_store(now);
+        if reads_store {
             read_store(&edge, &reason);
         }
     }
@@ -127,14 +118,15 @@
         () = wait_until_behind(edge, Table::Config) => return Ok(drop_link(link)),
         () = wait_until_behind(edge, Table::Servers) => return Ok(drop_link(link)),
     };
-    let max_age = store_intervals::change_wait(edge.host_count()) + CALL_SLACK;
-    Ok(match result.age <= max_age {
+    let now = edge.now();
+    let sources = &mut edge.state().sources;
+    Ok(match sources.record_answer(now, peer, result.age) {
         true => Reply::Current {
             changed: result.changed,
         },
         false => Reply::TooOld {
             age: result.age,
-            max_age,
+            max_age: sources.max_age(),
         },
     })
 }
--- a/crates/roster/src/readers.rs
+++ b/crates/roster/src/readers.rs
@@ -14,7 +14,7 @@
 
 use bv_types::{Fingerprint, HostId, Millis, ZoneId};
 
-use crate::store_intervals::MAX_SELF_READING_HOSTS;
+use crate::store_intervals::{self, MAX_SELF_READING_HOSTS};
 
 /// Readers of other zones that a host asks when the reader of its own zone fails.
 const REMOTE_SOURCES: usize = 2;
@@ -25,6 +25,11 @@
 const MAX_SILENT_AVOIDANCE: Millis = Millis(48_000);
 /// Time for which a source is not asked after an outdated answer.
 const OUTDATED_AVOIDANCE: Millis = Millis(1_000);
+/// Time for which a slow call may delay the store's confirmation of a reader's rows beyond the longest
+/// wait of that call.
+const CALL_SLACK: Millis = Millis(1_500);
+/// Time without a current answer of any source after which the host reads the store itself.
+const MAX_SILENCE: Millis = Millis(1_500);
 
 /// A live host.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -58,7 +63,13 @@
 #[derive(Debug, Clone, Default)]
 pub struct SourceChoice {
     /// Whether this host reads the store for others, or all hosts read it themselves.
-    reads_store: bool,
+    is_reader: bool,
+    /// Number of live hosts.
+    hosts: usize,
+    /// When a source last gave a current answer.
+    answered_at: Millis,
+    /// Whether a source gave a current answer, and none has failed for too long since.
+    has_source: bool,
     /// Readers in the order of preference.
     candidates: Vec<Candidate>,
     is_known: bool,
@@ -69,10 +80,11 @@
     pub fn set_hosts(&mut self, own: &HostEntry, others: &[HostEntry]) {
         let ranked = readers(own, others);
         self.is_known = true;
-        self.reads_store =
+        self.hosts = others.len() + 1;
+        self.is_reader =
             others.len() < MAX_SELF_READING_HOSTS || ranked.iter().any(|host| host.id == own.id);
         let before = std::mem::take(&mut self.candidates);
-        if self.reads_store {
+        if self.is_reader {
             return;
         }
         let (mut near, mut far): (Vec<&HostEntry>, Vec<&HostEntry>) =
@@ -98,7 +110,17 @@
 
     /// Whether this host follows the tables of the store even if other sources answer.
     pub fn is_reader(&self) -> bool {
-        self.reads_store || !self.is_known
+        self.is_reader || !self.is_known
+    }
+
+    /// Whether this host reads the tables of the store now.
+    pub fn reads_store(&self, now: Millis) -> bool {
+        !self.has_source || self.current(now) == Source::Store
+    }
+
+    /// Age up to which the rows of a source count as current.
+    pub fn max_age(&self) -> Millis {
+        store_intervals::change_wait(self.hosts) + CALL_SLACK
     }
 
     /// The source to use now.
@@ -107,11 +129,19 @@
         usable.map_or(Source::Store, |c| Source::Host(c.addr))
     }
 
-    /// Records that a source answered.
-    pub fn record_answer(&mut self, source: SocketAddr) {
+    /// Records that a source answered, with the time since the store confirmed its rows. Returns
+    /// whether the answer is current.
+    pub fn record_answer(&mut self, now: Millis, source: SocketAddr, age: Millis) -> bool {
+        if age > self.max_age() {
+            self.record_outdated(now, source);
+            return false;
+        }
         if let Some(candidate) = self.candidate(source) {
             candidate.silences = 0;
         }
+        self.answered_at = now;
+        self.has_source = true;
+        true
     }
 
     /// Records that a source did not answer.
@@ -121,6 +151,7 @@
             candidate.avoid_until = now + avoidance.min(MAX_SILENT_AVOIDANCE);
             candidate.silences += 1;
         }
+        self.drop_source(now);
     }
 
     /// Records that a source knows less than others, or has not reached the store for too long.
@@ -128,6 +159,14 @@
         if let Some(candidate) = self.candidate(source) {
             candidate.avoid_until = candidate.avoid_until.max(now + OUTDATED_AVOIDANCE);
         }
+        self.drop_source(now);
+    }
+
+    /// The next source is asked before the store: it usually answers within milliseconds.
+    fn drop_source(&mut self, now: Millis) {
+        if now >= self.answered_at + MAX_SILENCE {
+            self.has_source = false;
+        }
     }
 
     fn candidate(&mut self, source: SocketAddr) -> Option<&mut Candidate> {
--- a/crates/roster/tests/row_source.rs
+++ b/crates/roster/tests/row_source.rs
@@ -111,7 +111,7 @@
         }
     }
     assert!(asked <= 7, "asked {asked} times in two minutes");
-    choice.record_answer(dead);
+    assert!(choice.record_answer(Millis(120_000), dead, Millis(0)));
     choice.record_silent(Millis(120_000), dead);
     assert_eq!(source(&choice, 123_000), dead);
 }
