--- /dev/null
+++ b/crates/roster/tests/fleet/mod.rs
@@ -0,0 +1,380 @@
+//! Simulated hosts that follow the rows of a store and each other, without a network. Time advances
+//! in steps of [`STEP_MS`], which is also the time that a message takes.
+
+use std::net::SocketAddr;
+
+use bv_roster::{HostEntry, Source, SourceChoice, store_intervals};
+use bv_types::Millis;
+use fastrand::Rng;
+
+pub const STEP_MS: u64 = 10;
+/// Interval at which hosts report their newest version if nothing changes.
+const REPORT_INTERVAL_MS: u64 = 500;
+/// Share of the reports that are lost.
+const REPORT_LOSS: f64 = 0.02;
+/// Longest wait of a query at another host, and the time after it until the host counts as silent.
+const QUERY_WAIT_MS: u64 = 1_000;
+const QUERY_TIMEOUT_MS: u64 = 400;
+/// Time without an answer after which a call to the store fails, beyond the wait that it requests.
+const ANSWER_TIMEOUT_MS: u64 = 900;
+/// Time for which another host may know a newer version before calls and queries are made again.
+const PEER_VERSION_GRACE_MS: u64 = 300;
+/// Interval between queries to random hosts while the store does not answer.
+const RANDOM_QUERY_MS: u64 = 300;
+const RANDOM_QUERY_DELAY_MS: u64 = 500;
+
+/// How the store treats the calls of a host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Service {
+    Serving,
+    /// Calls fail at once, also those that wait.
+    Refusing,
+    /// Calls get no answer, also those that wait.
+    Silent,
+}
+
+struct Call {
+    began: u64,
+    /// Whether it reads the whole table rather than wait for changes.
+    is_whole: bool,
+    is_lost: bool,
+}
+
+struct Query {
+    peer: usize,
+    began: u64,
+    wait: u64,
+}
+
+pub struct Host {
+    pub entry: HostEntry,
+    pub service: Service,
+    pub version: u64,
+    pub choice: SourceChoice,
+    frozen_until: u64,
+    /// Time that the host was frozen in all. Its clock does not count it.
+    frozen: u64,
+    confirmed_at: u64,
+    call: Option<Call>,
+    next_call: u64,
+    failures: u32,
+    reread: bool,
+    query: Option<Query>,
+    /// Newest version that another host reported, and since when it is newer than this host's.
+    reported: u64,
+    behind_since: Option<u64>,
+    next_report: u64,
+    last_report: u64,
+    next_random_query: u64,
+}
+
+pub struct Fleet {
+    pub now: u64,
+    pub hosts: Vec<Host>,
+    /// Times of all calls to the store.
+    pub calls: Vec<u64>,
+    pub rng: Rng,
+    promise: u64,
+    version: u64,
+    /// Each version, with the time at which the store acknowledged it.
+    acked: Vec<(u64, u64)>,
+}
+
+impl Fleet {
+    /// Hosts in their usual state: the readers read the store, the others follow them.
+    pub fn new(zones: usize, per_zone: usize, promise: u64, seed: u64) -> Self {
+        let entries: Vec<HostEntry> = (0..zones * per_zone)
+            .map(|n| HostEntry {
+                id: format!("host-{n}").parse().unwrap(),
+                zone: Some(format!("zone-{}", n % zones).parse().unwrap()),
+                addr: SocketAddr::from(([10, 0, (n >> 8) as u8, n as u8], 7380)),
+            })
+            .collect();
+        let mut rng = Rng::with_seed(seed);
+        let hosts = entries
+            .iter()
+            .map(|own| {
+                let others: Vec<HostEntry> =
+                    entries.iter().filter(|e| e.id != own.id).cloned().collect();
+                let mut choice = SourceChoice::default();
+                choice.set_hosts(own, &others);
+                Host {
+                    entry: own.clone(),
+                    service: Service::Serving,
+                    version: 1,
+                    choice,
+                    frozen_until: 0,
+                    frozen: 0,
+                    confirmed_at: 0,
+                    call: None,
+                    next_call: 0,
+                    failures: 0,
+                    reread: true,
+                    query: None,
+                    reported: 1,
+                    behind_since: None,
+                    next_report: rng.u64(..REPORT_INTERVAL_MS),
+                    last_report: 1,
+                    next_random_query: rng.u64(..RANDOM_QUERY_MS),
+                }
+            })
+            .collect();
+        let mut fleet = Fleet {
+            now: 0,
+            hosts,
+            calls: Vec::new(),
+            rng,
+            promise,
+            version: 1,
+            acked: vec![(0, 1)],
+        };
+        let settled = 8_000 + fleet.rng.u64(..3_000);
+        fleet.run(settled);
+        fleet
+    }
+
+    pub fn readers(&self) -> Vec<usize> {
+        (0..self.hosts.len())
+            .filter(|n| self.hosts[*n].choice.is_reader())
+            .collect()
+    }
+
+    /// The store acknowledges a change.
+    pub fn change(&mut self) {
+        self.version += 1;
+        self.acked.push((self.now, self.version));
+    }
+
+    pub fn serve(&mut self, hosts: impl IntoIterator<Item = usize>, service: Service) {
+        for n in hosts {
+            self.hosts[n].service = service;
+        }
+    }
+
+    pub fn freeze(&mut self, hosts: impl IntoIterator<Item = usize>, time: u64) {
+        for n in hosts {
+            self.hosts[n].frozen_until = self.now + time;
+            self.hosts[n].frozen += time;
+        }
+    }
+
+    /// Runs for some time; panics if a host does not know a change in time.
+    pub fn run(&mut self, time: u64) {
+        let until = self.now + time;
+        while self.now < until {
+            self.step();
+            self.check();
+        }
+    }
+
+    /// Calls to the store since `begin`.
+    pub fn calls_since(&self, begin: u64) -> usize {
+        self.calls.len() - self.calls.partition_point(|at| *at < begin)
+    }
+
+    /// Most calls to the store within a tenth of a second since `begin`.
+    pub fn busiest_calls(&self, begin: u64) -> usize {
+        let calls = &self.calls[self.calls.partition_point(|at| *at < begin)..];
+        let within = |n: usize| calls.partition_point(|at| *at < calls[n] + 100) - n;
+        (0..calls.len()).map(within).max().unwrap_or(0)
+    }
+
+    fn check(&self) {
+        let due = self.acked.iter().rev();
+        let mut due = due.filter(|(at, _)| at + self.promise <= self.now);
+        let Some((acked_at, version)) = due.next() else {
+            return;
+        };
+        let awake = self
+            .hosts
+            .iter()
+            .filter(|host| host.frozen_until == 0 || host.frozen_until + self.promise <= self.now);
+        let late: Vec<&str> = awake
+            .filter(|host| host.version < *version)
+            .map(|host| host.entry.id.as_str())
+            .collect();
+        assert!(
+            late.is_empty(),
+            "{} of {} hosts lack version {version}, {} ms after its acknowledgement: {:?}",
+            late.len(),
+            self.hosts.len(),
+            self.now - acked_at,
+            &late[..late.len().min(5)],
+        );
+    }
+
+    fn step(&mut self) {
+        self.now += STEP_MS;
+        for n in 0..self.hosts.len() {
+            if self.hosts[n].frozen_until > self.now {
+                continue;
+            }
+            self.read_store(n);
+            self.follow(n);
+            self.query_random(n);
+            self.report(n);
+        }
+    }
+
+    fn read_store(&mut self, n: usize) {
+        let (now, newest) = (self.local_time(n), self.version);
+        let wait = store_intervals::change_wait(self.hosts.len()).0;
+        let host = &mut self.hosts[n];
+        if !host.choice.reads_store(Millis(now)) {
+            host.call = None;
+            host.reread = true;
+            host.failures = 0;
+            host.next_call = now;
+            return;
+        }
+        let is_behind = host.is_behind_for(now, PEER_VERSION_GRACE_MS);
+        let Some(call) = &mut host.call else {
+            if now >= host.next_call {
+                self.calls.push(self.now);
+                host.call = Some(Call {
+                    began: now,
+                    is_whole: host.reread,
+                    is_lost: false,
+                });
+            }
+            return;
+        };
+        let timeout = ANSWER_TIMEOUT_MS + if call.is_whole { 0 } else { wait };
+        call.is_lost |= host.service == Service::Silent;
+        let is_held = now >= call.began + wait;
+        let failed = match host.service {
+            Service::Refusing => true,
+            _ if call.is_lost && !call.is_whole && is_behind => true,
+            _ if call.is_lost => now >= call.began + timeout,
+            _ => false,
+        };
+        if failed {
+            host.failures += 1;
+            host.reread = true;
+            host.call = None;
+            let is_reader = host.choice.is_reader();
+            let pause = store_intervals::failure_pause(is_reader, host.failures).0;
+            host.next_call = now + pause + self.rng.u64(..=pause);
+        } else if !call.is_lost && (call.is_whole || newest > host.version || is_held) {
+            let confirmed_at = match newest == host.version && is_held && !call.is_whole {
+                true => call.began + wait,
+                false => call.began,
+            };
+            host.failures = 0;
+            host.reread = false;
+            host.call = None;
+            host.next_call = now;
+            host.learn(newest, confirmed_at);
+        }
+    }
+
+    fn follow(&mut self, n: usize) {
+        let now = self.local_time(n);
+        let host = &self.hosts[n];
+        let Some(query) = &host.query else {
+            let Source::Host(addr) = host.choice.current(Millis(now)) else {
+                return;
+            };
+            let peer = self.find(addr);
+            let wait = match host.choice.reads_store(Millis(now)) {
+                true => 0,
+                false => QUERY_WAIT_MS,
+            };
+            self.hosts[n].query = Some(Query {
+                peer,
+                began: now,
+                wait,
+            });
+            return;
+        };
+        let (began, wait) = (query.began, query.wait);
+        let peer = &self.hosts[query.peer];
+        let addr = peer.entry.addr;
+        let is_answering = peer.frozen_until <= self.now;
+        let has_news = peer.version > host.version;
+        let version = peer.version;
+        let age = self.local_time(query.peer) - peer.confirmed_at;
+        if is_answering && now > began && (has_news || now >= began + wait) {
+            let host = &mut self.hosts[n];
+            host.query = None;
+            host.learn(version, now - age);
+            host.choice.record_answer(Millis(now), addr, Millis(age));
+        } else if now >= began + wait + QUERY_TIMEOUT_MS {
+            let host = &mut self.hosts[n];
+            host.query = None;
+            host.choice.record_silent(Millis(now), addr);
+        } else if host.is_behind_for(now, PEER_VERSION_GRACE_MS) {
+            let host = &mut self.hosts[n];
+            host.query = None;
+            host.choice.record_outdated(Millis(now), addr);
+        }
+    }
+
+    /// Asks a random host while the store does not answer.
+    fn query_random(&mut self, n: usize) {
+        let now = self.local_time(n);
+        let peer = self.rng.usize(..self.hosts.len());
+        let limit = store_intervals::change_wait(self.hosts.len()).0 + RANDOM_QUERY_DELAY_MS;
+        let host = &mut self.hosts[n];
+        if now < host.next_random_query {
+            return;
+        }
+        host.next_random_query = now + RANDOM_QUERY_MS;
+        let is_current = host.failures == 0 && now - host.confirmed_at < limit;
+        if is_current || !host.choice.reads_store(Millis(now)) {
+            return;
+        }
+        if self.hosts[peer].frozen_until <= self.now {
+            let age = self.local_time(peer) - self.hosts[peer].confirmed_at;
+            let version = self.hosts[peer].version;
+            self.hosts[n].learn(version, now - age);
+        }
+    }
+
+    fn report(&mut self, n: usize) {
+        let now = self.local_time(n);
+        let host = &mut self.hosts[n];
+        let version = host.version;
+        if now < host.next_report && host.last_report == version {
+            return;
+        }
+        host.next_report = now + REPORT_INTERVAL_MS;
+        host.last_report = version;
+        for other in 0..self.hosts.len() {
+            if other != n && self.rng.f64() >= REPORT_LOSS {
+                let now = self.local_time(other);
+                let other = &mut self.hosts[other];
+                other.reported = other.reported.max(version);
+                if other.reported > other.version {
+                    other.behind_since = other.behind_since.or(Some(now));
+                }
+            }
+        }
+    }
+
+    /// Time by the clock of a host that is awake.
+    fn local_time(&self, n: usize) -> u64 {
+        let host = &self.hosts[n];
+        let left = host.frozen_until.saturating_sub(self.now);
+        self.now - (host.frozen - left)
+    }
+
+    fn find(&self, addr: SocketAddr) -> usize {
+        let mut hosts = self.hosts.iter();
+        hosts.position(|host| host.entry.addr == addr).unwrap()
+    }
+}
+
+impl Host {
+    fn learn(&mut self, version: u64, confirmed_at: u64) {
+        self.version = self.version.max(version);
+        self.confirmed_at = self.confirmed_at.max(confirmed_at);
+        if self.version >= self.reported {
+            self.behind_since = None;
+        }
+    }
+
+    fn is_behind_for(&self, now: u64, time: u64) -> bool {
+        self.behind_since.is_some_and(|since| now >= since + time)
+    }
+}
