edge, roster: a source answers as soon as the store has confirmed its rows, and hosts follow one at once

Hosts that learnt the list of hosts also went on to call the store for up to 0.3 s. Change: a query ends when the store has confirmed the source's rows again, so that calls and queries may wait for 11/20 of the promised time. A new list of hosts wakes the task that follows a source.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -222,6 +222,7 @@
     state.record_store_answer(now, table, confirmed_at);
     let is_reporting = state.sources.own_report(now).is_some();
     drop(state);
+    edge.rows_changed.notify_waiters();
     if is_reporting && !was_reporting {
         info!("rows: read from the store for other hosts");
         edge.notify_sources_changed();
@@ -289,9 +290,6 @@
                         warn!(error = %err, "configuration: unreadable row ignored");
                     }
                 }
-                if !reading.rows.rows.is_empty() {
-                    edge.rows_changed.notify_waiters();
-                }
                 if edge.state().in_force.table().is_none() {
                     tokio::time::sleep(NO_CONFIG_PAUSE.duration()).await;
                 }
@@ -373,9 +371,6 @@
             counters::unreadable_row("servers");
             warn!(error = %err, "servers: unreadable row ignored");
         }
-        if !rows.rows.is_empty() {
-            edge.rows_changed.notify_waiters();
-        }
         let pause = match now < edge.started_at + SETTLE_TIME {
             true => SETTLING_PAUSE,
             false => store_intervals::CHANGE_PAUSE,
@@ -457,6 +452,7 @@
     state.set_hosts(&own, Hosts::read(&own, &before));
     drop(state);
     edge.rows_changed.notify_waiters();
+    edge.sources_changed.notify_waiters();
     Ok(())
 }
 
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -167,13 +167,19 @@
     }
 }
 
-/// Waits until this host knows something newer than the query states, or the wait is over.
+/// Waits until this host knows something newer than the query states, the store has confirmed its
+/// rows again, or the wait is over.
 async fn wait_for_news(edge: &Edge, query: &RowsQuery) {
+    let confirmed_at = edge.state().sources.confirmed_at();
     let until = edge.now() + Millis(query.wait_ms).min(MAX_WAIT);
     loop {
         let changed = edge.rows_changed.notified();
         let now = edge.now();
-        if now >= until || has_news(&edge.state(), query) {
+        let is_due = {
+            let state = edge.state();
+            has_news(&state, query) || state.sources.confirmed_at() > confirmed_at
+        };
+        if now >= until || is_due {
             return;
         }
         // At the end of the wait the answer says that there is nothing newer.
@@ -339,7 +345,7 @@
     state.known.newest_config_change = state.known.newest_config_change.max(config_changed);
     state.confirm_config(now - age, Version(reply.config_version));
     state.confirm_servers(now - age);
-    state.sources.confirm(now - age);
+    let is_confirmed = state.sources.confirm(now - age);
     changed |= apply_servers(
         &mut state,
         now,
@@ -353,6 +359,7 @@
         let own = edge.own_entry();
         let entries = reply.hosts.iter().filter_map(to_entry);
         state.set_hosts(&own, Hosts::from_entries(&own, entries));
+        edge.sources_changed.notify_waiters();
         changed = true;
     }
     drop(state);
@@ -363,7 +370,7 @@
         }
         None => {}
     }
-    if changed {
+    if changed || is_confirmed {
         edge.rows_changed.notify_waiters();
     }
     QueryResult { age, changed }
--- a/crates/edge/src/subscribe.rs
+++ b/crates/edge/src/subscribe.rs
@@ -40,7 +40,7 @@
         let Some(peer) = source else {
             link = None;
             // A source that is avoided now may be asked later.
-            let pause = edge.state().sources.bounds().query_wait();
+            let pause = edge.state().sources.bounds().takeover_time();
             let _ = tokio::time::timeout(pause.duration(), sources_changed).await;
             continue;
         };
@@ -129,10 +129,10 @@
     peer: SocketAddr,
     link: &mut Option<(SocketAddr, PeerLink)>,
 ) -> io::Result<Reply> {
-    let query_wait = edge.state().sources.bounds().query_wait();
+    let longest_wait = edge.state().sources.bounds().longest_wait();
     let asking = async {
         let (wait, open) = match link {
-            Some((addr, open)) if *addr == peer => (query_wait, open),
+            Some((addr, open)) if *addr == peer => (longest_wait, open),
             // The first answer comes at once.
             _ => {
                 let open = peers::connect(peer).await?;
--- a/crates/roster/src/age_bounds.rs
+++ b/crates/roster/src/age_bounds.rs
@@ -7,8 +7,7 @@
 //!
 //! | part | for |
 //! |---|---|
-//! | 2/5 | the longest wait of a reader's call |
-//! | 3/20 | the longest wait of a query at a source |
+//! | 11/20 | the longest wait of a reader's call, and of a query at a source |
 //! | 7/60 | slow calls and messages; up to here the rows count as current |
 //! | 1/6 | the hosts try the store, one after the other |
 //! | 1/6 | the rows reach all hosts |
@@ -23,7 +22,7 @@
 ///
 /// let bounds = AgeBounds::new(Millis(3_000));
 /// assert_eq!(bounds.max_age(), Millis(2_000));
-/// assert!(bounds.reader_wait() + bounds.query_wait() < bounds.max_age());
+/// assert!(bounds.longest_wait() < bounds.max_age());
 /// ```
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct AgeBounds {
@@ -41,14 +40,15 @@
         self.part(40)
     }
 
-    /// Longest wait of a reader's call for changes.
-    pub fn reader_wait(self) -> Millis {
-        self.part(24)
+    /// Age from which a host may lack a change that is due.
+    pub fn promise(self) -> Millis {
+        self.promise
     }
 
-    /// Longest wait of a query at a source.
-    pub fn query_wait(self) -> Millis {
-        self.part(9)
+    /// Longest wait of a reader's call for changes, and of a query at a source. A source answers as
+    /// soon as the store has confirmed its rows again.
+    pub fn longest_wait(self) -> Millis {
+        self.part(33)
     }
 
     /// Time in which all hosts try the store once, after no host has reported that it reads it.
--- a/crates/roster/src/sources.rs
+++ b/crates/roster/src/sources.rs
@@ -217,8 +217,11 @@
     }
 
     /// Records that the store confirmed this host's rows at `at`, directly or through other hosts.
-    pub fn confirm(&mut self, at: Millis) {
+    /// Returns whether it had not confirmed them since.
+    pub fn confirm(&mut self, at: Millis) -> bool {
+        let is_newer = at > self.confirmed_at;
         self.confirmed_at = self.confirmed_at.max(at);
+        is_newer
     }
 
     /// When the store confirmed this host's rows.
--- a/crates/roster/src/store_intervals.rs
+++ b/crates/roster/src/store_intervals.rs
@@ -36,7 +36,7 @@
 pub fn change_wait(hosts: usize, bounds: AgeBounds) -> Millis {
     match hosts <= MAX_SELF_READING_HOSTS {
         true => CHANGE_WAIT,
-        false => bounds.reader_wait(),
+        false => bounds.longest_wait(),
     }
 }
 
--- a/crates/roster/tests/fleet/mod.rs
+++ b/crates/roster/tests/fleet/mod.rs
@@ -43,6 +43,8 @@
     peer: usize,
     began: u64,
     wait: u64,
+    /// When the store had confirmed the other host's rows at the begin of the query.
+    confirmed_at: u64,
 }
 
 pub struct Host {
@@ -311,15 +313,17 @@
             let Some(peer) = source.map(|addr| self.find(addr)) else {
                 return;
             };
+            let confirmed_at = self.hosts[peer].confirmed_at;
             let host = &mut self.hosts[n];
             let wait = match host.linked == Some(peer) {
-                true => self.bounds.query_wait().0,
+                true => self.bounds.longest_wait().0,
                 false => 0,
             };
             host.query = Some(Query {
                 peer,
                 began: now,
                 wait,
+                confirmed_at,
             });
             return;
         };
@@ -327,7 +331,7 @@
         let peer = &self.hosts[query.peer];
         let addr = peer.entry.addr;
         let is_answering = peer.frozen_until <= self.now;
-        let has_news = peer.version > host.version;
+        let has_news = peer.version > host.version || peer.confirmed_at > query.confirmed_at;
         let version = peer.version;
         let (asked, age) = (query.peer, self.local_time(query.peer) - peer.confirmed_at);
         let overdue_at = host.confirmed_at + self.bounds.max_age().0;
