edge, roster: queries state the age of the asking host's rows, and calls end before the rows are too old

A reader's two calls often end within milliseconds. The answer after the first one carried the age of the other table, and the next query came after the second one, so that nothing was passed on until both calls ended again. 2. A call made before the other hosts were known waits 2 s, longer than the rows may age on these installations. Change: a query states how old the asking host's rows are, and is answered as soon as the answer would make them younger. Until it has followed a source, a host avoids one that has no rows yet for 0.2 s instead of 1 s.

--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -5,7 +5,7 @@
 
 use bv_admit::{SendId, SendOutcome, Work};
 use bv_link::AnswerMemory;
-use bv_platform::{PlatformSettings, StoreClient};
+use bv_platform::{PlatformSettings, StoreClient, Table};
 use bv_retry::BudgetLimits;
 use bv_roster::{AgeBounds, HostEntry, store_intervals};
 use bv_types::{BackendId, Clock, Millis, Tokens};
@@ -24,6 +24,9 @@
 /// as the bytes in it.
 const ANSWER_MEMORY_SHARE: f64 = 0.15;
 
+/// Shortest wait of a call to the store for changes.
+const MIN_CHANGE_WAIT: Millis = Millis(100);
+
 /// Shared state of the process.
 #[derive(Debug)]
 pub(crate) struct Edge {
@@ -109,11 +112,18 @@
         self.own_load_changed.notify_one();
     }
 
-    /// Longest wait of a call to the store for changes.
-    pub fn change_wait(&self) -> Millis {
+    /// Longest wait of a call to the store for changes of a table. Where hosts follow readers, it ends
+    /// before the rows are older than they may become.
+    pub fn change_wait(&self, table: Table) -> Millis {
+        let now = self.now();
         let state = self.state();
         let hosts = state.hosts.count().unwrap_or(1);
-        store_intervals::change_wait(hosts, state.sources.bounds())
+        let wait = store_intervals::change_wait(hosts, state.sources.bounds());
+        let age = state.table_age(now, table).unwrap_or(Millis::ZERO);
+        match store_intervals::all_read(hosts) {
+            true => wait,
+            false => (wait - age).max(MIN_CHANGE_WAIT),
+        }
     }
 
     /// This host as an entry of the list of hosts.
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -174,8 +174,9 @@
     table: Table,
     after: Version,
 ) -> Result<Reading, StoreError> {
-    let wait = edge.change_wait();
     loop {
+        let wait = edge.change_wait(table);
+        let all_read = store_intervals::all_read(edge.host_count());
         let began = edge.now();
         tokio::select! {
             result = edge.store.changes(table, after, wait) => {
@@ -186,6 +187,8 @@
                 return Ok(Reading { rows, confirmed_at, is_whole: false });
             }
             () = wait_until_behind(edge, table) => {}
+            // The call was made before the other hosts were known, with a longer wait.
+            () = wait_until_reader(edge), if all_read => continue,
         }
         counters::store_call(table_name(table), false);
         info!(
@@ -253,6 +256,18 @@
     }
 }
 
+/// Completes when this host reads the store for others.
+async fn wait_until_reader(edge: &Edge) {
+    loop {
+        let sources_changed = edge.sources_changed.notified();
+        let all_read = store_intervals::all_read(edge.host_count());
+        if !all_read && edge.state().sources.is_reader() {
+            return;
+        }
+        sources_changed.await;
+    }
+}
+
 /// Whether rows are older than the version already known.
 fn is_outdated(known: Option<Version>, rows: &Rows) -> bool {
     known.is_some_and(|known| rows.version < known)
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -33,6 +33,8 @@
 const MAX_WAIT: Millis = Millis(5_000);
 /// Time without a query after which a connection is closed.
 const IDLE_TIMEOUT: Millis = Millis(10_000);
+/// Difference of the ages of two hosts' rows from which a confirmation is passed on.
+const MIN_AGE_DIFFERENCE: Millis = Millis(100);
 /// Time within which an answer must be sent.
 const SEND_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -52,6 +54,10 @@
     /// Digest of the live hosts that the querying host knows.
     #[prost(uint64, tag = "5")]
     hosts_digest: u64,
+    /// Time since the store confirmed the querying host's rows, in ms; absent if the answer need not
+    /// come when it confirms them again.
+    #[prost(uint64, optional, tag = "6")]
+    age_ms: Option<u64>,
 }
 
 /// Row of a server.
@@ -170,14 +176,17 @@
 /// Waits until this host knows something newer than the query states, the store has confirmed its
 /// rows again, or the wait is over.
 async fn wait_for_news(edge: &Edge, query: &RowsQuery) {
-    let confirmed_at = edge.state().sources.confirmed_at();
-    let until = edge.now() + Millis(query.wait_ms).min(MAX_WAIT);
+    let arrived = edge.now();
+    let until = arrived + Millis(query.wait_ms).min(MAX_WAIT);
+    let confirmed_at = query.age_ms.map(|age| arrived - Millis(age));
     loop {
         let changed = edge.rows_changed.notified();
         let now = edge.now();
         let is_due = {
             let state = edge.state();
-            has_news(&state, query) || state.sources.confirmed_at() > confirmed_at
+            let is_confirmed = confirmed_at
+                .is_some_and(|at| state.sources.confirmed_at() > at + MIN_AGE_DIFFERENCE);
+            has_news(&state, query) || is_confirmed
         };
         if now >= until || is_due {
             return;
@@ -303,6 +312,7 @@
             wait_ms: wait.0,
             accepts_changes: true,
             hosts_digest: link.hosts_digest.unwrap_or(state.hosts.digest()),
+            age_ms: Some((edge.now() - state.sources.confirmed_at()).0),
         }
     };
     let querying = async {
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bv_platform::{parse_caller_headers, strip_request};
+use bv_roster::store_intervals;
 use bv_types::{Millis, Refusal, Version};
 use bytes::Bytes;
 use http::{Request, Response, header};
@@ -107,8 +108,9 @@
         None => {
             // A host that may lack a change that is due cannot know that the route does not exist. With
             // few hosts, each waits for changes itself, for as long as the promised time.
-            let promise = edge.state().sources.bounds().promise();
-            let stale_after = promise.max(edge.change_wait() + CALL_SLACK);
+            let bounds = edge.state().sources.bounds();
+            let wait = store_intervals::change_wait(edge.host_count(), bounds);
+            let stale_after = bounds.promise().max(wait + CALL_SLACK);
             let is_stale = age.is_none_or(|age| age > stale_after);
             let reason = match is_stale {
                 true => Refusal::NotConfigured,
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -160,11 +160,19 @@
         self.sources.record_reading_ended();
     }
 
+    /// Time since the store confirmed the rows of a table, directly or through other hosts.
+    pub fn table_age(&self, now: Millis, table: Table) -> Option<Millis> {
+        match table {
+            Table::Config => self.in_force.time_since_confirmed(now),
+            Table::Servers => self.known.servers_confirmed_at.map(|at| now - at),
+            Table::Hosts | Table::Terms => None,
+        }
+    }
+
     /// Time since the store confirmed the rows of all tables, directly or through other hosts.
     pub fn rows_age(&self, now: Millis) -> Option<Millis> {
-        let config = self.in_force.time_since_confirmed(now)?;
-        let servers = now - self.known.servers_confirmed_at?;
-        Some(config.max(servers))
+        let config = self.table_age(now, Table::Config)?;
+        Some(config.max(self.table_age(now, Table::Servers)?))
     }
 
     /// Records that this host knows all server changes up to one that was the newest at
--- a/crates/edge/src/subscribe.rs
+++ b/crates/edge/src/subscribe.rs
@@ -14,6 +14,9 @@
 use crate::follow::wait_until_behind;
 use crate::peers::{self, PeerLink};
 
+/// Shortest pause until a source is asked again.
+const MIN_SOURCE_PAUSE: Millis = Millis(20);
+
 /// How a query at a source ended.
 enum Reply {
     Current {
@@ -39,8 +42,7 @@
         let source = edge.state().sources.source(edge.now());
         let Some(peer) = source else {
             link = None;
-            // A source that is avoided now may be asked later.
-            let pause = edge.state().sources.bounds().takeover_time();
+            let pause = pause_without_source(&edge);
             let _ = tokio::time::timeout(pause.duration(), sources_changed).await;
             continue;
         };
@@ -62,6 +64,15 @@
     }
 }
 
+/// Time until a source that is avoided now may be asked.
+fn pause_without_source(edge: &Edge) -> Millis {
+    let now = edge.now();
+    let sources = &edge.state().sources;
+    let until_next = sources.next_source_at().map(|at| at - now);
+    let longest = sources.bounds().takeover_time();
+    until_next.map_or(longest, |pause| pause.max(MIN_SOURCE_PAUSE).min(longest))
+}
+
 /// Records how a query ended, except for its age, which is recorded with the answer.
 fn record(edge: &Edge, peer: SocketAddr, reply: &io::Result<Reply>) {
     let now = edge.now();
--- a/crates/roster/src/sources.rs
+++ b/crates/roster/src/sources.rs
@@ -29,6 +29,9 @@
 const MAX_SILENT_AVOIDANCE: Millis = Millis(48_000);
 /// Time for which a source is not asked after an outdated answer.
 const OUTDATED_AVOIDANCE: Millis = Millis(1_000);
+/// The same until this host has followed a source: readers that start at the same time have their
+/// first rows some tenths of a second later.
+const FIRST_OUTDATED_AVOIDANCE: Millis = Millis(200);
 
 /// Another host of which rows can be asked.
 #[derive(Debug, Clone)]
@@ -211,11 +214,21 @@
 
     /// Records that a source knows less than others, or has not reached the store for too long.
     pub fn record_outdated(&mut self, now: Millis, source: SocketAddr) {
+        let avoidance = match self.has_followed {
+            true => OUTDATED_AVOIDANCE,
+            false => FIRST_OUTDATED_AVOIDANCE,
+        };
         if let Some(peer) = self.peer_mut(source) {
-            peer.avoid_until = peer.avoid_until.max(now + OUTDATED_AVOIDANCE);
+            peer.avoid_until = peer.avoid_until.max(now + avoidance);
         }
     }
 
+    /// Time at which a source that is avoided now may be asked again, if there is one.
+    pub fn next_source_at(&self) -> Option<Millis> {
+        let candidates = self.candidates.iter().filter_map(|addr| self.peer(*addr));
+        candidates.map(|peer| peer.avoid_until).min()
+    }
+
     /// Records that the store confirmed this host's rows at `at`, directly or through other hosts.
     /// Returns whether it had not confirmed them since.
     pub fn confirm(&mut self, at: Millis) -> bool {
--- a/crates/roster/src/store_intervals.rs
+++ b/crates/roster/src/store_intervals.rs
@@ -32,9 +32,14 @@
 /// Longest such pause.
 const MAX_FAILURE_PAUSE: Millis = Millis(4_000);
 
+/// Whether all hosts read the store themselves.
+pub fn all_read(hosts: usize) -> bool {
+    hosts <= MAX_SELF_READING_HOSTS
+}
+
 /// Longest wait of a call for changes.
 pub fn change_wait(hosts: usize, bounds: AgeBounds) -> Millis {
-    match hosts <= MAX_SELF_READING_HOSTS {
+    match all_read(hosts) {
         true => CHANGE_WAIT,
         false => bounds.longest_wait(),
     }
--- a/crates/roster/tests/fleet/mod.rs
+++ b/crates/roster/tests/fleet/mod.rs
@@ -18,6 +18,8 @@
 const ANSWER_TIMEOUT_MS: u64 = 900;
 /// Time for which another host may know a newer version before calls and queries are made again.
 const PEER_VERSION_GRACE_MS: u64 = 300;
+/// Difference of the ages of two hosts' rows from which a query is answered.
+const MIN_AGE_DIFFERENCE_MS: u64 = 100;
 /// Interval between queries to random hosts while the store does not answer.
 const RANDOM_QUERY_MS: u64 = 300;
 
@@ -43,8 +45,6 @@
     peer: usize,
     began: u64,
     wait: u64,
-    /// When the store had confirmed the other host's rows at the begin of the query.
-    confirmed_at: u64,
 }
 
 pub struct Host {
@@ -313,7 +313,6 @@
             let Some(peer) = source.map(|addr| self.find(addr)) else {
                 return;
             };
-            let confirmed_at = self.hosts[peer].confirmed_at;
             let host = &mut self.hosts[n];
             let wait = match host.linked == Some(peer) {
                 true => self.bounds.longest_wait().0,
@@ -323,7 +322,6 @@
                 peer,
                 began: now,
                 wait,
-                confirmed_at,
             });
             return;
         };
@@ -331,9 +329,10 @@
         let peer = &self.hosts[query.peer];
         let addr = peer.entry.addr;
         let is_answering = peer.frozen_until <= self.now;
-        let has_news = peer.version > host.version || peer.confirmed_at > query.confirmed_at;
         let version = peer.version;
+        let is_confirmed = |age: u64| now - age > host.confirmed_at + MIN_AGE_DIFFERENCE_MS;
         let (asked, age) = (query.peer, self.local_time(query.peer) - peer.confirmed_at);
+        let has_news = version > host.version || is_confirmed(age);
         let overdue_at = host.confirmed_at + self.bounds.max_age().0;
         let is_overdue = began <= overdue_at && now > overdue_at;
         if is_answering && now > began && (has_news || now >= began + wait) {
