edge: a failed call for the list of hosts does not end the report that the store is read

Cause: the line 'no longer read from the store' and a datagram to all hosts were also written after a failed call for the table of hosts, which does not end the report. Change: both follow the report itself.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -206,8 +206,9 @@
     state.set_store_failing(table_name(table), true);
     let was_reporting = state.sources.own_report(now).is_some();
     state.record_store_failure(table);
+    let is_reporting = state.sources.own_report(now).is_some();
     drop(state);
-    if was_reporting {
+    if was_reporting && !is_reporting {
         info!(
             table = table_name(table),
             "rows: no longer read from the store for other hosts"
