--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -145,7 +145,7 @@
             None => {
                 let began = edge.now();
                 let rows = edge.store.read_all(table).await?;
-                // The version is that of the first of several pages.
+                // Rows of later pages may be newer than the version, which is that of the first page.
                 Ok(Reading {
                     rows,
                     confirmed_at: began,
@@ -187,7 +187,7 @@
                 return Ok(Reading { rows, confirmed_at, is_whole: false });
             }
             () = wait_until_behind(edge, table) => {}
-            // The call was made before the other hosts were known, with a longer wait.
+            // The wait was chosen before the other hosts were known, and is too long for a reader.
             () = wait_until_reader(edge), if all_read => continue,
         }
         counters::store_call(table_name(table), false);
