edge, retry: log and count the balance of the retry budget

The share of a host moves from the edge's state to bv_retry::HostBudgets, which reports a balance: retries used in the window, retries allowed, and the number of hosts that divide the fixed part. No logic changes.

* the lines "retry: taken" and "retry: denied" with id, service, kind of send, count, used, allowed and hosts, within the rate limit of the other lines about requests;
* the counter burdockvale_retry_budget_total by result (taken, denied, charged) and kind of send;
* the gauges burdockvale_retry_budget_used and _allowed by service, computed when the metrics are read.

--- a/crates/edge/src/counters.rs
+++ b/crates/edge/src/counters.rs
@@ -1,6 +1,7 @@
 //! Metrics of the host.
 
-use bv_types::Millis;
+use bv_retry::Balance;
+use bv_types::{Millis, ServiceId};
 use http::StatusCode;
 use metrics::{counter, describe_counter, describe_gauge, describe_histogram, gauge, histogram};
 use metrics_exporter_prometheus::{BuildError, Matcher, PrometheusBuilder, PrometheusHandle};
@@ -8,6 +9,9 @@
 const ANSWERED: &str = "burdockvale_answered_total";
 const REFUSED: &str = "burdockvale_refused_total";
 const RETRIES: &str = "burdockvale_retries_total";
+const RETRY_BUDGET: &str = "burdockvale_retry_budget_total";
+const RETRY_BUDGET_USED: &str = "burdockvale_retry_budget_used";
+const RETRY_BUDGET_ALLOWED: &str = "burdockvale_retry_budget_allowed";
 const STREAMS_BROKEN: &str = "burdockvale_streams_broken_total";
 const HANDLES_FREED: &str = "burdockvale_handles_freed_total";
 const RESERVATIONS: &str = "burdockvale_holds_total";
@@ -36,6 +40,18 @@
     describe_counter!(ANSWERED, "Answers of backend servers, by status.");
     describe_counter!(REFUSED, "Requests without a server's answer, by reason.");
     describe_counter!(RETRIES, "Sends that were repeated, by reason.");
+    describe_counter!(
+        RETRY_BUDGET,
+        "Retries that were taken from the budget, denied by it or charged to it, by kind of send."
+    );
+    describe_gauge!(
+        RETRY_BUDGET_USED,
+        "Retries of this host in the window, by service."
+    );
+    describe_gauge!(
+        RETRY_BUDGET_ALLOWED,
+        "Retries that this host's share allows in the window, by service."
+    );
     describe_counter!(STREAMS_BROKEN, "Streams that ended early, by reason.");
     describe_counter!(HANDLES_FREED, "Unused prompts that were freed, by success.");
     describe_counter!(RESERVATIONS, "Reservations of room at engines, by result.");
@@ -70,6 +86,15 @@
     counter!(RETRIES, "reason" => reason).increment(1);
 }
 
+pub(crate) fn retry_budget(result: &'static str, kind: &'static str, count: u32) {
+    counter!(RETRY_BUDGET, "result" => result, "send" => kind).increment(u64::from(count));
+}
+
+pub(crate) fn retry_balance(service: &ServiceId, balance: Balance) {
+    gauge!(RETRY_BUDGET_USED, "service" => service.to_string()).set(f64::from(balance.used));
+    gauge!(RETRY_BUDGET_ALLOWED, "service" => service.to_string()).set(balance.allowed);
+}
+
 pub(crate) fn stream_broken(reason: &'static str) {
     counter!(STREAMS_BROKEN, "reason" => reason).increment(1);
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -19,6 +19,7 @@
 mod plain;
 mod relay;
 mod request;
+mod retries;
 mod roles;
 mod run;
 mod send;
--- a/crates/edge/src/listen.rs
+++ b/crates/edge/src/listen.rs
@@ -28,6 +28,7 @@
 use crate::answer::Body;
 use crate::edge::{ConnectionCountGuard, Edge};
 use crate::guard::{GuardedStream, HeadGuard};
+use crate::retries;
 use crate::serve::serve;
 use crate::stop::DrainPhase;
 
@@ -168,8 +169,13 @@
 }
 
 /// Serves the metrics page.
-pub(crate) async fn metrics(listener: TcpListener, handle: PrometheusHandle) -> io::Result<()> {
+pub(crate) async fn metrics(
+    edge: Arc<Edge>,
+    listener: TcpListener,
+    handle: PrometheusHandle,
+) -> io::Result<()> {
     let render = move || {
+        retries::update_gauges(&edge);
         let handle = handle.clone();
         async move { Response::new(handle.render()) }
     };
--- a/crates/edge/src/logs.rs
+++ b/crates/edge/src/logs.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::{Mutex, PoisonError};
 
+use bv_retry::Balance;
 use bv_types::{BackendId, Millis, Tokens};
 use http::StatusCode;
 use tracing::{debug, info, warn};
@@ -12,6 +13,7 @@
 use crate::edge::Edge;
 use crate::model::ModelCall;
 use crate::request::CallerRequest;
+use crate::retries::RetryKind;
 use crate::send::SendError;
 use crate::serve::RefusedRequest;
 
@@ -118,6 +120,54 @@
         }
     }
 
+    /// Logs retries that were taken from the budget, and the balance after that.
+    pub fn retry_taken(
+        &self,
+        now: Millis,
+        req: &CallerRequest,
+        kind: RetryKind,
+        count: u32,
+        balance: Balance,
+    ) {
+        self.log_retry(now, req, kind, count, balance, "retry: taken");
+    }
+
+    /// Logs retries that the budget denied, and its balance.
+    pub fn retry_denied(
+        &self,
+        now: Millis,
+        req: &CallerRequest,
+        kind: RetryKind,
+        count: u32,
+        balance: Balance,
+    ) {
+        self.log_retry(now, req, kind, count, balance, "retry: denied");
+    }
+
+    fn log_retry(
+        &self,
+        now: Millis,
+        req: &CallerRequest,
+        kind: RetryKind,
+        count: u32,
+        balance: Balance,
+        message: &'static str,
+    ) {
+        if self.take(now) {
+            info!(
+                id = %req.facts.request_id,
+                service = %req.service,
+                send = kind.code(),
+                count,
+                used = balance.used,
+                allowed = balance.allowed,
+                hosts = balance.hosts,
+                ms = (now - req.arrived).0,
+                "{message}"
+            );
+        }
+    }
+
     /// Logs that a decode engine with enough capacity refused a prompt prefilled elsewhere.
     pub fn prompt_lost(
         &self,
--- a/crates/edge/src/model/decode.rs
+++ b/crates/edge/src/model/decode.rs
@@ -13,6 +13,7 @@
 use crate::counters;
 use crate::edge::TrackedSend;
 use crate::plain::implies_not_run;
+use crate::retries::{self, RetryKind};
 use crate::send::{Answer, Connection, SendError, send};
 
 /// Interval at which another decode engine is sought while the KV cache handle of a prompt is
@@ -43,7 +44,7 @@
         let mut target = target;
         let mut prompt = prompt;
         loop {
-            if !self.prepay(self.retries.missing_for_decode()) {
+            if !self.prepay(RetryKind::Decode, self.retries.missing_for_decode()) {
                 return PlanResult::Fail(self.no_retry_left());
             }
             self.sends += 1;
@@ -146,9 +147,7 @@
                 if prompt.is_some() {
                     // The first prefill of a request takes no retry from the budget when it is
                     // sent. Its result is wasted now, so it is charged.
-                    let limits = self.edge.budget_limits();
-                    let mut state = self.edge.state();
-                    state.charge_retry(now, &self.req.service, limits);
+                    retries::charge(&self.edge, now, &self.req, RetryKind::Split);
                 }
                 match answer.facts.misdirected {
                     true => self.handle_misdirected(&engine, tracked_send),
--- a/crates/edge/src/model/mod.rs
+++ b/crates/edge/src/model/mod.rs
@@ -17,6 +17,7 @@
 use crate::counters;
 use crate::edge::{Edge, TrackedSend};
 use crate::request::CallerRequest;
+use crate::retries::{self, RetryKind};
 use crate::send::{Answer, Connection, SendError};
 
 /// Assumed size of a prompt whose size the caller does not state.
@@ -213,23 +214,17 @@
 
     /// Whether the next decode is paid or the budget allows a retry.
     fn may_retry(&self) -> bool {
-        let now = self.edge.now();
-        let limits = self.edge.budget_limits();
-        let mut state = self.edge.state();
-        self.retries.missing_for_decode() == 0 || state.allows_retry(now, &self.req.service, limits)
+        self.retries.missing_for_decode() == 0
+            || retries::allows(&self.edge, &self.req, RetryKind::Decode)
     }
 
     /// Takes the missing retries for the next sends from the budget, all or none. Returns false if
     /// the budget does not allow all.
-    fn prepay(&mut self, missing: u32) -> bool {
+    fn prepay(&mut self, kind: RetryKind, missing: u32) -> bool {
         if missing == 0 {
             return true;
         }
-        let now = self.edge.now();
-        let limits = self.edge.budget_limits();
-        let mut state = self.edge.state();
-        let is_taken = state.take_retries(now, &self.req.service, limits, missing);
-        drop(state);
+        let is_taken = retries::take(&self.edge, &self.req, kind, missing);
         if is_taken {
             self.retries.prepay(missing);
         }
@@ -248,7 +243,7 @@
         predicted: Millis,
     ) -> PlanResult {
         // Without a retry for the decode, the prompt would be prefilled in vain.
-        if !self.prepay(self.retries.missing_for_split()) {
+        if !self.prepay(RetryKind::Split, self.retries.missing_for_split()) {
             return PlanResult::Fail(self.no_retry_left());
         }
         // Reserving before the prefill detects a decode engine that does not answer or is full
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -13,6 +13,7 @@
 use crate::counters;
 use crate::edge::{Edge, TrackedSend};
 use crate::request::CallerRequest;
+use crate::retries::{self, RetryKind};
 use crate::send::{Answer, Connection, SendError, read_answer, send};
 
 /// Time without an answer, in latency objectives, after which an idempotent call is sent to another
@@ -87,9 +88,8 @@
             return Err(self.final_failure(Refusal::QueuedTooLong));
         }
         let service = &self.req.service;
-        let limits = self.edge.budget_limits();
-        let mut state = self.edge.state();
-        let state = &mut *state;
+        let mut guard = self.edge.state();
+        let state = &mut *guard;
         let query = CallRequest {
             service,
             zone: &self.edge.settings.zone,
@@ -98,9 +98,10 @@
         };
         let entries = state.roster.of_service(now, service);
         let choice = state.fleet.place_call(now, query, entries);
+        drop(guard);
         match choice {
             Ok(choice) => {
-                if self.delivered > 0 && !state.take_retry(now, service, limits) {
+                if self.delivered > 0 && !retries::take(self.edge, self.req, RetryKind::Call, 1) {
                     return Err(self.final_failure(Refusal::RetryBudget));
                 }
                 Ok(choice.server)
@@ -194,7 +195,7 @@
             .roster
             .of_service(now, service)
             .any(|entry| is_untried(&entry.id));
-        has_other && state.allows_retry(now, service, limits)
+        has_other && state.retry_budgets.allows(now, service, limits)
     }
 
     async fn handle_answer(
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -129,7 +129,7 @@
     tokio::spawn(usage::receive_updates(edge.clone(), datagrams));
     tokio::spawn(peers::listen(edge.clone(), peers));
     tokio::spawn(listen::readiness(edge.clone(), ready));
-    tokio::spawn(listen::metrics(metrics_listener, metrics));
+    tokio::spawn(listen::metrics(edge.clone(), metrics_listener, metrics));
     tokio::spawn(listen::callers(edge.clone(), callers, drain_rx));
     loop {
         tokio::select! {
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -186,7 +186,8 @@
     let req = Arc::new(req);
     let limits = edge.budget_limits();
     edge.state()
-        .count_request(req.arrived, &req.service, limits);
+        .retry_budgets
+        .request(req.arrived, &req.service, limits);
     let result = match req.route.kind.is_stream() {
         true => stream(edge, ModelCall::new(edge, req.clone()), count_guard).await,
         false => {
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -2,10 +2,10 @@
 
 use bv_admit::{Fleet, Queue};
 use bv_platform::{DecodeError, Row, Rows, Table, decode_config, decode_server};
-use bv_retry::{BudgetLimits, SharedBudget};
+use bv_retry::HostBudgets;
 use bv_roster::{AgeBounds, HostEntry, Roster, RowEffect, RowLog, SourceChoice, StoreClock};
 use bv_route::{ApplyResult, InForce};
-use bv_types::{BackendId, Millis, ServiceId, Version};
+use bv_types::{BackendId, Millis, Version};
 use bytes::Bytes;
 use tracing::info;
 
@@ -14,10 +14,6 @@
 /// Time for which removed servers are remembered, so that an outdated row does not add one again.
 const REMOVED_SERVER_RETENTION: Millis = Millis(60_000);
 
-/// Share of the retry budget that is used. It leaves a margin because hosts that start are known to
-/// the others only some seconds later, and each host counts its own periods.
-const BUDGET_SHARE: f64 = 0.85;
-
 /// Latest rows of the store that this host knows; also served to the hosts that do not read the
 /// store themselves.
 #[derive(Debug, Default)]
@@ -95,8 +91,7 @@
     failing: Vec<&'static str>,
     /// When the store last confirmed each table in an answer to this host.
     own_confirmations: OwnConfirmations,
-    /// Sorted by service.
-    budgets: Vec<(ServiceId, SharedBudget)>,
+    pub retry_budgets: HostBudgets,
 }
 
 impl State {
@@ -113,7 +108,7 @@
             store_clock: StoreClock::default(),
             failing: Vec::new(),
             own_confirmations: OwnConfirmations::default(),
-            budgets: Vec::new(),
+            retry_budgets: HostBudgets::default(),
         }
     }
 
@@ -201,6 +196,7 @@
         }
         self.fleet.expect_peers(hosts.others().len());
         self.sources.set_hosts(own, hosts.others());
+        self.retry_budgets.set_hosts(hosts.count());
         self.hosts = hosts;
     }
 
@@ -209,64 +205,6 @@
         self.in_force.table().is_some() && self.known.servers_read_up_to.is_some()
     }
 
-    /// Counts a caller's request to a service.
-    pub fn count_request(&mut self, now: Millis, service: &ServiceId, limits: BudgetLimits) {
-        self.budget(service).request(now, limits);
-    }
-
-    /// Takes one retry for a service from this host's share of the budget.
-    pub fn take_retry(&mut self, now: Millis, service: &ServiceId, limits: BudgetLimits) -> bool {
-        self.take_retries(now, service, limits, 1)
-    }
-
-    /// Takes `count` retries for a service from this host's share of the budget, or none of them.
-    pub fn take_retries(
-        &mut self,
-        now: Millis,
-        service: &ServiceId,
-        limits: BudgetLimits,
-        count: u32,
-    ) -> bool {
-        let (limits, hosts) = self.own_share(limits);
-        self.budget(service).take_many(now, limits, hosts, count)
-    }
-
-    /// Charges a retry that was made without taking it from the budget first, such as a wasted
-    /// prefill.
-    pub fn charge_retry(&mut self, now: Millis, service: &ServiceId, limits: BudgetLimits) {
-        self.budget(service).charge(now, limits);
-    }
-
-    /// Whether this host's share of the budget allows a retry for a service.
-    pub fn allows_retry(&mut self, now: Millis, service: &ServiceId, limits: BudgetLimits) -> bool {
-        let (limits, hosts) = self.own_share(limits);
-        self.budget(service).allows(now, limits, hosts)
-    }
-
-    /// The part of the budget that may be used, and the number of hosts that share it.
-    fn own_share(&self, limits: BudgetLimits) -> (BudgetLimits, usize) {
-        let hosts = self.hosts.count();
-        let limits = BudgetLimits {
-            ratio: limits.ratio * BUDGET_SHARE,
-            // Before the other hosts are known, they may be using the fixed part.
-            extra: hosts.map_or(0.0, |_| limits.extra * BUDGET_SHARE),
-            ..limits
-        };
-        (limits, hosts.unwrap_or(1))
-    }
-
-    fn budget(&mut self, service: &ServiceId) -> &mut SharedBudget {
-        let at = match self.budgets.binary_search_by(|(id, _)| id.cmp(service)) {
-            Ok(at) => at,
-            Err(at) => {
-                self.budgets
-                    .insert(at, (service.clone(), SharedBudget::default()));
-                at
-            }
-        };
-        &mut self.budgets[at].1
-    }
-
     /// Applies rows of the configuration table. At `confirmed_at` no newer version existed.
     pub fn apply_config(
         &mut self,
--- a/crates/retry/src/shared.rs
+++ b/crates/retry/src/shared.rs
@@ -47,11 +47,17 @@
     }
 
     fn allows_many(&mut self, now: Millis, limits: BudgetLimits, hosts: usize, count: u32) -> bool {
+        let (used, allowed) = self.balance(now, limits, hosts);
+        f64::from(used) + f64::from(count) <= allowed
+    }
+
+    /// Retries of this host in the window, and those that its share, one of `hosts`, allows there.
+    pub fn balance(&mut self, now: Millis, limits: BudgetLimits, hosts: usize) -> (u32, f64) {
         self.current_bucket(now, limits);
         let requests: u32 = self.in_window(now, limits.window).map(|b| b.requests).sum();
-        let retries: u32 = self.buckets.iter().map(|b| b.retries).sum();
+        let used = self.buckets.iter().map(|b| b.retries).sum();
         let allowed = limits.ratio * f64::from(requests) + limits.extra / hosts.max(1) as f64;
-        f64::from(retries) + f64::from(count) <= allowed
+        (used, allowed)
     }
 
     /// Takes one retry from the budget of this host, one of `hosts`; returns whether the budget
