retry, edge: take each arrival beyond the first of a request from the budget

Callers saw nothing; the engines got more repeated sends than the rule allows.

Cause: ModelSends counted prefills and decodes apart, and the first of each was free. A prefill that its engine refused is an arrival, so the decode after it was a repeat that nobody had taken. To make up for it, a refused decode with a prompt was charged without asking, which can only deny later retries. A retry was also counted when it was taken, up to seconds before its send arrived.

Change: * RequestSends replaces ModelSends and counts arrivals of one request, whatever their kind. Beyond the first, each one takes a retry before the send; only the first prefill that an engine accepts is no arrival, and passes its retry on to the decode. * SharedBudget counts a retry as outstanding until the result of its send is known, and then from that time on, so a window holds every arrival in it. * Retries holds the retries of one request, for plain calls as well. It gives those back that were not used; a send that is dropped in mid-way counts as made. * A call that has not begun returns its retries before it waits for an engine. * charge_retry and its counter are removed, as each arrival is counted now. Arrived and returned retries are counted.

--- a/crates/edge/src/counters.rs
+++ b/crates/edge/src/counters.rs
@@ -1,6 +1,6 @@
 //! Metrics of the host.
 
-use bv_retry::Balance;
+use bv_retry::{Balance, Settlement};
 use bv_types::{Millis, ServiceId};
 use http::StatusCode;
 use metrics::{counter, describe_counter, describe_gauge, describe_histogram, gauge, histogram};
@@ -10,6 +10,7 @@
 const REFUSED: &str = "burdockvale_refused_total";
 const RETRIES: &str = "burdockvale_retries_total";
 const RETRY_BUDGET: &str = "burdockvale_retry_budget_total";
+const RETRIES_SETTLED: &str = "burdockvale_retries_settled_total";
 const RETRY_BUDGET_USED: &str = "burdockvale_retry_budget_used";
 const RETRY_BUDGET_ALLOWED: &str = "burdockvale_retry_budget_allowed";
 const STREAMS_BROKEN: &str = "burdockvale_streams_broken_total";
@@ -42,7 +43,11 @@
     describe_counter!(RETRIES, "Sends that were repeated, by reason.");
     describe_counter!(
         RETRY_BUDGET,
-        "Retries that were taken from the budget, denied by it or charged to it, by kind of send."
+        "Retries that were taken from the budget or denied by it, by kind of send."
+    );
+    describe_counter!(
+        RETRIES_SETTLED,
+        "Retries whose send arrived, and retries given back to the budget."
     );
     describe_gauge!(
         RETRY_BUDGET_USED,
@@ -90,6 +95,11 @@
     counter!(RETRY_BUDGET, "result" => result, "send" => kind).increment(u64::from(count));
 }
 
+pub(crate) fn retries_settled(settlement: Settlement) {
+    counter!(RETRIES_SETTLED, "result" => "arrived").increment(u64::from(settlement.arrived));
+    counter!(RETRIES_SETTLED, "result" => "returned").increment(u64::from(settlement.returned));
+}
+
 pub(crate) fn retry_balance(service: &ServiceId, balance: Balance) {
     gauge!(RETRY_BUDGET_USED, "service" => service.to_string()).set(f64::from(balance.used));
     gauge!(RETRY_BUDGET_ALLOWED, "service" => service.to_string()).set(balance.allowed);
--- a/crates/edge/src/model/decode.rs
+++ b/crates/edge/src/model/decode.rs
@@ -2,6 +2,7 @@
 
 use bv_admit::{Fault, SendOutcome};
 use bv_platform::BackendHeaders;
+use bv_retry::{Delivery, SendKind};
 use bv_roster::Registration;
 use bv_route::Kind;
 use bv_types::{Millis, ZoneId};
@@ -13,7 +14,7 @@
 use crate::counters;
 use crate::edge::TrackedSend;
 use crate::plain::implies_not_run;
-use crate::retries::{self, RetryKind};
+use crate::retries::RetryKind;
 use crate::send::{Answer, Connection, SendError, send};
 
 /// Interval at which another decode engine is sought while the KV cache handle of a prompt is
@@ -44,11 +45,10 @@
         let mut target = target;
         let mut prompt = prompt;
         loop {
-            if !self.prepay(RetryKind::Decode, self.retries.missing_for_decode()) {
+            if !self.retries.take(&self.req, RetryKind::Decode) {
                 return PlanResult::Fail(self.no_retry_left());
             }
             self.sends += 1;
-            self.retries.begin_decode();
             let result = self.send_decode(target, prompt.as_mut(), predicted).await;
             let (PlanResult::TryNextPlan, Some(prefilled)) = (&result, &prompt) else {
                 return result;
@@ -129,6 +129,7 @@
             priority: Some(self.req.route.priority.min(MAX_PRIORITY)),
             ..BackendHeaders::default()
         };
+        self.retries.begin();
         let sent = send(
             &self.edge,
             &self.req,
@@ -141,14 +142,14 @@
         if let (Some(reservation), Ok(_)) = (&mut reservation, &sent) {
             reservation.used = true;
         }
+        let delivery = match &sent {
+            Ok(answer) if !answer.facts.not_run => Delivery::Accepted,
+            Err(SendError::Unsent(_)) => Delivery::NotSent,
+            Ok(_) | Err(_) => Delivery::Refused,
+        };
+        self.retries.end(SendKind::Run, delivery);
         match sent {
             Ok(answer) if answer.facts.not_run => {
-                self.retries.decode_delivered();
-                if prompt.is_some() {
-                    // The first prefill of a request takes no retry from the budget when it is
-                    // sent. Its result is wasted now, so it is charged.
-                    retries::charge(&self.edge, now, &self.req, RetryKind::Split);
-                }
                 match answer.facts.misdirected {
                     true => self.handle_misdirected(&engine, tracked_send),
                     false => self.handle_refusal(&engine, tracked_send, prompt),
@@ -156,7 +157,6 @@
                 PlanResult::TryNextPlan
             }
             Ok(answer) => {
-                self.retries.decode_delivered();
                 self.runs += 1;
                 if let Some(prompt) = prompt {
                     prompt.consumed = true;
@@ -169,7 +169,6 @@
                 if let SendError::Unsent(_) = err {
                     return PlanResult::TryNextPlan;
                 }
-                self.retries.decode_delivered();
                 self.runs += 1;
                 if let Some(prompt) = prompt {
                     prompt.consumed = true;
--- a/crates/edge/src/model/mod.rs
+++ b/crates/edge/src/model/mod.rs
@@ -8,7 +8,6 @@
 use std::sync::Arc;
 
 use bv_admit::{ModelPlan, ModelRequest, SendOutcome, Work};
-use bv_retry::ModelSends;
 use bv_roster::Registration;
 use bv_types::{BackendId, Millis, Refusal, Tokens};
 
@@ -17,7 +16,7 @@
 use crate::counters;
 use crate::edge::{Edge, TrackedSend};
 use crate::request::CallerRequest;
-use crate::retries::{self, RetryKind};
+use crate::retries::{Retries, RetryKind};
 use crate::send::{Answer, Connection, SendError};
 
 /// Assumed size of a prompt whose size the caller does not state.
@@ -44,8 +43,7 @@
     pub runs: u32,
     /// Number of sends of all kinds.
     sends: u32,
-    /// Sends that count towards the retry budget.
-    retries: ModelSends,
+    retries: Retries,
     /// Tokens of prompt and answer for which KV cache capacity is planned.
     planned_tokens: Tokens,
     /// Tokens in one event of the service's streams.
@@ -93,6 +91,7 @@
             facts.max_output_tokens,
         );
         drop(state);
+        let retries = Retries::new(edge, &req.service);
         ModelCall {
             edge: edge.clone(),
             last_event: facts.last_event,
@@ -104,7 +103,7 @@
             tried: Vec::new(),
             runs: 0,
             sends: 0,
-            retries: ModelSends::default(),
+            retries,
             placed_at: Millis::ZERO,
             prefilled_at: None,
             first_at: None,
@@ -131,8 +130,12 @@
     /// No engine can run it in time, or it may have run without an answer.
     pub async fn open(&mut self) -> Result<OpenedStream, Failure> {
         loop {
-            // A stream that cannot be resumed ends at once instead of waiting for capacity.
-            if self.retries.is_decode_repeat() && !self.may_retry() {
+            if self.first_at.is_none() {
+                // Other requests may use the retries while this one waits.
+                self.retries.release();
+            }
+            // Without a retry the call ends at once instead of waiting for capacity.
+            if !self.retries.may_run(&self.req, RetryKind::Decode) {
                 return Err(self.no_retry_left());
             }
             let (plan, tracked_send) = self.place().await?;
@@ -212,25 +215,6 @@
         }
     }
 
-    /// Whether the next decode is paid or the budget allows a retry.
-    fn may_retry(&self) -> bool {
-        self.retries.missing_for_decode() == 0
-            || retries::allows(&self.edge, &self.req, RetryKind::Decode)
-    }
-
-    /// Takes the missing retries for the next sends from the budget, all or none. Returns false if
-    /// the budget does not allow all.
-    fn prepay(&mut self, kind: RetryKind, missing: u32) -> bool {
-        if missing == 0 {
-            return true;
-        }
-        let is_taken = retries::take(&self.edge, &self.req, kind, missing);
-        if is_taken {
-            self.retries.prepay(missing);
-        }
-        is_taken
-    }
-
     fn no_retry_left(&self) -> Failure {
         self.final_failure(Refusal::RetryBudget, DEFAULT_RETRY_AFTER)
     }
@@ -243,7 +227,7 @@
         predicted: Millis,
     ) -> PlanResult {
         // Without a retry for the decode, the prompt would be prefilled in vain.
-        if !self.prepay(RetryKind::Split, self.retries.missing_for_split()) {
+        if !self.retries.take(&self.req, RetryKind::Split) {
             return PlanResult::Fail(self.no_retry_left());
         }
         // Reserving before the prefill detects a decode engine that does not answer or is full
--- a/crates/edge/src/model/prefill.rs
+++ b/crates/edge/src/model/prefill.rs
@@ -5,6 +5,7 @@
 
 use bv_admit::{Fault, SendOutcome};
 use bv_platform::{BackendHeaders, PrefillResult, kv_handle_path, parse_prefill_answer};
+use bv_retry::{Delivery, SendKind};
 use bv_roster::Registration;
 use bv_types::Millis;
 use http::StatusCode;
@@ -84,7 +85,6 @@
         predicted: Millis,
     ) -> Option<PrefilledPrompt> {
         self.sends += 1;
-        self.retries.begin_prefill();
         // The engine stays excluded unless the prefill succeeds.
         self.exclude(&engine.id);
         let began = self.edge.now();
@@ -98,6 +98,7 @@
             priority: Some(self.req.route.priority.min(MAX_PRIORITY)),
             ..BackendHeaders::default()
         };
+        self.retries.begin();
         let sent = send(
             &self.edge,
             &self.req,
@@ -106,7 +107,14 @@
             Connection::Fresh,
             timeout,
         );
-        match self.prefill_answer(engine, sent.await, timeout).await {
+        let read = self.prefill_answer(engine, sent.await, timeout).await;
+        let delivery = match &read {
+            Ok(_) => Delivery::Accepted,
+            Err(PrefillError::Failed(Fault::Connect, _)) => Delivery::NotSent,
+            Err(PrefillError::NotRun | PrefillError::Failed(..)) => Delivery::Refused,
+        };
+        self.retries.end(SendKind::Prefill, delivery);
+        match read {
             Ok(read) => {
                 tracked_send.end(SendOutcome::Unverified);
                 let now = self.edge.now();
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -4,6 +4,7 @@
 
 use bv_admit::{CallRequest, Fault, PlacementError, SendOutcome, Work};
 use bv_platform::{BackendHeaders, strip_answer};
+use bv_retry::{Delivery, SendKind};
 use bv_roster::Registration;
 use bv_types::{BackendId, Millis, Refusal, Tokens};
 use bytes::Bytes;
@@ -13,7 +14,7 @@
 use crate::counters;
 use crate::edge::{Edge, TrackedSend};
 use crate::request::CallerRequest;
-use crate::retries::{self, RetryKind};
+use crate::retries::{Retries, RetryKind};
 use crate::send::{Answer, Connection, SendError, read_answer, send};
 
 /// Time without an answer, in latency objectives, after which an idempotent call is sent to another
@@ -36,8 +37,7 @@
     /// Number of servers that may have run the request.
     runs: u32,
     run_state: RunState,
-    /// Number of sends that reached a server.
-    delivered: u32,
+    retries: Retries,
     /// Whether a reused connection failed, after which only new connections are used.
     fresh_only: bool,
     /// Error response of a server, kept while another server is tried.
@@ -63,7 +63,7 @@
         tried: Vec::new(),
         runs: 0,
         run_state: RunState::NotRun,
-        delivered: 0,
+        retries: Retries::new(edge, &req.service),
         fresh_only: false,
         error_response: None,
     };
@@ -101,7 +101,7 @@
         drop(guard);
         match choice {
             Ok(choice) => {
-                if self.delivered > 0 && !retries::take(self.edge, self.req, RetryKind::Call, 1) {
+                if !self.retries.take(self.req, RetryKind::Call) {
                     return Err(self.final_failure(Refusal::RetryBudget));
                 }
                 Ok(choice.server)
@@ -141,6 +141,7 @@
         let connection = self.connection(now, &server.id);
         let is_reused = matches!(connection, Connection::Open(_));
         let backend_headers = BackendHeaders::default();
+        self.retries.begin();
         let sent = send(
             self.edge,
             self.req,
@@ -205,7 +206,11 @@
         answer: Answer,
         sent_at: Millis,
     ) -> SendResult {
-        self.delivered += 1;
+        let delivery = match answer.facts.not_run {
+            true => Delivery::Refused,
+            false => Delivery::Accepted,
+        };
+        self.retries.end(SendKind::Run, delivery);
         let status = answer.response.status();
         if answer.facts.misdirected {
             let now = self.edge.now();
@@ -268,10 +273,11 @@
             .logs
             .send_failed(self.edge.now(), self.req, &server.id, &err);
         if let SendError::Unsent(_) = err {
+            self.retries.end(SendKind::Run, Delivery::NotSent);
             counters::retry(err.code());
             return SendResult::TryNext;
         }
-        self.delivered += 1;
+        self.retries.end(SendKind::Run, Delivery::Refused);
         self.runs += 1;
         self.run_state = RunState::MayHaveRun;
         let failure = match err {
--- a/crates/edge/src/retries.rs
+++ b/crates/edge/src/retries.rs
@@ -1,6 +1,9 @@
 //! Retries of a request, taken from the budget of its service.
 
-use bv_types::Millis;
+use std::sync::Arc;
+
+use bv_retry::{Delivery, RequestSends, SendKind, Settlement};
+use bv_types::ServiceId;
 
 use crate::counters;
 use crate::edge::Edge;
@@ -28,43 +31,109 @@
     }
 }
 
-/// Takes `count` retries from the budget, or none of them; returns whether the budget allows all.
-pub(crate) fn take(edge: &Edge, req: &CallerRequest, kind: RetryKind, count: u32) -> bool {
-    let now = edge.now();
-    let limits = edge.budget_limits();
-    let mut state = edge.state();
-    let is_taken = state.retry_budgets.take(now, &req.service, limits, count);
-    let balance = state.retry_budgets.balance(now, &req.service, limits);
-    drop(state);
-    let result = if is_taken { "taken" } else { "denied" };
-    counters::retry_budget(result, kind.code(), count);
-    match is_taken {
-        true => edge.logs.retry_taken(now, req, kind, count, balance),
-        false => edge.logs.retry_denied(now, req, kind, count, balance),
-    }
-    is_taken
+/// Sends of one request, with the retries taken for them. Dropping it gives back the retries that
+/// were not used; a send in flight counts as arrived.
+#[derive(Debug)]
+pub(crate) struct Retries {
+    edge: Arc<Edge>,
+    service: ServiceId,
+    sends: RequestSends,
 }
 
-/// Whether the budget allows a retry; logs a denial.
-pub(crate) fn allows(edge: &Edge, req: &CallerRequest, kind: RetryKind) -> bool {
-    let now = edge.now();
-    let limits = edge.budget_limits();
-    let mut state = edge.state();
-    let is_allowed = state.retry_budgets.allows(now, &req.service, limits);
-    let balance = state.retry_budgets.balance(now, &req.service, limits);
-    drop(state);
-    if !is_allowed {
-        counters::retry_budget("denied", kind.code(), 1);
-        edge.logs.retry_denied(now, req, kind, 1, balance);
+impl Drop for Retries {
+    fn drop(&mut self) {
+        let settlement = self.sends.abandon();
+        self.settle(settlement);
     }
-    is_allowed
 }
 
-/// Charges a retry that was made without taking it from the budget first.
-pub(crate) fn charge(edge: &Edge, now: Millis, req: &CallerRequest, kind: RetryKind) {
-    let limits = edge.budget_limits();
-    edge.state().retry_budgets.charge(now, &req.service, limits);
-    counters::retry_budget("charged", kind.code(), 1);
+impl Retries {
+    pub fn new(edge: &Arc<Edge>, service: &ServiceId) -> Self {
+        Retries {
+            edge: edge.clone(),
+            service: service.clone(),
+            sends: RequestSends::default(),
+        }
+    }
+
+    /// Takes the missing retries for the next sends from the budget, or none of them; returns
+    /// whether the budget allows all.
+    pub fn take(&mut self, req: &CallerRequest, kind: RetryKind) -> bool {
+        let missing = match kind {
+            RetryKind::Split => self.sends.missing_for_split(),
+            RetryKind::Call | RetryKind::Decode => self.sends.missing_for_run(),
+        };
+        if missing == 0 {
+            return true;
+        }
+        let edge = &self.edge;
+        let now = edge.now();
+        let limits = edge.budget_limits();
+        let mut state = edge.state();
+        let is_taken = state
+            .retry_budgets
+            .take(now, &self.service, limits, missing);
+        let balance = state.retry_budgets.balance(now, &self.service, limits);
+        drop(state);
+        let result = if is_taken { "taken" } else { "denied" };
+        counters::retry_budget(result, kind.code(), missing);
+        match is_taken {
+            true => edge.logs.retry_taken(now, req, kind, missing, balance),
+            false => edge.logs.retry_denied(now, req, kind, missing, balance),
+        }
+        if is_taken {
+            self.sends.hold(missing);
+        }
+        is_taken
+    }
+
+    /// Whether the next run is paid or the budget allows a retry; logs a denial.
+    pub fn may_run(&self, req: &CallerRequest, kind: RetryKind) -> bool {
+        if self.sends.missing_for_run() == 0 {
+            return true;
+        }
+        let edge = &self.edge;
+        let now = edge.now();
+        let limits = edge.budget_limits();
+        let mut state = edge.state();
+        let is_allowed = state.retry_budgets.allows(now, &self.service, limits);
+        let balance = state.retry_budgets.balance(now, &self.service, limits);
+        drop(state);
+        if !is_allowed {
+            counters::retry_budget("denied", kind.code(), 1);
+            edge.logs.retry_denied(now, req, kind, 1, balance);
+        }
+        is_allowed
+    }
+
+    /// Records the start of a send.
+    pub fn begin(&mut self) {
+        self.sends.begin();
+    }
+
+    /// Records the end of the send in flight.
+    pub fn end(&mut self, kind: SendKind, delivery: Delivery) {
+        let settlement = self.sends.end(kind, delivery);
+        self.settle(settlement);
+    }
+
+    /// Gives back the retries that were not used.
+    pub fn release(&mut self) {
+        let settlement = self.sends.release();
+        self.settle(settlement);
+    }
+
+    fn settle(&self, settlement: Settlement) {
+        if settlement == Settlement::default() {
+            return;
+        }
+        let edge = &self.edge;
+        let (now, limits) = (edge.now(), edge.budget_limits());
+        edge.state()
+            .retry_budgets
+            .settle(now, &self.service, limits, settlement);
+        counters::retries_settled(settlement);
+    }
 }
 
 /// Updates the gauges of the balance of each service.
--- a/crates/retry/src/host.rs
+++ b/crates/retry/src/host.rs
@@ -2,6 +2,7 @@
 
 use bv_types::{Millis, ServiceId};
 
+use crate::sends::Settlement;
 use crate::shared::{BudgetLimits, SharedBudget};
 
 /// Share of the retry budget that is used. It leaves a margin because hosts that start are known to
@@ -11,7 +12,7 @@
 /// Retries that a host has used of its share of a budget, and those that it may use now.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Balance {
-    /// Retries in the window.
+    /// Retries in the window, and those whose sends have not ended.
     pub used: u32,
     /// Retries that the share allows in the window.
     pub allowed: f64,
@@ -52,10 +53,15 @@
         self.budget(service).take_many(now, limits, hosts, count)
     }
 
-    /// Charges a retry that was made without taking it from the budget first, such as a wasted
-    /// prefill.
-    pub fn charge(&mut self, now: Millis, service: &ServiceId, limits: BudgetLimits) {
-        self.budget(service).charge(now, limits);
+    /// Settles retries that were taken.
+    pub fn settle(
+        &mut self,
+        now: Millis,
+        service: &ServiceId,
+        limits: BudgetLimits,
+        settlement: Settlement,
+    ) {
+        self.budget(service).settle(now, limits, settlement);
     }
 
     /// Whether this host's share of the budget allows a retry for a service.
--- a/crates/retry/src/lib.rs
+++ b/crates/retry/src/lib.rs
@@ -25,12 +25,12 @@
 mod budget;
 mod ejection;
 mod host;
-mod model_sends;
+mod sends;
 mod shared;
 
 pub use backoff::Backoff;
 pub use budget::Budget;
 pub use ejection::{Ejection, Outcome};
 pub use host::{Balance, HostBudgets};
-pub use model_sends::ModelSends;
+pub use sends::{Delivery, RequestSends, SendKind, Settlement};
 pub use shared::{BudgetLimits, SharedBudget};
--- a/crates/retry/src/shared.rs
+++ b/crates/retry/src/shared.rs
@@ -4,6 +4,8 @@
 
 use bv_types::Millis;
 
+use crate::sends::Settlement;
+
 /// Width of one bucket of the sliding window. The window is rounded up to whole buckets, so that
 /// no interval of the stated length holds more retries than allowed.
 const BUCKET_WIDTH: Millis = Millis(500);
@@ -23,6 +25,7 @@
 struct Bucket {
     start: Millis,
     requests: u32,
+    /// Retries that arrived, by the time at which their result was known.
     retries: u32,
 }
 
@@ -33,6 +36,8 @@
 #[derive(Debug, Default)]
 pub struct SharedBudget {
     buckets: VecDeque<Bucket>,
+    /// Retries that were taken and whose sends have not ended.
+    outstanding: u32,
 }
 
 impl SharedBudget {
@@ -51,11 +56,12 @@
         f64::from(used) + f64::from(count) <= allowed
     }
 
-    /// Retries of this host in the window, and those that its share, one of `hosts`, allows there.
+    /// Retries of this host in the window or outstanding, and those that its share, one of `hosts`, allows there.
     pub fn balance(&mut self, now: Millis, limits: BudgetLimits, hosts: usize) -> (u32, f64) {
         self.current_bucket(now, limits);
         let requests: u32 = self.in_window(now, limits.window).map(|b| b.requests).sum();
-        let used = self.buckets.iter().map(|b| b.retries).sum();
+        let arrived: u32 = self.buckets.iter().map(|b| b.retries).sum();
+        let used = arrived + self.outstanding;
         let allowed = limits.ratio * f64::from(requests) + limits.extra / hosts.max(1) as f64;
         (used, allowed)
     }
@@ -77,14 +83,19 @@
     ) -> bool {
         let allowed = self.allows_many(now, limits, hosts, count);
         if allowed {
-            self.current_bucket(now, limits).retries += count;
+            self.outstanding += count;
         }
         allowed
     }
 
-    /// Counts a retry that was made without asking the budget.
-    pub fn charge(&mut self, now: Millis, limits: BudgetLimits) {
-        self.current_bucket(now, limits).retries += 1;
+    /// Settles retries that were taken. Those that arrived count from `now` on, which is not before
+    /// their arrival, so each window holds all that arrived in it.
+    pub fn settle(&mut self, now: Millis, limits: BudgetLimits, settlement: Settlement) {
+        let Settlement { arrived, returned } = settlement;
+        self.outstanding = self.outstanding.saturating_sub(arrived + returned);
+        if arrived > 0 {
+            self.current_bucket(now, limits).retries += arrived;
+        }
     }
 
     /// Buckets that start within the window. Older buckets are kept for one width longer, because
--- a/crates/retry/tests/fleet/retries.rs
+++ b/crates/retry/tests/fleet/retries.rs
@@ -1,6 +1,6 @@
 //! The retry budget as the daemon uses it for one request.
 
-use bv_retry::{HostBudgets, ModelSends};
+use bv_retry::{Delivery, HostBudgets, RequestSends, SendKind};
 use bv_types::{Millis, ServiceId};
 
 use super::LIMITS;
@@ -45,8 +45,7 @@
 
 #[derive(Default)]
 pub struct Retries {
-    sends: ModelSends,
-    has_prompt: bool,
+    sends: RequestSends,
 }
 
 impl Retries {
@@ -54,20 +53,17 @@
     pub fn pay(&mut self, host: &mut Host, now: Millis, service: &ServiceId, kind: Kind) -> bool {
         let missing = match kind {
             Kind::Prefill => self.sends.missing_for_split(),
-            Kind::Decode => self.sends.missing_for_decode(),
+            Kind::Decode => self.sends.missing_for_run(),
         };
         if missing > 0 && !host.budgets.take(now, service, LIMITS, missing) {
             return false;
         }
-        self.sends.prepay(missing);
+        self.sends.hold(missing);
         true
     }
 
-    pub fn begin(&mut self, kind: Kind) {
-        match kind {
-            Kind::Prefill => self.sends.begin_prefill(),
-            Kind::Decode => self.sends.begin_decode(),
-        }
+    pub fn begin(&mut self, _kind: Kind) {
+        self.sends.begin();
     }
 
     pub fn end(
@@ -78,19 +74,22 @@
         kind: Kind,
         outcome: Outcome,
     ) {
-        match (kind, outcome) {
-            (Kind::Prefill, _) => self.has_prompt = outcome == Outcome::Accepted,
-            (Kind::Decode, Outcome::NotSent) => {}
-            (Kind::Decode, Outcome::Refused) => {
-                self.sends.decode_delivered();
-                if self.has_prompt {
-                    host.budgets.charge(now, service, LIMITS);
-                }
-            }
-            (Kind::Decode, Outcome::Accepted | Outcome::Lost) => self.sends.decode_delivered(),
-        }
+        let kind = match kind {
+            Kind::Prefill => SendKind::Prefill,
+            Kind::Decode => SendKind::Run,
+        };
+        let delivery = match outcome {
+            Outcome::NotSent => Delivery::NotSent,
+            Outcome::Accepted => Delivery::Accepted,
+            Outcome::Refused | Outcome::Lost => Delivery::Refused,
+        };
+        let settlement = self.sends.end(kind, delivery);
+        host.budgets.settle(now, service, LIMITS, settlement);
     }
 
     /// Ends the request, whatever it was doing.
-    pub fn abandon(&mut self, _host: &mut Host, _now: Millis, _service: &ServiceId) {}
+    pub fn abandon(&mut self, host: &mut Host, now: Millis, service: &ServiceId) {
+        let settlement = self.sends.abandon();
+        host.budgets.settle(now, service, LIMITS, settlement);
+    }
 }
--- a/crates/retry/tests/shared_budget.rs
+++ b/crates/retry/tests/shared_budget.rs
@@ -1,6 +1,6 @@
 //! Guards against retries beyond the budget that applies to all hosts together.
 
-use bv_retry::{BudgetLimits, SharedBudget};
+use bv_retry::{BudgetLimits, Settlement, SharedBudget};
 use bv_types::Millis;
 
 const LIMITS: BudgetLimits = BudgetLimits {
@@ -9,13 +9,25 @@
     window: Millis(10_000),
 };
 
+const ONE_ARRIVED: Settlement = Settlement {
+    arrived: 1,
+    returned: 0,
+};
+
+/// Takes a retry that arrives at once.
+fn take(budget: &mut SharedBudget, now: u64, hosts: usize) -> bool {
+    let is_taken = budget.take(Millis(now), LIMITS, hosts);
+    if is_taken {
+        budget.settle(Millis(now), LIMITS, ONE_ARRIVED);
+    }
+    is_taken
+}
+
 /// Guards against each host using the whole of `extra`, and against a window that never ends.
 #[test]
 fn extra_is_divided_among_hosts() {
     let mut budget = SharedBudget::default();
-    let taken = (0..100)
-        .filter(|_| budget.take(Millis(0), LIMITS, 8))
-        .count();
+    let taken = (0..100).filter(|_| take(&mut budget, 0, 8)).count();
     assert_eq!(taken, 5);
     assert!(!budget.take(Millis(9_999), LIMITS, 8));
     assert!(
@@ -31,9 +43,7 @@
     for at in 0..100 {
         budget.request(Millis(at), LIMITS);
     }
-    let taken = (0..100)
-        .filter(|_| budget.take(Millis(100), LIMITS, 8))
-        .count();
+    let taken = (0..100).filter(|_| take(&mut budget, 100, 8)).count();
     assert_eq!(taken, 25);
 }
 
@@ -54,7 +64,7 @@
                     budget.request(Millis(now), LIMITS);
                     requests.push(now);
                 }
-                false if budget.take(Millis(now), LIMITS, 4) => retries.push(now),
+                false if take(&mut budget, now, 4) => retries.push(now),
                 false => {}
             }
         }
@@ -78,12 +88,42 @@
     }
 }
 
-/// Guards against a budget that ignores retries made without asking it.
+/// Guards against a budget that ignores retries whose sends have not ended, however long they take.
 #[test]
-fn charged_retries_count() {
+fn outstanding_retries_count() {
     let mut budget = SharedBudget::default();
     for _ in 0..5 {
-        budget.charge(Millis(0), LIMITS);
+        assert!(budget.take(Millis(0), LIMITS, 8));
     }
     assert!(!budget.take(Millis(1), LIMITS, 8));
+    assert!(!budget.take(Millis(30_000), LIMITS, 8));
+}
+
+/// Guards against a retry that leaves the window before its arrival does.
+#[test]
+fn late_arrivals_count_from_their_result() {
+    let mut budget = SharedBudget::default();
+    for _ in 0..5 {
+        assert!(budget.take(Millis(0), LIMITS, 8));
+    }
+    for _ in 0..5 {
+        budget.settle(Millis(8_000), LIMITS, ONE_ARRIVED);
+    }
+    assert!(!budget.take(Millis(17_999), LIMITS, 8));
+    assert!(budget.take(Millis(18_600), LIMITS, 8));
+}
+
+/// Guards against a budget that shrinks with each send that did not take place.
+#[test]
+fn returned_retries_are_free() {
+    let mut budget = SharedBudget::default();
+    let returned = Settlement {
+        arrived: 0,
+        returned: 1,
+    };
+    for _ in 0..100 {
+        assert!(budget.take(Millis(0), LIMITS, 8));
+        budget.settle(Millis(0), LIMITS, returned);
+    }
+    assert_eq!((0..100).filter(|_| take(&mut budget, 0, 8)).count(), 5);
 }
