retry, edge: keep the retry budget across restarts and while fewer hosts are seen

Cause: a started process took its whole part of the fixed number again, and each host divided that number by the hosts that it saw at this moment. The class of fault is a limit over all hosts that is kept in the memory of one process.

Change: * In its first window a process gets 0.15 of its part in proportion to its age. That is what the others leave, and it holds for any number of restarts in a window. Where the platform says that the whole system starts for the first time (bootstrap), nothing was spent before, and the process has its part at once. * The fixed number is divided by the largest number of hosts known in the last 120 s. * The start line says whether it is the first start.

--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -6,7 +6,7 @@
 use bv_admit::{SendId, SendOutcome, Work};
 use bv_link::AnswerMemory;
 use bv_platform::{PlatformSettings, StoreClient, Table};
-use bv_retry::BudgetLimits;
+use bv_retry::{BudgetLimits, HostBudgets};
 use bv_roster::{AgeBounds, HostEntry, store_intervals};
 use bv_types::{BackendId, Clock, Millis, Tokens};
 use tokio::sync::{Notify, watch};
@@ -66,7 +66,8 @@
         let store = StoreClient::new(settings.store_addr);
         let promise = settings.config_apply_timeout.min(settings.drain_timeout);
         let bounds = AgeBounds::new(promise);
-        let state = Mutex::new(State::new(fastrand::u64(..), bounds));
+        let retry_budgets = HostBudgets::new(clock.now(), settings.is_first_start);
+        let state = Mutex::new(State::new(fastrand::u64(..), bounds, retry_budgets));
         let answer_bytes = settings.memory_mb * ANSWER_MEMORY_SHARE * 1e6;
         Edge {
             answer_memory: Arc::new(AnswerMemory::new(answer_bytes as usize)),
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -465,7 +465,7 @@
     let now = edge.now();
     let mut state = edge.state();
     state.observe_store_time(now, before.store_time);
-    state.set_hosts(&own, Hosts::read(&own, &before));
+    state.set_hosts(now, &own, Hosts::read(&own, &before));
     drop(state);
     edge.rows_changed.notify_waiters();
     edge.sources_changed.notify_waiters();
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -368,7 +368,7 @@
     if !reply.hosts.is_empty() {
         let own = edge.own_entry();
         let entries = reply.hosts.iter().filter_map(to_entry);
-        state.set_hosts(&own, Hosts::from_entries(&own, entries));
+        state.set_hosts(now, &own, Hosts::from_entries(&own, entries));
         edge.sources_changed.notify_waiters();
         changed = true;
     }
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -99,6 +99,7 @@
         host = %settings.host,
         zone = %settings.zone,
         store = %settings.store_addr,
+        first_start = settings.is_first_start,
         version = env!("CARGO_PKG_VERSION"),
         "start"
     );
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -95,7 +95,7 @@
 }
 
 impl State {
-    pub fn new(seed: u64, bounds: AgeBounds) -> Self {
+    pub fn new(seed: u64, bounds: AgeBounds, retry_budgets: HostBudgets) -> Self {
         State {
             in_force: InForce::default(),
             roster: Roster::default(),
@@ -108,7 +108,7 @@
             store_clock: StoreClock::default(),
             failing: Vec::new(),
             own_confirmations: OwnConfirmations::default(),
-            retry_budgets: HostBudgets::default(),
+            retry_budgets,
         }
     }
 
@@ -190,13 +190,13 @@
     }
 
     /// Sets the live hosts.
-    pub fn set_hosts(&mut self, own: &HostEntry, hosts: Hosts) {
+    pub fn set_hosts(&mut self, now: Millis, own: &HostEntry, hosts: Hosts) {
         if hosts.count() != self.hosts.count() {
             info!(count = hosts.count(), "hosts: changed");
         }
         self.fleet.expect_peers(hosts.others().len());
         self.sources.set_hosts(own, hosts.others());
-        self.retry_budgets.set_hosts(hosts.count());
+        self.retry_budgets.set_hosts(now, hosts.count());
         self.hosts = hosts;
     }
 
--- a/crates/retry/src/host.rs
+++ b/crates/retry/src/host.rs
@@ -5,9 +5,14 @@
 use crate::sends::Settlement;
 use crate::shared::{BudgetLimits, SharedBudget};
 
-/// Share of the retry budget that is used. It leaves a margin because hosts that start are known to
-/// the others only some seconds later, and each host counts its own periods.
+/// Share of the retry budget that is used. The rest is for processes in their first window.
 const BUDGET_SHARE: f64 = 0.85;
+/// Share of the fixed part that a process reaches at the end of its first window. It grows in
+/// proportion to the age of the process, so that any number of restarts in a window use no more.
+const STARTING_SHARE: f64 = 1.0 - BUDGET_SHARE;
+/// Time for which the largest known number of hosts counts. A host that is no longer known may
+/// still be running, or has used its part in the current window.
+const HOST_COUNT_RETENTION: Millis = Millis(120_000);
 
 /// Retries that a host has used of its share of a budget, and those that it may use now.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -16,23 +21,44 @@
     pub used: u32,
     /// Retries that the share allows in the window.
     pub allowed: f64,
-    /// Number of hosts that share the budget; `None` before they are known.
+    /// Number of hosts by which the fixed part is divided; `None` before they are known.
     pub hosts: Option<usize>,
 }
 
 /// Retry budgets of all services at one host.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct HostBudgets {
+    /// Start of the process if an earlier one on this host may have used retries.
+    restarted_at: Option<Millis>,
     /// Number of live hosts including this one; `None` before they are known.
     hosts: Option<usize>,
+    /// Earlier numbers of hosts, each with the time of the change to the next one.
+    earlier_hosts: Vec<(Millis, usize)>,
     /// Sorted by service.
     services: Vec<(ServiceId, SharedBudget)>,
 }
 
 impl HostBudgets {
+    /// Budgets of a process that starts now. `is_first_start` says that no process ran before, on
+    /// this host or another.
+    pub fn new(now: Millis, is_first_start: bool) -> Self {
+        HostBudgets {
+            restarted_at: (!is_first_start).then_some(now),
+            hosts: None,
+            earlier_hosts: Vec::new(),
+            services: Vec::new(),
+        }
+    }
+
     /// Sets the number of live hosts including this one.
-    pub fn set_hosts(&mut self, hosts: Option<usize>) {
-        self.hosts = hosts;
+    pub fn set_hosts(&mut self, now: Millis, hosts: Option<usize>) {
+        if hosts == self.hosts {
+            return;
+        }
+        let earlier = std::mem::replace(&mut self.hosts, hosts);
+        self.earlier_hosts
+            .retain(|(until, _)| now < *until + HOST_COUNT_RETENTION);
+        self.earlier_hosts.extend(earlier.map(|count| (now, count)));
     }
 
     /// Counts a caller's request to a service.
@@ -49,7 +75,7 @@
         limits: BudgetLimits,
         count: u32,
     ) -> bool {
-        let (limits, hosts) = self.own_share(limits);
+        let (limits, hosts) = self.own_share(now, limits);
         self.budget(service).take_many(now, limits, hosts, count)
     }
 
@@ -66,18 +92,19 @@
 
     /// Whether this host's share of the budget allows a retry for a service.
     pub fn allows(&mut self, now: Millis, service: &ServiceId, limits: BudgetLimits) -> bool {
-        let (limits, hosts) = self.own_share(limits);
+        let (limits, hosts) = self.own_share(now, limits);
         self.budget(service).allows(now, limits, hosts)
     }
 
     /// Balance of this host's share of a service's budget.
     pub fn balance(&mut self, now: Millis, service: &ServiceId, limits: BudgetLimits) -> Balance {
-        let (limits, hosts) = self.own_share(limits);
-        let (used, allowed) = self.budget(service).balance(now, limits, hosts);
+        let hosts = self.most_hosts(now);
+        let (limits, divisor) = self.own_share(now, limits);
+        let (used, allowed) = self.budget(service).balance(now, limits, divisor);
         Balance {
             used,
             allowed,
-            hosts: self.hosts,
+            hosts,
         }
     }
 
@@ -87,14 +114,31 @@
     }
 
     /// The part of the budget that may be used, and the number of hosts that share it.
-    fn own_share(&self, limits: BudgetLimits) -> (BudgetLimits, usize) {
+    fn own_share(&self, now: Millis, limits: BudgetLimits) -> (BudgetLimits, usize) {
+        let hosts = self.most_hosts(now);
+        let share = self.fixed_share(now, limits.window);
         let limits = BudgetLimits {
             ratio: limits.ratio * BUDGET_SHARE,
             // Before the other hosts are known, they may be using the fixed part.
-            extra: self.hosts.map_or(0.0, |_| limits.extra * BUDGET_SHARE),
+            extra: hosts.map_or(0.0, |_| limits.extra * share),
             ..limits
         };
-        (limits, self.hosts.unwrap_or(1))
+        (limits, hosts.unwrap_or(1))
+    }
+
+    /// Share of the fixed part that all processes as old as this one may use together.
+    fn fixed_share(&self, now: Millis, window: Millis) -> f64 {
+        match self.restarted_at.map(|at| now - at) {
+            Some(age) if age < window => STARTING_SHARE * age.0 as f64 / window.0 as f64,
+            _ => BUDGET_SHARE,
+        }
+    }
+
+    /// Largest number of hosts that was known lately.
+    fn most_hosts(&self, now: Millis) -> Option<usize> {
+        let earlier = self.earlier_hosts.iter();
+        let earlier = earlier.filter(|(until, _)| now < *until + HOST_COUNT_RETENTION);
+        earlier.map(|(_, count)| *count).chain(self.hosts).max()
     }
 
     fn budget(&mut self, service: &ServiceId) -> &mut SharedBudget {
--- a/crates/retry/tests/fleet/retries.rs
+++ b/crates/retry/tests/fleet/retries.rs
@@ -27,15 +27,15 @@
 }
 
 impl Host {
-    pub fn start(now: Millis, _is_first_start: bool) -> Self {
+    pub fn start(now: Millis, is_first_start: bool) -> Self {
         Host {
             started_at: now,
-            budgets: HostBudgets::default(),
+            budgets: HostBudgets::new(now, is_first_start),
         }
     }
 
-    pub fn see_hosts(&mut self, _now: Millis, count: usize) {
-        self.budgets.set_hosts(Some(count));
+    pub fn see_hosts(&mut self, now: Millis, count: usize) {
+        self.budgets.set_hosts(now, Some(count));
     }
 
     pub fn request(&mut self, now: Millis, service: &ServiceId) {
