--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -99,6 +99,7 @@
         host = %settings.host,
         zone = %settings.zone,
         store = %settings.store_addr,
+        first_start = settings.is_first_start,
         version = env!("CARGO_PKG_VERSION"),
         "start"
     );
@@ -129,7 +130,7 @@
     tokio::spawn(usage::receive_updates(edge.clone(), datagrams));
     tokio::spawn(peers::listen(edge.clone(), peers));
     tokio::spawn(listen::readiness(edge.clone(), ready));
-    tokio::spawn(listen::metrics(metrics_listener, metrics));
+    tokio::spawn(listen::metrics(edge.clone(), metrics_listener, metrics));
     tokio::spawn(listen::callers(edge.clone(), callers, drain_rx));
     loop {
         tokio::select! {
