retry, edge: leave retries of a share to streams that have begun

A stream that has begun is cut when no retry is left, and the caller holds a part of an answer; a request that has not begun is refused as not run, and its caller may try again. Both took from the same share, so while engines refuse, requests that have not begun used all of it before a stream broke off.

Change: a request that has not begun leaves two retries, a prefill and its decode, or a quarter of the share if that is less. A stream that goes on uses all of it.

Evidence: streams_go_first and small_share in tests/shared_budget.rs; without the reserve the first one takes 10 retries, not 8.

--- a/crates/edge/src/model/mod.rs
+++ b/crates/edge/src/model/mod.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 
 use bv_admit::{ModelPlan, ModelRequest, SendOutcome, Work};
+use bv_retry::Purpose;
 use bv_roster::Registration;
 use bv_types::{BackendId, Millis, Refusal, Tokens};
 
@@ -130,9 +131,10 @@
     /// No engine can run it in time, or it may have run without an answer.
     pub async fn open(&mut self) -> Result<OpenedStream, Failure> {
         loop {
-            if self.first_at.is_none() {
+            match self.first_at {
+                Some(_) => self.retries.set_purpose(Purpose::Resume),
                 // Other requests may use the retries while this one waits.
-                self.retries.release();
+                None => self.retries.release(),
             }
             // Without a retry the call ends at once instead of waiting for capacity.
             if !self.retries.may_run(&self.req, RetryKind::Decode) {
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -4,7 +4,7 @@
 
 use bv_admit::{CallRequest, Fault, PlacementError, SendOutcome, Work};
 use bv_platform::{BackendHeaders, strip_answer};
-use bv_retry::{Delivery, SendKind};
+use bv_retry::{Delivery, Purpose, SendKind};
 use bv_roster::Registration;
 use bv_types::{BackendId, Millis, Refusal, Tokens};
 use bytes::Bytes;
@@ -196,7 +196,10 @@
             .roster
             .of_service(now, service)
             .any(|entry| is_untried(&entry.id));
-        has_other && state.retry_budgets.allows(now, service, limits)
+        has_other
+            && state
+                .retry_budgets
+                .allows(now, service, limits, Purpose::Start)
     }
 
     async fn handle_answer(
--- a/crates/edge/src/retries.rs
+++ b/crates/edge/src/retries.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use bv_retry::{Delivery, RequestSends, SendKind, Settlement};
+use bv_retry::{Delivery, Purpose, RequestSends, SendKind, Settlement};
 use bv_types::ServiceId;
 
 use crate::counters;
@@ -38,6 +38,7 @@
     edge: Arc<Edge>,
     service: ServiceId,
     sends: RequestSends,
+    purpose: Purpose,
 }
 
 impl Drop for Retries {
@@ -53,9 +54,15 @@
             edge: edge.clone(),
             service: service.clone(),
             sends: RequestSends::default(),
+            purpose: Purpose::Start,
         }
     }
 
+    /// Sets what further retries are for.
+    pub fn set_purpose(&mut self, purpose: Purpose) {
+        self.purpose = purpose;
+    }
+
     /// Takes the missing retries for the next sends from the budget, or none of them; returns
     /// whether the budget allows all.
     pub fn take(&mut self, req: &CallerRequest, kind: RetryKind) -> bool {
@@ -72,7 +79,7 @@
         let mut state = edge.state();
         let is_taken = state
             .retry_budgets
-            .take(now, &self.service, limits, missing);
+            .take(now, &self.service, limits, self.purpose, missing);
         let balance = state.retry_budgets.balance(now, &self.service, limits);
         drop(state);
         let result = if is_taken { "taken" } else { "denied" };
@@ -96,7 +103,9 @@
         let now = edge.now();
         let limits = edge.budget_limits();
         let mut state = edge.state();
-        let is_allowed = state.retry_budgets.allows(now, &self.service, limits);
+        let is_allowed = state
+            .retry_budgets
+            .allows(now, &self.service, limits, self.purpose);
         let balance = state.retry_budgets.balance(now, &self.service, limits);
         drop(state);
         if !is_allowed {
--- a/crates/retry/src/host.rs
+++ b/crates/retry/src/host.rs
@@ -3,7 +3,7 @@
 use bv_types::{Millis, ServiceId};
 
 use crate::sends::Settlement;
-use crate::shared::{BudgetLimits, SharedBudget};
+use crate::shared::{BudgetLimits, Purpose, SharedBudget};
 
 /// Share of the retry budget that is used. The rest is for processes in their first window.
 const BUDGET_SHARE: f64 = 0.85;
@@ -73,10 +73,12 @@
         now: Millis,
         service: &ServiceId,
         limits: BudgetLimits,
+        purpose: Purpose,
         count: u32,
     ) -> bool {
         let (limits, hosts) = self.own_share(now, limits);
-        self.budget(service).take_many(now, limits, hosts, count)
+        self.budget(service)
+            .take(now, limits, hosts, purpose, count)
     }
 
     /// Settles retries that were taken.
@@ -91,9 +93,15 @@
     }
 
     /// Whether this host's share of the budget allows a retry for a service.
-    pub fn allows(&mut self, now: Millis, service: &ServiceId, limits: BudgetLimits) -> bool {
+    pub fn allows(
+        &mut self,
+        now: Millis,
+        service: &ServiceId,
+        limits: BudgetLimits,
+        purpose: Purpose,
+    ) -> bool {
         let (limits, hosts) = self.own_share(now, limits);
-        self.budget(service).allows(now, limits, hosts)
+        self.budget(service).allows(now, limits, hosts, purpose, 1)
     }
 
     /// Balance of this host's share of a service's budget.
--- a/crates/retry/src/lib.rs
+++ b/crates/retry/src/lib.rs
@@ -33,4 +33,4 @@
 pub use ejection::{Ejection, Outcome};
 pub use host::{Balance, HostBudgets};
 pub use sends::{Delivery, RequestSends, SendKind, Settlement};
-pub use shared::{BudgetLimits, SharedBudget};
+pub use shared::{BudgetLimits, Purpose, SharedBudget};
--- a/crates/retry/src/shared.rs
+++ b/crates/retry/src/shared.rs
@@ -10,6 +10,20 @@
 /// no interval of the stated length holds more retries than allowed.
 const BUCKET_WIDTH: Millis = Millis(500);
 
+/// Retries of a host's share that are left to streams that have begun: a prefill and its decode.
+const RESUME_RESERVE: f64 = 2.0;
+/// Largest part of a share that is left to them.
+const MAX_RESERVED_SHARE: f64 = 0.25;
+
+/// What a retry is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Purpose {
+    /// A request whose answer has not begun. Its caller may try again.
+    Start,
+    /// A stream that has begun, and is cut without a retry.
+    Resume,
+}
+
 /// Limits of the budget over all hosts.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct BudgetLimits {
@@ -46,14 +60,21 @@
         self.current_bucket(now, limits).requests += 1;
     }
 
-    /// Whether the budget of this host, one of `hosts`, allows another retry.
-    pub fn allows(&mut self, now: Millis, limits: BudgetLimits, hosts: usize) -> bool {
-        self.allows_many(now, limits, hosts, 1)
-    }
-
-    fn allows_many(&mut self, now: Millis, limits: BudgetLimits, hosts: usize, count: u32) -> bool {
+    /// Whether the budget of this host, one of `hosts`, allows `count` retries.
+    pub fn allows(
+        &mut self,
+        now: Millis,
+        limits: BudgetLimits,
+        hosts: usize,
+        purpose: Purpose,
+        count: u32,
+    ) -> bool {
         let (used, allowed) = self.balance(now, limits, hosts);
-        f64::from(used) + f64::from(count) <= allowed
+        let reserved = match purpose {
+            Purpose::Start => RESUME_RESERVE.min(allowed * MAX_RESERVED_SHARE),
+            Purpose::Resume => 0.0,
+        };
+        f64::from(used) + f64::from(count) <= allowed - reserved
     }
 
     /// Retries of this host in the window or outstanding, and those that its share, one of `hosts`, allows there.
@@ -66,22 +87,17 @@
         (used, allowed)
     }
 
-    /// Takes one retry from the budget of this host, one of `hosts`; returns whether the budget
-    /// allows it.
-    pub fn take(&mut self, now: Millis, limits: BudgetLimits, hosts: usize) -> bool {
-        self.take_many(now, limits, hosts, 1)
-    }
-
     /// Takes `count` retries from the budget of this host, one of `hosts`, or none of them; returns
     /// whether the budget allows all.
-    pub fn take_many(
+    pub fn take(
         &mut self,
         now: Millis,
         limits: BudgetLimits,
         hosts: usize,
+        purpose: Purpose,
         count: u32,
     ) -> bool {
-        let allowed = self.allows_many(now, limits, hosts, count);
+        let allowed = self.allows(now, limits, hosts, purpose, count);
         if allowed {
             self.outstanding += count;
         }
--- a/crates/retry/tests/fleet/retries.rs
+++ b/crates/retry/tests/fleet/retries.rs
@@ -1,6 +1,6 @@
 //! The retry budget as the daemon uses it for one request.
 
-use bv_retry::{Delivery, HostBudgets, RequestSends, SendKind};
+use bv_retry::{Delivery, HostBudgets, Purpose, RequestSends, SendKind};
 use bv_types::{Millis, ServiceId};
 
 use super::LIMITS;
@@ -46,6 +46,7 @@
 #[derive(Default)]
 pub struct Retries {
     sends: RequestSends,
+    has_begun: bool,
 }
 
 impl Retries {
@@ -55,7 +56,11 @@
             Kind::Prefill => self.sends.missing_for_split(),
             Kind::Decode => self.sends.missing_for_run(),
         };
-        if missing > 0 && !host.budgets.take(now, service, LIMITS, missing) {
+        let purpose = match self.has_begun {
+            true => Purpose::Resume,
+            false => Purpose::Start,
+        };
+        if missing > 0 && !host.budgets.take(now, service, LIMITS, purpose, missing) {
             return false;
         }
         self.sends.hold(missing);
@@ -78,6 +83,7 @@
             Kind::Prefill => SendKind::Prefill,
             Kind::Decode => SendKind::Run,
         };
+        self.has_begun |= kind == SendKind::Run && outcome == Outcome::Accepted;
         let delivery = match outcome {
             Outcome::NotSent => Delivery::NotSent,
             Outcome::Accepted => Delivery::Accepted,
--- a/crates/retry/tests/request_sends.rs
+++ b/crates/retry/tests/request_sends.rs
@@ -1,7 +1,7 @@
 //! Guards against a prompt that is prefilled again although the budget has no retry left for its
 //! decode, and against repeats that are not taken from the budget.
 
-use bv_retry::{BudgetLimits, Delivery, RequestSends, SendKind, Settlement, SharedBudget};
+use bv_retry::{BudgetLimits, Delivery, Purpose, RequestSends, SendKind, Settlement, SharedBudget};
 use bv_types::Millis;
 
 use Delivery::{Accepted, NotSent, Refused};
@@ -42,9 +42,15 @@
     let sends = started_call();
     assert_eq!(sends.missing_for_split(), 2);
     let mut budget = SharedBudget::default();
-    assert!(!budget.take_many(Millis(0), LIMITS, 1, sends.missing_for_split()));
+    assert!(!budget.take(
+        Millis(0),
+        LIMITS,
+        1,
+        Purpose::Resume,
+        sends.missing_for_split()
+    ));
     assert!(
-        budget.take(Millis(0), LIMITS, 1),
+        budget.take(Millis(0), LIMITS, 1, Purpose::Resume, 1),
         "a refused pair must leave the budget untouched"
     );
 }
--- a/crates/retry/tests/shared_budget.rs
+++ b/crates/retry/tests/shared_budget.rs
@@ -1,8 +1,10 @@
 //! Guards against retries beyond the budget that applies to all hosts together.
 
-use bv_retry::{BudgetLimits, Settlement, SharedBudget};
+use bv_retry::{BudgetLimits, Purpose, Settlement, SharedBudget};
 use bv_types::Millis;
 
+use Purpose::{Resume, Start};
+
 const LIMITS: BudgetLimits = BudgetLimits {
     ratio: 0.2,
     extra: 40.0,
@@ -16,7 +18,7 @@
 
 /// Takes a retry that arrives at once.
 fn take(budget: &mut SharedBudget, now: u64, hosts: usize) -> bool {
-    let is_taken = budget.take(Millis(now), LIMITS, hosts);
+    let is_taken = budget.take(Millis(now), LIMITS, hosts, Resume, 1);
     if is_taken {
         budget.settle(Millis(now), LIMITS, ONE_ARRIVED);
     }
@@ -29,9 +31,9 @@
     let mut budget = SharedBudget::default();
     let taken = (0..100).filter(|_| take(&mut budget, 0, 8)).count();
     assert_eq!(taken, 5);
-    assert!(!budget.take(Millis(9_999), LIMITS, 8));
+    assert!(!budget.take(Millis(9_999), LIMITS, 8, Resume, 1));
     assert!(
-        budget.take(Millis(10_600), LIMITS, 8),
+        budget.take(Millis(10_600), LIMITS, 8, Resume, 1),
         "the window has passed"
     );
 }
@@ -93,10 +95,10 @@
 fn outstanding_retries_count() {
     let mut budget = SharedBudget::default();
     for _ in 0..5 {
-        assert!(budget.take(Millis(0), LIMITS, 8));
+        assert!(budget.take(Millis(0), LIMITS, 8, Resume, 1));
     }
-    assert!(!budget.take(Millis(1), LIMITS, 8));
-    assert!(!budget.take(Millis(30_000), LIMITS, 8));
+    assert!(!budget.take(Millis(1), LIMITS, 8, Resume, 1));
+    assert!(!budget.take(Millis(30_000), LIMITS, 8, Resume, 1));
 }
 
 /// Guards against a retry that leaves the window before its arrival does.
@@ -104,13 +106,13 @@
 fn late_arrivals_count_from_their_result() {
     let mut budget = SharedBudget::default();
     for _ in 0..5 {
-        assert!(budget.take(Millis(0), LIMITS, 8));
+        assert!(budget.take(Millis(0), LIMITS, 8, Resume, 1));
     }
     for _ in 0..5 {
         budget.settle(Millis(8_000), LIMITS, ONE_ARRIVED);
     }
-    assert!(!budget.take(Millis(17_999), LIMITS, 8));
-    assert!(budget.take(Millis(18_600), LIMITS, 8));
+    assert!(!budget.take(Millis(17_999), LIMITS, 8, Resume, 1));
+    assert!(budget.take(Millis(18_600), LIMITS, 8, Resume, 1));
 }
 
 /// Guards against a budget that shrinks with each send that did not take place.
@@ -122,8 +124,29 @@
         returned: 1,
     };
     for _ in 0..100 {
-        assert!(budget.take(Millis(0), LIMITS, 8));
+        assert!(budget.take(Millis(0), LIMITS, 8, Resume, 1));
         budget.settle(Millis(0), LIMITS, returned);
     }
     assert_eq!((0..100).filter(|_| take(&mut budget, 0, 8)).count(), 5);
 }
+
+/// Guards against requests that have not begun using the retries that a broken stream needs.
+#[test]
+fn streams_go_first() {
+    let mut budget = SharedBudget::default();
+    let started = (0..100)
+        .filter(|_| budget.take(Millis(0), LIMITS, 4, Start, 1))
+        .count();
+    assert_eq!(started, 8);
+    assert!(budget.take(Millis(0), LIMITS, 4, Resume, 2));
+    assert!(!budget.take(Millis(0), LIMITS, 4, Resume, 1));
+}
+
+/// Guards against a small share that only streams may use.
+#[test]
+fn small_share() {
+    let mut budget = SharedBudget::default();
+    assert!(budget.take(Millis(0), LIMITS, 20, Start, 1));
+    assert!(!budget.take(Millis(0), LIMITS, 20, Start, 1));
+    assert!(budget.take(Millis(0), LIMITS, 20, Resume, 1));
+}
