edge: keep a silent stream until another engine is ready

Callers of resumable streams got a cut stream or 502 although their server went on a moment later.

Cause: 1.2 s without an event counted as a failure. The connection was closed first; only then was it seen whether an attempt, a retry, an engine or capacity was left. A sound server may be silent for a second or so. The wait for the first event, the prefill and the events shared the fault.

Change: bv_retry::Silence decides what silence leads to: waiting, a search, or the end at the deadline. A model call is prepared (place, retries, reservation, prompt) and started (send the decode) in separate steps. While an engine is silent, another one is prepared beside the open connection, after the same time as before; whichever is ready first is used. The old connection is closed right before the request is sent elsewhere, so no two engines work on it. What was prepared is released if the engine goes on. If it fails meanwhile, the search goes on. An engine for a request that has begun elsewhere is asked for a reservation also if it reads the prompt itself, so that a full engine does not end the stream. A reservation that expired while its prompt was read is not sent.

Log lines `server: silent, another one is sought` and `server: silence ended`, the counter burdockvale_silent_servers_total (outcome), and silent_ms at `stream: broken off`.

--- a/crates/edge/src/counters.rs
+++ b/crates/edge/src/counters.rs
@@ -9,6 +9,7 @@
 const REFUSED: &str = "burdockvale_refused_total";
 const RETRIES: &str = "burdockvale_retries_total";
 const STREAMS_BROKEN: &str = "burdockvale_streams_broken_total";
+const SILENT_SERVERS: &str = "burdockvale_silent_servers_total";
 const HANDLES_FREED: &str = "burdockvale_handles_freed_total";
 const RESERVATIONS: &str = "burdockvale_holds_total";
 const LATENCY: &str = "burdockvale_latency_seconds";
@@ -37,6 +38,10 @@
     describe_counter!(REFUSED, "Requests without a server's answer, by reason.");
     describe_counter!(RETRIES, "Sends that were repeated, by reason.");
     describe_counter!(STREAMS_BROKEN, "Streams that ended early, by reason.");
+    describe_counter!(
+        SILENT_SERVERS,
+        "Silences of servers in which another one was sought, by outcome."
+    );
     describe_counter!(HANDLES_FREED, "Unused prompts that were freed, by success.");
     describe_counter!(RESERVATIONS, "Reservations of room at engines, by result.");
     describe_histogram!(LATENCY, "Time to the answer or to the first event.");
@@ -74,6 +79,10 @@
     counter!(STREAMS_BROKEN, "reason" => reason).increment(1);
 }
 
+pub(crate) fn silent_server(outcome: &'static str) {
+    counter!(SILENT_SERVERS, "outcome" => outcome).increment(1);
+}
+
 pub(crate) fn handle_freed(freed: bool) {
     counter!(HANDLES_FREED, "freed" => if freed { "yes" } else { "no" }).increment(1);
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -23,6 +23,7 @@
 mod run;
 mod send;
 mod serve;
+mod silence;
 mod state;
 mod stop;
 mod subscribe;
--- a/crates/edge/src/logs.rs
+++ b/crates/edge/src/logs.rs
@@ -213,6 +213,46 @@
         }
     }
 
+    /// Logs that another server is sought for a request because its server is silent.
+    pub fn search_began(
+        &self,
+        now: Millis,
+        req: &CallerRequest,
+        server: &BackendId,
+        silent: Millis,
+    ) {
+        if self.take(now) {
+            info!(
+                id = %req.facts.request_id,
+                server = %server,
+                silent_ms = silent.0,
+                ms = (now - req.arrived).0,
+                "server: silent, another one is sought"
+            );
+        }
+    }
+
+    /// Logs what ended the silence of a server, after another one was sought.
+    pub fn search_ended(
+        &self,
+        now: Millis,
+        req: &CallerRequest,
+        server: &BackendId,
+        silent: Millis,
+        outcome: &'static str,
+    ) {
+        if self.take(now) {
+            info!(
+                id = %req.facts.request_id,
+                server = %server,
+                outcome,
+                silent_ms = silent.0,
+                ms = (now - req.arrived).0,
+                "server: silence ended"
+            );
+        }
+    }
+
     /// Logs that a stream was forwarded to its end.
     pub fn stream_complete(&self, edge: &Edge, call: &ModelCall, server: &BackendId) {
         let now = edge.now();
@@ -270,6 +310,7 @@
         call: &ModelCall,
         server: &BackendId,
         reason: &'static str,
+        silent: Millis,
     ) {
         let now = edge.now();
         if self.take(now) {
@@ -280,6 +321,7 @@
                 reason,
                 last_event = call.last_event,
                 runs = call.runs,
+                silent_ms = silent.0,
                 ms = (now - call.req.arrived).0,
                 "stream: broken off"
             );
--- a/crates/edge/src/model/decode.rs
+++ b/crates/edge/src/model/decode.rs
@@ -1,14 +1,19 @@
 //! Decoding of tokens at a decode engine.
 
+use std::pin::pin;
+
 use bv_admit::{Fault, SendOutcome};
 use bv_platform::BackendHeaders;
+use bv_retry::Silence;
 use bv_roster::Registration;
-use bv_route::Kind;
 use bv_types::{Millis, ZoneId};
 
 use super::prefill::PrefilledPrompt;
 use super::reservation::Reservation;
-use super::{MAX_PRIORITY, MAX_SENDS, ModelCall, OpenedStream, PlanResult, STALL_TIMEOUT};
+use super::{
+    MAX_PRIORITY, MAX_SENDS, ModelCall, OpenedStream, PlanResult, PreparedDecode, STALL_TIMEOUT,
+    Waited,
+};
 use crate::answer::Failure;
 use crate::counters;
 use crate::edge::TrackedSend;
@@ -32,16 +37,15 @@
 }
 
 impl ModelCall {
-    /// Opens the token stream at the target, with the KV cache of `prompt` if there is one. While
-    /// that cache is valid, other decode engines are tried after a failed send.
-    pub(super) async fn run_decode(
-        &mut self,
-        target: DecodeTarget,
-        prompt: Option<PrefilledPrompt>,
-        predicted: Millis,
-    ) -> PlanResult {
-        let mut target = target;
-        let mut prompt = prompt;
+    /// Opens the token stream at a prepared engine. While the KV cache of its prompt is valid, other
+    /// decode engines are tried after a failed send.
+    pub(super) async fn run_decode(&mut self, prepared: PreparedDecode) -> PlanResult {
+        let PreparedDecode {
+            mut target,
+            mut prompt,
+            predicted,
+            ..
+        } = prepared;
         loop {
             if !self.prepay(self.retries.missing_for_decode()) {
                 return PlanResult::Fail(self.no_retry_left());
@@ -112,11 +116,8 @@
             self.exclude(&engine.id);
             return PlanResult::TryNextPlan;
         }
+        reservation.take_if(|reservation| now >= reservation.expires_at);
         let remaining = self.req.remaining(now);
-        let timeout = match self.req.route.kind {
-            Kind::Stream { resumable: true } => (predicted + STALL_TIMEOUT).min(remaining),
-            _ => remaining,
-        };
         let backend_headers = BackendHeaders {
             kv_source: prompt
                 .as_ref()
@@ -128,18 +129,51 @@
             priority: Some(self.req.route.priority.min(MAX_PRIORITY)),
             ..BackendHeaders::default()
         };
-        let sent = send(
-            &self.edge,
-            &self.req,
-            &engine,
-            &backend_headers,
-            connection,
-            timeout,
-        )
-        .await;
-        if let (Some(reservation), Ok(_)) = (&mut reservation, &sent) {
+        let patience = predicted + STALL_TIMEOUT;
+        let silence = Silence::new(now, patience, self.req.deadline);
+        let (edge, req) = (self.edge.clone(), self.req.clone());
+        let mut is_silent = false;
+        let waited = {
+            let mut sending = pin!(send(
+                &edge,
+                &req,
+                &engine,
+                &backend_headers,
+                connection,
+                remaining,
+            ));
+            let patience = patience.min(remaining).duration();
+            match tokio::time::timeout(patience, &mut sending).await {
+                Ok(sent) => Waited::Engine(sent),
+                Err(_) => {
+                    is_silent = true;
+                    // The engine may run the request, which a search elsewhere has to consider.
+                    self.retries.decode_delivered();
+                    self.runs += 1;
+                    let may_move = self.may_run_again();
+                    self.wait_for(&engine.id, silence, may_move, sending, Result::is_err)
+                        .await
+                }
+            }
+        };
+        if let (Some(reservation), Waited::Engine(Ok(_))) = (&mut reservation, &waited) {
             reservation.used = true;
         }
+        let sent = match waited {
+            Waited::Engine(sent) => sent,
+            Waited::DeadlinePassed => Err(SendError::Timeout(remaining)),
+            Waited::Moved(next) => {
+                let err = SendError::Timeout(self.edge.now() - now);
+                self.record_failed_send(&engine, tracked_send, &err);
+                if let Some(prompt) = prompt {
+                    prompt.consumed = true;
+                }
+                return PlanResult::Moved(next);
+            }
+        };
+        if is_silent {
+            self.runs -= 1;
+        }
         match sent {
             Ok(answer) if answer.facts.not_run => {
                 self.retries.decode_delivered();
--- a/crates/edge/src/model/mod.rs
+++ b/crates/edge/src/model/mod.rs
@@ -4,7 +4,9 @@
 mod place;
 mod prefill;
 mod reservation;
+mod silence;
 
+use std::pin::Pin;
 use std::sync::Arc;
 
 use bv_admit::{ModelPlan, ModelRequest, SendOutcome, Work};
@@ -13,6 +15,8 @@
 use bv_types::{BackendId, Millis, Refusal, Tokens};
 
 use self::decode::DecodeTarget;
+use self::prefill::{Prefill, PrefilledPrompt};
+pub(crate) use self::silence::Waited;
 use crate::answer::{DEFAULT_RETRY_AFTER, Failure};
 use crate::counters;
 use crate::edge::{Edge, TrackedSend};
@@ -23,8 +27,8 @@
 const DEFAULT_PROMPT_TOKENS: Tokens = Tokens(2_000);
 /// Tokens reserved for a stream beyond those that it has produced.
 const GROWTH_TOKENS: u64 = 150;
-/// Time without an event, beyond the predicted time, after which a resumable stream moves to
-/// another engine.
+/// Time without an event, beyond the predicted time, after which another engine is sought for a
+/// resumable stream.
 pub(crate) const STALL_TIMEOUT: Millis = Millis(1_200);
 /// Maximum number of sends for one request, of all kinds. More sends do not help a request that
 /// fails at every engine.
@@ -69,11 +73,27 @@
     pub answer: Answer,
 }
 
-/// Result of carrying out one plan.
+/// A decode engine that is ready for the request, with the prompt if it was prefilled apart.
+#[derive(Debug)]
+pub(crate) struct PreparedDecode {
+    target: DecodeTarget,
+    prompt: Option<PrefilledPrompt>,
+    /// Predicted time from the plan to the first event.
+    predicted: Millis,
+    placed_at: Millis,
+}
+
+/// Result of [`ModelCall::prepare`].
+type PreparedFuture<'a> =
+    Pin<Box<dyn Future<Output = Result<PreparedDecode, Failure>> + Send + 'a>>;
+
+/// Result of sending the request to a prepared engine.
 enum PlanResult {
     Opened(Box<OpenedStream>),
     /// Another plan may be tried.
     TryNextPlan,
+    /// The engine was silent, and another one is ready.
+    Moved(Box<PreparedDecode>),
     Fail(Failure),
 }
 
@@ -129,37 +149,57 @@
     /// # Errors
     /// No engine can run it in time, or it may have run without an answer.
     pub async fn open(&mut self) -> Result<OpenedStream, Failure> {
-        loop {
-            // A stream that cannot be resumed ends at once instead of waiting for capacity.
-            if self.retries.is_decode_repeat() && !self.may_retry() {
-                return Err(self.no_retry_left());
-            }
-            let (plan, tracked_send) = self.place().await?;
-            self.placed_at = self.edge.now();
-            self.prefilled_at = None;
-            let result = match plan {
-                ModelPlan::Split {
-                    prefill,
-                    decode,
-                    predicted,
-                } => {
-                    self.run_split(prefill, decode, tracked_send, predicted)
-                        .await
+        let prepared = self.prepare().await?;
+        self.start(prepared).await
+    }
+
+    /// Prepares an engine for the request, which may still be in progress at another one; tries as
+    /// many engines as the retry budget allows.
+    ///
+    /// # Errors
+    /// No engine can run it in time.
+    pub fn prepare(&mut self) -> PreparedFuture<'_> {
+        // Boxed because a search for another prefill engine prepares a decode engine as well.
+        Box::pin(async move {
+            loop {
+                // A stream that cannot be resumed ends at once instead of waiting for capacity.
+                if self.retries.is_decode_repeat() && !self.may_retry() {
+                    return Err(self.no_retry_left());
                 }
-                ModelPlan::Direct { decode, predicted } => {
-                    tracked_send.confirm();
-                    let target = DecodeTarget {
-                        engine: decode,
-                        tracked_send,
-                        connection: Connection::Fresh,
-                        reservation: None,
-                    };
-                    self.run_decode(target, None, predicted).await
+                let (plan, tracked_send) = self.place().await?;
+                let prepared = match plan {
+                    ModelPlan::Split {
+                        prefill,
+                        decode,
+                        predicted,
+                    } => {
+                        self.prepare_split(prefill, decode, tracked_send, predicted)
+                            .await?
+                    }
+                    ModelPlan::Direct { decode, predicted } => {
+                        self.prepare_direct(decode, tracked_send, predicted).await?
+                    }
+                };
+                if let Some(prepared) = prepared {
+                    return Ok(prepared);
                 }
-            };
-            match result {
+            }
+        })
+    }
+
+    /// Starts the stream at a prepared engine; after a failure at others.
+    ///
+    /// # Errors
+    /// No engine can run it in time, or it may have run without an answer.
+    pub async fn start(&mut self, prepared: PreparedDecode) -> Result<OpenedStream, Failure> {
+        let mut prepared = prepared;
+        loop {
+            self.placed_at = prepared.placed_at;
+            self.prefilled_at = prepared.prompt.as_ref().map(|prompt| prompt.prefilled_at);
+            prepared = match self.run_decode(prepared).await {
                 PlanResult::Opened(opened) => return Ok(*opened),
-                PlanResult::TryNextPlan => {}
+                PlanResult::Moved(next) => *next,
+                PlanResult::TryNextPlan => self.prepare().await?,
                 PlanResult::Fail(failure) => return Err(failure),
             }
         }
@@ -240,26 +280,63 @@
         self.final_failure(Refusal::RetryBudget, DEFAULT_RETRY_AFTER)
     }
 
-    async fn run_split(
+    async fn prepare_split(
         &mut self,
         prefill: Registration,
         decode: Registration,
         tracked_send: TrackedSend,
         predicted: Millis,
-    ) -> PlanResult {
+    ) -> Result<Option<PreparedDecode>, Failure> {
+        let placed_at = self.edge.now();
         // Without a retry for the decode, the prompt would be prefilled in vain.
         if !self.prepay(self.retries.missing_for_split()) {
-            return PlanResult::Fail(self.no_retry_left());
+            return Err(self.no_retry_left());
         }
         // Reserving before the prefill detects a decode engine that does not answer or is full
         // before work is spent on the prompt.
         let Some(target) = self.reserve(&decode, tracked_send, predicted).await else {
-            return PlanResult::TryNextPlan;
+            return Ok(None);
         };
-        match self.prefill_prompt(&prefill, predicted).await {
-            Some(prompt) => self.run_decode(target, Some(prompt), predicted).await,
-            None => PlanResult::TryNextPlan,
+        Ok(match self.prefill_prompt(&prefill, predicted).await {
+            Prefill::Done(prompt) => Some(PreparedDecode {
+                target,
+                prompt: Some(prompt),
+                predicted,
+                placed_at,
+            }),
+            Prefill::Moved(prepared) => Some(*prepared),
+            Prefill::Failed => None,
+        })
+    }
+
+    async fn prepare_direct(
+        &mut self,
+        decode: Registration,
+        tracked_send: TrackedSend,
+        predicted: Millis,
+    ) -> Result<Option<PreparedDecode>, Failure> {
+        let placed_at = self.edge.now();
+        if !self.prepay(self.retries.missing_for_decode()) {
+            return Err(self.no_retry_left());
         }
+        // A request that has begun elsewhere must not end because this engine is full.
+        let target = if self.runs > 0 {
+            self.reserve(&decode, tracked_send, predicted).await
+        } else {
+            tracked_send.confirm();
+            Some(DecodeTarget {
+                engine: decode,
+                tracked_send,
+                connection: Connection::Fresh,
+                reservation: None,
+            })
+        };
+        Ok(target.map(|target| PreparedDecode {
+            target,
+            prompt: None,
+            predicted,
+            placed_at,
+        }))
     }
 
     /// Records a failed send and excludes its engine.
--- a/crates/edge/src/model/place.rs
+++ b/crates/edge/src/model/place.rs
@@ -81,17 +81,22 @@
         }
     }
 
-    /// Joins the queue, or refuses at once if capacity is predicted to become free too late.
-    fn join_queue(&self) -> Result<QueueEntry, Failure> {
-        let now = self.edge.now();
-        let objective = self.req.route.objective;
-        let wait_limit = Millis(objective.0 * CANCEL_AFTER_OBJECTIVES);
+    /// Latest time for a placement that is of use to the caller, if the wait for one begins now.
+    pub(super) fn placement_limit(&self, now: Millis) -> Millis {
+        let wait_limit = Millis(self.req.route.objective.0 * CANCEL_AFTER_OBJECTIVES);
         let is_first_run = self.runs == 0;
         let until = match is_first_run {
             true => self.req.arrived + (wait_limit - FIRST_EVENT_TIME),
             false => now + RESUME_WAIT_LIMIT,
         };
-        let until = until.min(self.req.deadline);
+        until.min(self.req.deadline)
+    }
+
+    /// Joins the queue, or refuses at once if capacity is predicted to become free too late.
+    fn join_queue(&self) -> Result<QueueEntry, Failure> {
+        let now = self.edge.now();
+        let objective = self.req.route.objective;
+        let until = self.placement_limit(now);
         let call = QueuedCall {
             priority: self.req.route.priority,
             arrived: self.req.arrived,
--- a/crates/edge/src/model/prefill.rs
+++ b/crates/edge/src/model/prefill.rs
@@ -5,17 +5,19 @@
 
 use bv_admit::{Fault, SendOutcome};
 use bv_platform::{BackendHeaders, PrefillResult, kv_handle_path, parse_prefill_answer};
+use bv_retry::Silence;
 use bv_roster::Registration;
 use bv_types::Millis;
 use http::StatusCode;
 use smol_str::SmolStr;
 
-use super::{MAX_PRIORITY, ModelCall};
+use super::{MAX_PRIORITY, ModelCall, PreparedDecode, Waited};
 use crate::counters;
 use crate::edge::Edge;
-use crate::send::{Answer, Connection, SendError, read_answer, send};
+use crate::request::CallerRequest;
+use crate::send::{Connection, SendError, read_answer, send};
 
-/// Time beyond the predicted one after which a prefill times out.
+/// Time beyond the predicted one after which another engine is sought for a prefill.
 const PREFILL_SLACK: Millis = Millis(600);
 /// Timeout of the call that frees an unused KV cache.
 const FREE_TIMEOUT: Millis = Millis(400);
@@ -76,37 +78,48 @@
     Failed(Fault, &'static str),
 }
 
+/// Result of a prefill.
+pub(super) enum Prefill {
+    Done(PrefilledPrompt),
+    /// The engine was silent, and another one is ready.
+    Moved(Box<PreparedDecode>),
+    /// Another plan is needed.
+    Failed,
+}
+
 impl ModelCall {
-    /// Prefills the prompt; `None` if that failed and another plan is needed.
+    /// Prefills the prompt.
     pub(super) async fn prefill_prompt(
         &mut self,
         engine: &Registration,
         predicted: Millis,
-    ) -> Option<PrefilledPrompt> {
+    ) -> Prefill {
         self.sends += 1;
         self.retries.begin_prefill();
-        // The engine stays excluded unless the prefill succeeds.
-        self.exclude(&engine.id);
         let began = self.edge.now();
         let was_idle = self.edge.state().fleet.own_sends(&engine.id) == 0;
         let tokens = self.prompt();
-        let timeout = (predicted + PREFILL_SLACK).min(self.req.remaining(began));
-        let tracked_send = self.begin(engine, tokens, timeout);
-        let backend_headers = BackendHeaders {
-            prefill_only: true,
-            last_event: self.last_event,
-            priority: Some(self.req.route.priority.min(MAX_PRIORITY)),
-            ..BackendHeaders::default()
-        };
-        let sent = send(
-            &self.edge,
-            &self.req,
-            engine,
-            &backend_headers,
-            Connection::Fresh,
-            timeout,
+        let patience = predicted + PREFILL_SLACK;
+        let tracked_send = self.begin(engine, tokens, patience);
+        let prefilling = request_prefill(
+            self.edge.clone(),
+            self.req.clone(),
+            engine.clone(),
+            self.last_event,
         );
-        match self.prefill_answer(engine, sent.await, timeout).await {
+        // A request that still can be refused does not wait for the engine until its deadline.
+        let silence = Silence::new(began, patience, self.placement_limit(began));
+        let waited = self.wait_for(&engine.id, silence, true, prefilling, Result::is_err);
+        let result = match waited.await {
+            Waited::Engine(result) => result,
+            Waited::Moved(prepared) => {
+                tracked_send.end(SendOutcome::Failed(Fault::NoAnswer));
+                counters::retry("timeout");
+                return Prefill::Moved(prepared);
+            }
+            Waited::DeadlinePassed => Err(PrefillError::Failed(Fault::NoAnswer, "timeout")),
+        };
+        let (outcome, reason) = match result {
             Ok(read) => {
                 tracked_send.end(SendOutcome::Unverified);
                 let now = self.edge.now();
@@ -118,57 +131,67 @@
                         .observe_prefill(&self.req.service, read.tokens, took);
                 }
                 self.tried.retain(|id| *id != engine.id);
-                self.prefilled_at = Some(now);
-                Some(PrefilledPrompt {
+                return Prefill::Done(PrefilledPrompt {
                     edge: self.edge.clone(),
                     engine: engine.clone(),
                     handle: read.handle,
                     prefilled_at: now,
                     consumed: false,
-                })
+                });
             }
-            Err(PrefillError::NotRun) => {
-                tracked_send.end(SendOutcome::Full);
-                counters::retry("prefill_not_run");
-                None
-            }
-            Err(PrefillError::Failed(fault, reason)) => {
-                tracked_send.end(SendOutcome::Failed(fault));
-                counters::retry(reason);
-                None
-            }
-        }
+            Err(PrefillError::NotRun) => (SendOutcome::Full, "prefill_not_run"),
+            Err(PrefillError::Failed(fault, reason)) => (SendOutcome::Failed(fault), reason),
+        };
+        tracked_send.end(outcome);
+        counters::retry(reason);
+        self.exclude(&engine.id);
+        Prefill::Failed
     }
+}
 
-    async fn prefill_answer(
-        &self,
-        engine: &Registration,
-        sent: Result<Answer, SendError>,
-        timeout: Millis,
-    ) -> Result<PrefillResult, PrefillError> {
-        let log = |err: &SendError| {
-            self.edge
-                .logs
-                .send_failed(self.edge.now(), &self.req, &engine.id, err);
-            PrefillError::Failed(err.fault(), err.code())
-        };
-        let answer = sent.map_err(|err| log(&err))?;
-        if answer.facts.misdirected {
-            return Err(PrefillError::Failed(Fault::Misdirected, "misdirected"));
-        }
-        if answer.facts.not_run {
-            return Err(PrefillError::NotRun);
-        }
-        let status = answer.response.status();
-        let read = read_answer(&self.edge, &engine.id, answer, timeout).await;
-        let (_, body) = read.map_err(|err| log(&err))?;
-        if status != StatusCode::OK {
-            return Err(PrefillError::Failed(Fault::NoAnswer, "server_error"));
-        }
-        parse_prefill_answer(&body).map_err(|_| {
-            log(&SendError::InvalidAnswer(
-                "the prefill answer has no KV cache handle",
-            ))
-        })
+/// Sends a prefill-only request and reads its answer, until the deadline of the request.
+async fn request_prefill(
+    edge: Arc<Edge>,
+    req: Arc<CallerRequest>,
+    engine: Registration,
+    last_event: Option<u64>,
+) -> Result<PrefillResult, PrefillError> {
+    let log = |err: &SendError| {
+        edge.logs.send_failed(edge.now(), &req, &engine.id, err);
+        PrefillError::Failed(err.fault(), err.code())
+    };
+    let backend_headers = BackendHeaders {
+        prefill_only: true,
+        last_event,
+        priority: Some(req.route.priority.min(MAX_PRIORITY)),
+        ..BackendHeaders::default()
+    };
+    let timeout = req.remaining(edge.now());
+    let sent = send(
+        &edge,
+        &req,
+        &engine,
+        &backend_headers,
+        Connection::Fresh,
+        timeout,
+    );
+    let answer = sent.await.map_err(|err| log(&err))?;
+    if answer.facts.misdirected {
+        return Err(PrefillError::Failed(Fault::Misdirected, "misdirected"));
+    }
+    if answer.facts.not_run {
+        return Err(PrefillError::NotRun);
+    }
+    let status = answer.response.status();
+    let timeout = req.remaining(edge.now());
+    let read = read_answer(&edge, &engine.id, answer, timeout).await;
+    let (_, body) = read.map_err(|err| log(&err))?;
+    if status != StatusCode::OK {
+        return Err(PrefillError::Failed(Fault::NoAnswer, "server_error"));
     }
+    parse_prefill_answer(&body).map_err(|_| {
+        log(&SendError::InvalidAnswer(
+            "the prefill answer has no KV cache handle",
+        ))
+    })
 }
--- a/crates/edge/src/model/reservation.rs
+++ b/crates/edge/src/model/reservation.rs
@@ -39,6 +39,8 @@
     engine: SocketAddr,
     /// Id that the engine gave to the reservation.
     pub id: SmolStr,
+    /// When the engine ends the reservation.
+    pub expires_at: Millis,
     /// Whether the request was sent with this reservation.
     pub used: bool,
 }
@@ -109,6 +111,7 @@
                 reservation: None,
             });
         };
+        let requested_at = self.edge.now();
         let reserving = self.request_reservation(engine, &mut channel, duration);
         let reserved = tokio::time::timeout(RESERVE_TIMEOUT.duration(), reserving).await;
         let (reply, is_reusable) =
@@ -127,6 +130,7 @@
                     edge: self.edge.clone(),
                     engine: engine.address,
                     id,
+                    expires_at: requested_at + duration,
                     used: false,
                 })
             }
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -5,7 +5,7 @@
 
 use bv_admit::{Fault, SendOutcome};
 use bv_platform::strip_answer;
-use bv_route::Kind;
+use bv_retry::Silence;
 use bv_types::{BackendId, Millis};
 use bytes::Bytes;
 use futures_util::stream;
@@ -18,7 +18,7 @@
 use crate::counters;
 use crate::edge::{Edge, RequestCountGuard};
 use crate::events::EventReader;
-use crate::model::{ModelCall, OpenedStream, STALL_TIMEOUT};
+use crate::model::{ModelCall, OpenedStream, PreparedDecode, STALL_TIMEOUT, Waited};
 use crate::plain::caller_response;
 use crate::send::read_answer;
 
@@ -37,6 +37,8 @@
     Complete,
     CallerDisconnected,
     Broken(&'static str, Fault),
+    /// The server is silent, and another one is ready.
+    Silent(Box<PreparedDecode>),
     /// The deadline of the request has passed.
     DeadlinePassed,
 }
@@ -61,6 +63,7 @@
         reader: EventReader::default(),
         tx,
         last_event_at: None,
+        opened_at: edge.now(),
     };
     let first = Source {
         server: opened.server,
@@ -120,12 +123,12 @@
     tx: mpsc::Sender<Chunk>,
     /// When the last event was forwarded.
     last_event_at: Option<Millis>,
+    opened_at: Millis,
 }
 
 impl Relay {
     async fn run(mut self, first: Source) {
         let mut source = first;
-        let opened_at = self.edge.now();
         loop {
             let end = self.forward(&mut source).await;
             let server = source.server.clone();
@@ -135,10 +138,11 @@
                 ..
             } = source;
             drop(channel);
+            let mut next = None;
             let reason = match end {
                 SourceEnd::Complete => {
                     tracked_send.end(SendOutcome::Answered { error: false });
-                    let took = self.edge.now() - opened_at;
+                    let took = self.edge.now() - self.opened_at;
                     let output = self.call.output();
                     let service = &self.call.req.service;
                     self.edge
@@ -167,6 +171,11 @@
                     tracked_send.end(SendOutcome::Failed(fault));
                     reason
                 }
+                SourceEnd::Silent(prepared) => {
+                    tracked_send.end(SendOutcome::Failed(Fault::NoAnswer));
+                    next = Some(prepared);
+                    "timeout"
+                }
             };
             if !self.call.may_run_again() {
                 return self.break_off(&server, reason);
@@ -177,17 +186,24 @@
             counters::retry("stream_resumed");
             self.call.exclude(&server);
             self.reader.clear();
-            source = match self.resume().await {
+            source = match self.resume(next).await {
                 Some(next) => next,
                 None => return self.break_off(&server, reason),
             };
         }
     }
 
-    /// Resumes the stream at another server.
-    async fn resume(&mut self) -> Option<Source> {
+    /// Resumes the stream at another server: at `prepared` if there is one.
+    async fn resume(&mut self, prepared: Option<Box<PreparedDecode>>) -> Option<Source> {
+        let call = &mut self.call;
+        let opening = async {
+            match prepared {
+                Some(prepared) => call.start(*prepared).await,
+                None => call.open().await,
+            }
+        };
         let opened = tokio::select! {
-            opened = self.call.open() => opened.ok()?,
+            opened = opening => opened.ok()?,
             () = self.tx.closed() => return None,
         };
         if !opened.answer.response.status().is_success() {
@@ -207,30 +223,31 @@
     /// Forwards events until this source ends or fails.
     async fn forward(&mut self, source: &mut Source) -> SourceEnd {
         loop {
-            let remaining = self.call.req.remaining(self.edge.now());
-            if remaining == Millis::ZERO {
-                return SourceEnd::DeadlinePassed;
-            }
-            let timeout = match self.call.req.route.kind {
-                Kind::Stream { resumable: true } => STALL_TIMEOUT.min(remaining),
-                _ => remaining,
-            };
-            let reading = tokio::time::timeout(timeout.duration(), source.body.frame());
-            let frame = tokio::select! {
-                frame = reading => frame,
+            let silence = Silence::new(self.edge.now(), STALL_TIMEOUT, self.call.req.deadline);
+            let may_move = self.call.may_run_again();
+            let waiting = self.call.wait_for(
+                &source.server,
+                silence,
+                may_move,
+                source.body.frame(),
+                |frame| matches!(frame, Some(Err(_))),
+            );
+            let waited = tokio::select! {
+                waited = waiting => waited,
                 () = self.tx.closed() => return SourceEnd::CallerDisconnected,
             };
+            let frame = match waited {
+                Waited::Engine(frame) => frame,
+                Waited::Moved(prepared) => return SourceEnd::Silent(prepared),
+                Waited::DeadlinePassed => return SourceEnd::DeadlinePassed,
+            };
             let data = match frame {
-                Err(_) => match self.call.req.remaining(self.edge.now()) {
-                    Millis::ZERO => return SourceEnd::DeadlinePassed,
-                    _ => return SourceEnd::Broken("timeout", Fault::NoAnswer),
-                },
-                Ok(None) if self.reader.has_incomplete_event() => {
+                None if self.reader.has_incomplete_event() => {
                     return SourceEnd::Broken("event_cut", Fault::InvalidAnswer);
                 }
-                Ok(None) => return SourceEnd::Complete,
-                Ok(Some(Err(_))) => return SourceEnd::Broken("connection_lost", Fault::NoAnswer),
-                Ok(Some(Ok(frame))) => match frame.into_data() {
+                None => return SourceEnd::Complete,
+                Some(Err(_)) => return SourceEnd::Broken("connection_lost", Fault::NoAnswer),
+                Some(Ok(frame)) => match frame.into_data() {
                     Ok(data) => data,
                     Err(_) => continue,
                 },
@@ -273,8 +290,9 @@
     /// body fail, so that the caller cannot take the stream for complete.
     fn break_off(self, server: &BackendId, reason: &'static str) {
         counters::stream_broken(reason);
+        let silent = self.edge.now() - self.last_event_at.unwrap_or(self.opened_at);
         self.edge
             .logs
-            .stream_broken(&self.edge, &self.call, server, reason);
+            .stream_broken(&self.edge, &self.call, server, reason, silent);
     }
 }
--- /dev/null
+++ b/crates/edge/src/silence.rs
@@ -0,0 +1,44 @@
+//! Record of what came of the search for another server while one was silent.
+
+use bv_types::{BackendId, Millis};
+
+use crate::counters;
+use crate::edge::Edge;
+use crate::request::CallerRequest;
+
+/// How a search for another server ended, for logs and metrics.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum SearchOutcome {
+    /// The silent server went on first.
+    WentOn,
+    /// Another server was ready first.
+    Moved,
+    /// The silent server failed.
+    Failed,
+    /// The time of the request was over.
+    DeadlinePassed,
+}
+
+impl SearchOutcome {
+    pub fn code(self) -> &'static str {
+        match self {
+            SearchOutcome::WentOn => "went_on",
+            SearchOutcome::Moved => "moved",
+            SearchOutcome::Failed => "failed",
+            SearchOutcome::DeadlinePassed => "deadline_passed",
+        }
+    }
+}
+
+/// Logs and counts what came of a search for another server.
+pub(crate) fn record_search(
+    edge: &Edge,
+    req: &CallerRequest,
+    server: &BackendId,
+    silent: Millis,
+    outcome: SearchOutcome,
+) {
+    counters::silent_server(outcome.code());
+    edge.logs
+        .search_ended(edge.now(), req, server, silent, outcome.code());
+}
--- a/crates/retry/src/lib.rs
+++ b/crates/retry/src/lib.rs
@@ -1,4 +1,4 @@
-//! Retry budgets, backoff and ejection of backend servers.
+//! Retry budgets, backoff, ejection and silence of backend servers.
 //!
 //! ```
 //! use bv_retry::{Backoff, Budget, Ejection, Outcome};
@@ -26,9 +26,11 @@
 mod ejection;
 mod model_sends;
 mod shared;
+mod silence;
 
 pub use backoff::Backoff;
 pub use budget::Budget;
 pub use ejection::{Ejection, Outcome};
 pub use model_sends::ModelSends;
 pub use shared::{BudgetLimits, SharedBudget};
+pub use silence::{Silence, SilenceStep};
