edge: give up a late call only when another server is ready

Callers of idempotent calls got 502 although their server answered a moment later.

Cause: the first send was dropped after 1.25 objectives because a retry was allowed when it was sent. When the retry was to be taken, another call had taken it, or no server was left.

Change: the call stays at its server until a retry is taken and a connection to another server is open; then the old connection is closed and the call sent. Without a retry or a server it stays until the deadline. A retry is taken before the connection is opened, so an answer in that moment leaves it unused.

--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -1,9 +1,11 @@
 //! Request-response calls of plain services.
 
+use std::pin::pin;
 use std::sync::Arc;
 
 use bv_admit::{CallRequest, Fault, PlacementError, SendOutcome, Work};
 use bv_platform::{BackendHeaders, strip_answer};
+use bv_retry::{Silence, SilenceStep};
 use bv_roster::Registration;
 use bv_types::{BackendId, Millis, Refusal, Tokens};
 use bytes::Bytes;
@@ -13,10 +15,11 @@
 use crate::counters;
 use crate::edge::{Edge, TrackedSend};
 use crate::request::CallerRequest;
-use crate::send::{Answer, Connection, SendError, read_answer, send};
+use crate::send::{Answer, Connection, SendError, open, read_answer, send};
+use crate::silence::{SearchOutcome, record_search};
 
-/// Time without an answer, in latency objectives, after which an idempotent call is sent to another
-/// server: the call is late already, and its server probably hangs.
+/// Time without an answer, in latency objectives, after which another server is sought for an
+/// idempotent call: the call is late already, and its server probably hangs.
 const ATTEMPT_TIMEOUT_OBJECTIVES: f64 = 1.25;
 /// Time without an answer, in latency objectives, after which a server counts as stuck.
 const STUCK_OBJECTIVES: f64 = 2.0;
@@ -43,12 +46,29 @@
     error_response: Option<Response<Body>>,
 }
 
+/// The chosen server and the connection to it.
+struct Target {
+    server: Registration,
+    connection: Connection,
+    /// Whether the connection was idle, so that the server may have closed it.
+    is_reused: bool,
+}
+
+/// What ended the wait for the answer of a server.
+enum Waited {
+    Answer(Result<Answer, SendError>),
+    /// The server is silent, and another one is ready.
+    Moved(Target),
+}
+
 /// Result of one send.
 enum SendResult {
     /// The answer for the caller.
     Done(Response<Body>),
     /// Another server may be tried.
     TryNext,
+    /// The server was silent, and another one is ready.
+    Moved(Target),
     /// The request ends.
     Fail(Failure),
 }
@@ -66,20 +86,33 @@
         fresh_only: false,
         error_response: None,
     };
+    let mut moved = None;
     loop {
-        let server = match call.place() {
-            Ok(server) => server,
+        let target = match moved.take().map_or_else(|| call.next(), Ok) {
+            Ok(target) => target,
             Err(failure) => return call.give_up(failure),
         };
-        match call.send_to(server).await {
+        match call.send_to(target).await {
             SendResult::Done(response) => return Ok(response),
             SendResult::TryNext => {}
+            SendResult::Moved(target) => moved = Some(target),
             SendResult::Fail(failure) => return call.give_up(failure),
         }
     }
 }
 
 impl Call<'_> {
+    /// Chooses the next server and a connection to it.
+    fn next(&mut self) -> Result<Target, Failure> {
+        let server = self.place()?;
+        let connection = self.connection(self.edge.now(), &server.id);
+        Ok(Target {
+            is_reused: matches!(connection, Connection::Open(_)),
+            server,
+            connection,
+        })
+    }
+
     fn place(&mut self) -> Result<Registration, Failure> {
         let now = self.edge.now();
         let remaining = self.req.remaining(now);
@@ -127,38 +160,134 @@
         }
     }
 
-    async fn send_to(&mut self, server: Registration) -> SendResult {
+    async fn send_to(&mut self, target: Target) -> SendResult {
+        let Target {
+            server,
+            connection,
+            is_reused,
+        } = target;
         let now = self.edge.now();
         self.tried.push(server.id.clone());
-        let attempt_timeout = self.attempt_timeout(now);
-        let stuck_after = Millis((self.req.route.objective.0 as f64 * STUCK_OBJECTIVES) as u64);
+        let stuck_after = self.objectives(STUCK_OBJECTIVES);
         let work = Work {
             tokens: Tokens(0),
             stuck_after,
         };
         let tracked_send = TrackedSend::begin(self.edge, &server.id, work);
-        let connection = self.connection(now, &server.id);
-        let is_reused = matches!(connection, Connection::Open(_));
         let backend_headers = BackendHeaders::default();
+        let (edge, req) = (self.edge, self.req);
         let sent = send(
-            self.edge,
-            self.req,
+            edge,
+            req,
             &server,
             &backend_headers,
             connection,
-            attempt_timeout,
+            req.remaining(now),
         );
-        match sent.await {
-            Ok(answer) => self.handle_answer(server, tracked_send, answer, now).await,
-            Err(err) => {
+        match self.answer_or_next(&server, now, sent).await {
+            Waited::Answer(Ok(answer)) => {
+                self.handle_answer(server, tracked_send, answer, now).await
+            }
+            Waited::Answer(Err(err)) => {
                 if is_reused {
                     // The fault may be that of the reused connection, so the server is tried again
                     // on a new one.
-                    self.tried.pop();
+                    self.tried.retain(|id| *id != server.id);
                     self.fresh_only = true;
                 }
                 self.handle_failure(&server, tracked_send, err)
             }
+            Waited::Moved(next) => {
+                let err = SendError::Timeout(edge.now() - now);
+                self.handle_failure(&server, tracked_send, err);
+                SendResult::Moved(next)
+            }
+        }
+    }
+
+    /// Waits for the answer of a server. When an idempotent call is late, another server is sought
+    /// while the call stays at this one.
+    async fn answer_or_next(
+        &mut self,
+        server: &Registration,
+        sent_at: Millis,
+        sent: impl Future<Output = Result<Answer, SendError>>,
+    ) -> Waited {
+        let (edge, req) = (self.edge, self.req);
+        let patience = self.objectives(ATTEMPT_TIMEOUT_OBJECTIVES);
+        let may_move = req.route.kind.may_repeat() && self.runs + 1 < req.route.max_attempts;
+        let mut silence = Silence::new(sent_at, patience, req.deadline);
+        let mut sent = pin!(sent);
+        let mut has_searched = false;
+        let record = |silence: &Silence, outcome| {
+            let length = silence.length(edge.now());
+            record_search(edge, req, &server.id, length, outcome);
+        };
+        loop {
+            match silence.step(edge.now(), may_move) {
+                SilenceStep::DeadlinePassed => {
+                    if has_searched {
+                        record(&silence, SearchOutcome::DeadlinePassed);
+                    }
+                    return Waited::Answer(Err(SendError::Timeout(req.deadline - sent_at)));
+                }
+                SilenceStep::Wait(time) => {
+                    let answer = tokio::time::timeout(time.duration(), &mut sent).await;
+                    if let Ok(answer) = answer {
+                        if has_searched {
+                            record(&silence, SearchOutcome::of(&answer));
+                        }
+                        return Waited::Answer(answer);
+                    }
+                }
+                SilenceStep::Search => {
+                    if !has_searched {
+                        let length = silence.length(edge.now());
+                        edge.logs.search_began(edge.now(), req, &server.id, length);
+                        has_searched = true;
+                        // The server may run the call, so another send is a retry.
+                        self.delivered += 1;
+                    }
+                    let opened = tokio::select! {
+                        biased;
+                        answer = &mut sent => {
+                            record(&silence, SearchOutcome::of(&answer));
+                            return Waited::Answer(answer);
+                        }
+                        opened = self.open_next() => opened,
+                    };
+                    match opened {
+                        Some(next) => {
+                            record(&silence, SearchOutcome::Moved);
+                            return Waited::Moved(next);
+                        }
+                        None => silence.search_failed(edge.now()),
+                    }
+                }
+            }
+        }
+    }
+
+    /// Takes a retry and opens a connection to another server.
+    async fn open_next(&mut self) -> Option<Target> {
+        let next = self.next().ok()?;
+        if next.is_reused {
+            return Some(next);
+        }
+        match open(&next.server, self.req.remaining(self.edge.now())).await {
+            Ok(channel) => Some(Target {
+                connection: Connection::Open(channel),
+                ..next
+            }),
+            Err(err) => {
+                let (now, server) = (self.edge.now(), next.server.id);
+                self.edge.logs.send_failed(now, self.req, &server, &err);
+                counters::retry(err.code());
+                let mut state = self.edge.state();
+                state.fleet.record_fault(now, &server, err.fault());
+                self.tried.push(server);
+                None
+            }
         }
     }
 
@@ -169,32 +298,9 @@
         idle.flatten().map_or(Connection::Fresh, Connection::Open)
     }
 
-    /// Timeout for the answer of the next server.
-    fn attempt_timeout(&self, now: Millis) -> Millis {
-        let remaining = self.req.remaining(now);
-        let route = &self.req.route;
-        if !route.kind.may_repeat()
-            || self.runs + 1 >= route.max_attempts
-            || !self.has_alternative(now)
-        {
-            return remaining;
-        }
-        let attempt_timeout =
-            Millis((route.objective.0 as f64 * ATTEMPT_TIMEOUT_OBJECTIVES) as u64);
-        attempt_timeout.min(remaining)
-    }
-
-    /// Whether another server could be tried; if not, a slow answer is better than none.
-    fn has_alternative(&self, now: Millis) -> bool {
-        let service = &self.req.service;
-        let limits = self.edge.budget_limits();
-        let mut state = self.edge.state();
-        let is_untried = |id| !self.tried.contains(id);
-        let has_other = state
-            .roster
-            .of_service(now, service)
-            .any(|entry| is_untried(&entry.id));
-        has_other && state.allows_retry(now, service, limits)
+    /// A time as a multiple of the route's latency objective.
+    fn objectives(&self, factor: f64) -> Millis {
+        Millis((self.req.route.objective.0 as f64 * factor) as u64)
     }
 
     async fn handle_answer(
--- a/crates/edge/src/silence.rs
+++ b/crates/edge/src/silence.rs
@@ -20,6 +20,14 @@
 }
 
 impl SearchOutcome {
+    /// The outcome if the silent server sent this first.
+    pub fn of<T, E>(reply: &Result<T, E>) -> Self {
+        match reply {
+            Ok(_) => SearchOutcome::WentOn,
+            Err(_) => SearchOutcome::Failed,
+        }
+    }
+
     pub fn code(self) -> &'static str {
         match self {
             SearchOutcome::WentOn => "went_on",
