--- a/crates/edge/src/counters.rs
+++ b/crates/edge/src/counters.rs
@@ -14,6 +14,7 @@
 const RETRY_BUDGET_USED: &str = "burdockvale_retry_budget_used";
 const RETRY_BUDGET_ALLOWED: &str = "burdockvale_retry_budget_allowed";
 const STREAMS_BROKEN: &str = "burdockvale_streams_broken_total";
+const SILENT_SERVERS: &str = "burdockvale_silent_servers_total";
 const HANDLES_FREED: &str = "burdockvale_handles_freed_total";
 const RESERVATIONS: &str = "burdockvale_holds_total";
 const LATENCY: &str = "burdockvale_latency_seconds";
@@ -58,6 +59,10 @@
         "Retries that this host's share allows in the window, by service."
     );
     describe_counter!(STREAMS_BROKEN, "Streams that ended early, by reason.");
+    describe_counter!(
+        SILENT_SERVERS,
+        "Silences of servers in which another one was sought, by outcome."
+    );
     describe_counter!(HANDLES_FREED, "Unused prompts that were freed, by success.");
     describe_counter!(RESERVATIONS, "Reservations of room at engines, by result.");
     describe_histogram!(LATENCY, "Time to the answer or to the first event.");
@@ -109,6 +114,10 @@
     counter!(STREAMS_BROKEN, "reason" => reason).increment(1);
 }
 
+pub(crate) fn silent_server(outcome: &'static str) {
+    counter!(SILENT_SERVERS, "outcome" => outcome).increment(1);
+}
+
 pub(crate) fn handle_freed(freed: bool) {
     counter!(HANDLES_FREED, "freed" => if freed { "yes" } else { "no" }).increment(1);
 }
--- a/crates/retry/src/lib.rs
+++ b/crates/retry/src/lib.rs
@@ -1,4 +1,4 @@
-//! Retry budgets, backoff and ejection of backend servers.
+//! Retry budgets, backoff, ejection and silence of backend servers.
 //!
 //! ```
 //! use bv_retry::{Backoff, Budget, Ejection, Outcome};
@@ -27,6 +27,7 @@
 mod host;
 mod sends;
 mod shared;
+mod silence;
 
 pub use backoff::Backoff;
 pub use budget::Budget;
@@ -34,3 +35,4 @@
 pub use host::{Balance, HostBudgets};
 pub use sends::{Delivery, RequestSends, SendKind, Settlement};
 pub use shared::{BudgetLimits, Purpose, SharedBudget};
+pub use silence::{Silence, SilenceStep};
--- a/crates/retry/src/sends.rs
+++ b/crates/retry/src/sends.rs
@@ -30,20 +30,22 @@
     pub returned: u32,
 }
 
-/// Sends of one request.
+/// Sends of one request, several of which may be in flight.
 ///
 /// A send that arrives at a server is a retry unless it is the first of its request; it makes no
 /// difference whether the server accepts it. The first prefill that an engine accepts does not
-/// count. Each retry is taken from the budget before the send.
+/// count. Each retry is taken from the budget before the send, as if the sends in flight were
+/// refused.
 #[derive(Debug, Default)]
 pub struct RequestSends {
     /// Sends that arrived, without the first accepted prefill.
     arrivals: u32,
     has_free_prefill: bool,
-    /// Retries taken from the budget for sends that were not made yet.
-    held: u32,
-    /// Whether the send in flight used a retry.
-    in_flight: Option<bool>,
+    in_flight: u32,
+    /// Retries taken from the budget and not given back.
+    taken: u32,
+    /// Retries among them whose sends have arrived.
+    settled: u32,
 }
 
 impl RequestSends {
@@ -62,62 +64,76 @@
     }
 
     fn missing(&self, sends: u32) -> u32 {
-        let first = u32::from(self.arrivals == 0);
-        (sends - first).saturating_sub(self.held)
+        retries_among(self.most_arrivals() + sends).saturating_sub(self.taken)
+    }
+
+    /// Largest possible number of arrivals, if all sends in flight count.
+    fn most_arrivals(&self) -> u32 {
+        self.arrivals + self.in_flight
     }
 
     /// Records retries that were taken from the budget for the next sends.
     pub fn hold(&mut self, retries: u32) {
-        self.held += retries;
+        self.taken += retries;
     }
 
     /// Records the start of a send.
     pub fn begin(&mut self) {
-        let is_retry = self.arrivals > 0;
-        debug_assert!(!is_retry || self.held > 0, "the retry was not taken");
-        self.held = self.held.saturating_sub(u32::from(is_retry));
-        self.in_flight = Some(is_retry);
+        self.in_flight += 1;
+        debug_assert!(
+            retries_among(self.most_arrivals()) <= self.taken,
+            "the retry was not taken"
+        );
     }
 
-    /// Records the end of the send in flight.
+    /// Records the end of a send in flight.
     pub fn end(&mut self, kind: SendKind, delivery: Delivery) -> Settlement {
-        let Some(is_retry) = self.in_flight.take() else {
-            return Settlement::default();
-        };
+        self.in_flight = self.in_flight.saturating_sub(1);
         let is_accepted_prefill = kind == SendKind::Prefill && delivery == Delivery::Accepted;
         let is_free_prefill = is_accepted_prefill && !self.has_free_prefill;
         self.has_free_prefill |= is_free_prefill;
-        if is_free_prefill || delivery == Delivery::NotSent {
-            // The retry is used by the next send.
-            self.held += u32::from(is_retry);
-            return Settlement::default();
-        }
-        self.arrivals += 1;
-        Settlement {
-            arrived: u32::from(is_retry),
-            returned: 0,
+        if !is_free_prefill && delivery != Delivery::NotSent {
+            self.arrivals += 1;
         }
+        self.settle()
     }
 
-    /// Gives back the retries that were not used.
+    /// Gives back the retries that neither arrived sends nor those in flight need.
     pub fn release(&mut self) -> Settlement {
+        let needed = retries_among(self.most_arrivals());
+        let returned = self.taken.saturating_sub(needed);
+        self.taken -= returned;
         Settlement {
             arrived: 0,
-            returned: std::mem::take(&mut self.held),
+            returned,
         }
     }
 
-    /// Ends the request at any point. A send in flight counts as arrived.
+    /// Ends the request at any point. Sends in flight count as arrived.
     pub fn abandon(&mut self) -> Settlement {
-        let in_flight = self.in_flight.take();
-        Settlement {
-            arrived: u32::from(in_flight == Some(true)),
-            returned: std::mem::take(&mut self.held),
-        }
+        self.arrivals += std::mem::take(&mut self.in_flight);
+        let Settlement { returned, .. } = self.release();
+        let Settlement { arrived, .. } = self.settle();
+        Settlement { arrived, returned }
     }
 
     /// Whether the next run repeats a send that reached a server.
     pub fn is_repeat(&self) -> bool {
         self.arrivals > 0
     }
+
+    /// Settles the retries of the sends that have arrived since the last call.
+    fn settle(&mut self) -> Settlement {
+        let arrived = retries_among(self.arrivals).min(self.taken) - self.settled;
+        self.settled += arrived;
+        Settlement {
+            arrived,
+            returned: 0,
+        }
+    }
+}
+
+/// Number of retries among this many arrivals of one request.
+fn retries_among(arrivals: u32) -> u32 {
+    arrivals.saturating_sub(1)
 }
--- a/crates/retry/tests/request_sends.rs
+++ b/crates/retry/tests/request_sends.rs
@@ -133,3 +133,37 @@
     assert_eq!(sends.abandon(), in_flight);
     assert_eq!(sends.abandon(), NOTHING);
 }
+
+/// Guards against a retry too many or too few when two prefills are in flight.
+#[test]
+fn two_prefills_in_flight() {
+    for (first, second) in [
+        (Accepted, Refused),
+        (Refused, Accepted),
+        (Accepted, Accepted),
+    ] {
+        let mut sends = RequestSends::default();
+        sends.begin();
+        assert_eq!(sends.missing_for_split(), 1);
+        sends.hold(1);
+        sends.begin();
+        assert_eq!(sends.release(), NOTHING, "the sends in flight need it");
+        let arrived = sends.end(Prefill, first).arrived + sends.end(Prefill, second).arrived;
+        assert_eq!(arrived, 0, "{first:?} {second:?}");
+        assert_eq!(sends.missing_for_run(), 0, "{first:?} {second:?}");
+        assert_eq!(send(&mut sends, Run, Accepted), ONE_ARRIVED);
+    }
+}
+
+/// Guards against a search that is dropped and then costs the engine that went on its decode.
+#[test]
+fn dropped_prefill_in_search() {
+    let mut sends = RequestSends::default();
+    sends.begin();
+    sends.hold(1);
+    sends.begin();
+    assert_eq!(sends.end(Prefill, Accepted), NOTHING);
+    assert_eq!(sends.missing_for_run(), 0);
+    assert_eq!(send(&mut sends, Run, Accepted), NOTHING);
+    assert_eq!(sends.abandon(), ONE_ARRIVED);
+}
