--- a/crates/edge/src/model/decode.rs
+++ b/crates/edge/src/model/decode.rs
@@ -4,7 +4,7 @@
 
 use bv_admit::{Fault, SendOutcome};
 use bv_platform::BackendHeaders;
-use bv_retry::Silence;
+use bv_retry::{Delivery, SendKind, Silence};
 use bv_roster::Registration;
 use bv_types::{Millis, ZoneId};
 
@@ -18,6 +18,7 @@
 use crate::counters;
 use crate::edge::TrackedSend;
 use crate::plain::implies_not_run;
+use crate::retries::RetryKind;
 use crate::send::{Answer, Connection, SendError, send};
 
 /// Interval at which another decode engine is sought while the KV cache handle of a prompt is
@@ -47,11 +48,10 @@
             ..
         } = prepared;
         loop {
-            if !self.prepay(self.retries.missing_for_decode()) {
+            if !self.retries.take(&self.req, RetryKind::Decode) {
                 return PlanResult::Fail(self.no_retry_left());
             }
             self.sends += 1;
-            self.retries.begin_decode();
             let result = self.send_decode(target, prompt.as_mut(), predicted).await;
             let (PlanResult::TryNextPlan, Some(prefilled)) = (&result, &prompt) else {
                 return result;
@@ -129,6 +129,7 @@
             priority: Some(self.req.route.priority.min(MAX_PRIORITY)),
             ..BackendHeaders::default()
         };
+        self.retries.begin();
         let patience = predicted + STALL_TIMEOUT;
         let silence = Silence::new(now, patience, self.req.deadline);
         let (edge, req) = (self.edge.clone(), self.req.clone());
@@ -148,7 +149,6 @@
                 Err(_) => {
                     is_silent = true;
                     // The engine may run the request, which a search elsewhere has to consider.
-                    self.retries.decode_delivered();
                     self.runs += 1;
                     let may_move = self.may_run_again();
                     self.wait_for(&engine.id, silence, may_move, sending, Result::is_err)
@@ -163,6 +163,7 @@
             Waited::Engine(sent) => sent,
             Waited::DeadlinePassed => Err(SendError::Timeout(remaining)),
             Waited::Moved(next) => {
+                self.retries.end(SendKind::Run, Delivery::Refused);
                 let err = SendError::Timeout(self.edge.now() - now);
                 self.record_failed_send(&engine, tracked_send, &err);
                 if let Some(prompt) = prompt {
@@ -174,16 +175,14 @@
         if is_silent {
             self.runs -= 1;
         }
+        let delivery = match &sent {
+            Ok(answer) if !answer.facts.not_run => Delivery::Accepted,
+            Err(SendError::Unsent(_)) => Delivery::NotSent,
+            Ok(_) | Err(_) => Delivery::Refused,
+        };
+        self.retries.end(SendKind::Run, delivery);
         match sent {
             Ok(answer) if answer.facts.not_run => {
-                self.retries.decode_delivered();
-                if prompt.is_some() {
-                    // The first prefill of a request takes no retry from the budget when it is
-                    // sent. Its result is wasted now, so it is charged.
-                    let limits = self.edge.budget_limits();
-                    let mut state = self.edge.state();
-                    state.charge_retry(now, &self.req.service, limits);
-                }
                 match answer.facts.misdirected {
                     true => self.handle_misdirected(&engine, tracked_send),
                     false => self.handle_refusal(&engine, tracked_send, prompt),
@@ -191,7 +190,6 @@
                 PlanResult::TryNextPlan
             }
             Ok(answer) => {
-                self.retries.decode_delivered();
                 self.runs += 1;
                 if let Some(prompt) = prompt {
                     prompt.consumed = true;
@@ -204,7 +202,6 @@
                 if let SendError::Unsent(_) = err {
                     return PlanResult::TryNextPlan;
                 }
-                self.retries.decode_delivered();
                 self.runs += 1;
                 if let Some(prompt) = prompt {
                     prompt.consumed = true;
--- a/crates/edge/src/model/prefill.rs
+++ b/crates/edge/src/model/prefill.rs
@@ -5,7 +5,7 @@
 
 use bv_admit::{Fault, SendOutcome};
 use bv_platform::{BackendHeaders, PrefillResult, kv_handle_path, parse_prefill_answer};
-use bv_retry::Silence;
+use bv_retry::{Delivery, SendKind, Silence};
 use bv_roster::Registration;
 use bv_types::Millis;
 use http::StatusCode;
@@ -95,7 +95,6 @@
         predicted: Millis,
     ) -> Prefill {
         self.sends += 1;
-        self.retries.begin_prefill();
         let began = self.edge.now();
         let was_idle = self.edge.state().fleet.own_sends(&engine.id) == 0;
         let tokens = self.prompt();
@@ -109,16 +108,24 @@
         );
         // A request that still can be refused does not wait for the engine until its deadline.
         let silence = Silence::new(began, patience, self.placement_limit(began));
+        self.retries.begin();
         let waited = self.wait_for(&engine.id, silence, true, prefilling, Result::is_err);
         let result = match waited.await {
             Waited::Engine(result) => result,
             Waited::Moved(prepared) => {
+                self.retries.end(SendKind::Prefill, Delivery::Refused);
                 tracked_send.end(SendOutcome::Failed(Fault::NoAnswer));
                 counters::retry("timeout");
                 return Prefill::Moved(prepared);
             }
             Waited::DeadlinePassed => Err(PrefillError::Failed(Fault::NoAnswer, "timeout")),
         };
+        let delivery = match &result {
+            Ok(_) => Delivery::Accepted,
+            Err(PrefillError::Failed(Fault::Connect, _)) => Delivery::NotSent,
+            Err(PrefillError::NotRun | PrefillError::Failed(..)) => Delivery::Refused,
+        };
+        self.retries.end(SendKind::Prefill, delivery);
         let (outcome, reason) = match result {
             Ok(read) => {
                 tracked_send.end(SendOutcome::Unverified);
--- a/crates/edge/src/model/silence.rs
+++ b/crates/edge/src/model/silence.rs
@@ -1,6 +1,6 @@
 //! Waiting for an engine that may be silent for a while.
 
-use std::pin::pin;
+use std::pin::{Pin, pin};
 
 use bv_retry::{Silence, SilenceStep};
 use bv_types::BackendId;
@@ -46,31 +46,8 @@
                         edge.logs.search_began(edge.now(), &req, engine, length);
                     }
                     has_searched = true;
-                    self.exclude(engine);
-                    let mut searching = self.prepare();
-                    let remaining = req.remaining(edge.now());
-                    let ended = tokio::select! {
-                        biased;
-                        reply = &mut reply => Some(reply),
-                        found = &mut searching => match found {
-                            Ok(prepared) => {
-                                break (Waited::Moved(Box::new(prepared)), SearchOutcome::Moved);
-                            }
-                            Err(_) => None,
-                        },
-                        () = tokio::time::sleep(remaining.duration()) => {
-                            break (Waited::DeadlinePassed, SearchOutcome::DeadlinePassed);
-                        }
-                    };
-                    match ended {
-                        // The search goes on without the engine.
-                        Some(reply) if failed(&reply) => match searching.await {
-                            Ok(prepared) => {
-                                break (Waited::Moved(Box::new(prepared)), SearchOutcome::Moved);
-                            }
-                            Err(_) => break (Waited::Engine(reply), SearchOutcome::Failed),
-                        },
-                        Some(reply) => break (Waited::Engine(reply), SearchOutcome::WentOn),
+                    match self.search(engine, reply.as_mut(), &failed).await {
+                        Some(ended) => break ended,
                         None => silence.search_failed(edge.now()),
                     }
                     continue;
@@ -90,4 +67,38 @@
         }
         waited
     }
+    /// Prepares another engine until one is ready or the silent one replies; `None` if no other one
+    /// is found.
+    async fn search<T>(
+        &mut self,
+        silent: &BackendId,
+        mut reply: Pin<&mut impl Future<Output = T>>,
+        failed: &impl Fn(&T) -> bool,
+    ) -> Option<(Waited<T>, SearchOutcome)> {
+        self.exclude(silent);
+        let mark = self.retries.mark();
+        let remaining = self.req.remaining(self.edge.now());
+        let mut searching = self.prepare();
+        let (replied, found) = tokio::select! {
+            biased;
+            reply = &mut reply => match failed(&reply) {
+                // The search goes on without the engine.
+                true => (Some(reply), (&mut searching).await.ok()),
+                false => (Some(reply), None),
+            },
+            found = &mut searching => (None, found.ok()),
+            () = tokio::time::sleep(remaining.duration()) => (None, None),
+        };
+        drop(searching);
+        if let Some(prepared) = found {
+            return Some((Waited::Moved(Box::new(prepared)), SearchOutcome::Moved));
+        }
+        self.retries.cancel_to(mark);
+        let reply = replied?;
+        let outcome = match failed(&reply) {
+            true => SearchOutcome::Failed,
+            false => SearchOutcome::WentOn,
+        };
+        Some((Waited::Engine(reply), outcome))
+    }
 }
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -5,7 +5,7 @@
 
 use bv_admit::{CallRequest, Fault, PlacementError, SendOutcome, Work};
 use bv_platform::{BackendHeaders, strip_answer};
-use bv_retry::{Silence, SilenceStep};
+use bv_retry::{Delivery, SendKind, Silence, SilenceStep};
 use bv_roster::Registration;
 use bv_types::{BackendId, Millis, Refusal, Tokens};
 use bytes::Bytes;
@@ -15,6 +15,7 @@
 use crate::counters;
 use crate::edge::{Edge, TrackedSend};
 use crate::request::CallerRequest;
+use crate::retries::{Retries, RetryKind};
 use crate::send::{Answer, Connection, SendError, open, read_answer, send};
 use crate::silence::{SearchOutcome, record_search};
 
@@ -38,8 +39,7 @@
     /// Number of servers that may have run the request.
     runs: u32,
     run_state: RunState,
-    /// Number of sends that reached a server.
-    delivered: u32,
+    retries: Retries,
     /// Whether a reused connection failed, after which only new connections are used.
     fresh_only: bool,
     /// Error response of a server, kept while another server is tried.
@@ -82,7 +82,7 @@
         tried: Vec::new(),
         runs: 0,
         run_state: RunState::NotRun,
-        delivered: 0,
+        retries: Retries::new(edge, &req.service),
         fresh_only: false,
         error_response: None,
     };
@@ -120,9 +120,8 @@
             return Err(self.final_failure(Refusal::QueuedTooLong));
         }
         let service = &self.req.service;
-        let limits = self.edge.budget_limits();
-        let mut state = self.edge.state();
-        let state = &mut *state;
+        let mut guard = self.edge.state();
+        let state = &mut *guard;
         let query = CallRequest {
             service,
             zone: &self.edge.settings.zone,
@@ -131,9 +130,10 @@
         };
         let entries = state.roster.of_service(now, service);
         let choice = state.fleet.place_call(now, query, entries);
+        drop(guard);
         match choice {
             Ok(choice) => {
-                if self.delivered > 0 && !state.take_retry(now, service, limits) {
+                if !self.retries.take(self.req, RetryKind::Call) {
                     return Err(self.final_failure(Refusal::RetryBudget));
                 }
                 Ok(choice.server)
@@ -176,6 +176,7 @@
         let tracked_send = TrackedSend::begin(self.edge, &server.id, work);
         let backend_headers = BackendHeaders::default();
         let (edge, req) = (self.edge, self.req);
+        self.retries.begin();
         let sent = send(
             edge,
             req,
@@ -245,8 +246,6 @@
                         let length = silence.length(edge.now());
                         edge.logs.search_began(edge.now(), req, &server.id, length);
                         has_searched = true;
-                        // The server may run the call, so another send is a retry.
-                        self.delivered += 1;
                     }
                     let opened = tokio::select! {
                         biased;
@@ -310,7 +309,11 @@
         answer: Answer,
         sent_at: Millis,
     ) -> SendResult {
-        self.delivered += 1;
+        let delivery = match answer.facts.not_run {
+            true => Delivery::Refused,
+            false => Delivery::Accepted,
+        };
+        self.retries.end(SendKind::Run, delivery);
         let status = answer.response.status();
         if answer.facts.misdirected {
             let now = self.edge.now();
@@ -373,10 +376,11 @@
             .logs
             .send_failed(self.edge.now(), self.req, &server.id, &err);
         if let SendError::Unsent(_) = err {
+            self.retries.end(SendKind::Run, Delivery::NotSent);
             counters::retry(err.code());
             return SendResult::TryNext;
         }
-        self.delivered += 1;
+        self.retries.end(SendKind::Run, Delivery::Refused);
         self.runs += 1;
         self.run_state = RunState::MayHaveRun;
         let failure = match err {
--- a/crates/retry/src/lib.rs
+++ b/crates/retry/src/lib.rs
@@ -24,13 +24,15 @@
 mod backoff;
 mod budget;
 mod ejection;
-mod model_sends;
+mod host;
+mod sends;
 mod shared;
 mod silence;
 
 pub use backoff::Backoff;
 pub use budget::Budget;
 pub use ejection::{Ejection, Outcome};
-pub use model_sends::ModelSends;
-pub use shared::{BudgetLimits, SharedBudget};
+pub use host::{Balance, HostBudgets};
+pub use sends::{Delivery, RequestSends, SendKind, SendsMark, Settlement};
+pub use shared::{BudgetLimits, Purpose, SharedBudget};
 pub use silence::{Silence, SilenceStep};
--- a/crates/retry/src/shared.rs
+++ b/crates/retry/src/shared.rs
@@ -4,10 +4,26 @@
 
 use bv_types::Millis;
 
+use crate::sends::Settlement;
+
 /// Width of one bucket of the sliding window. The window is rounded up to whole buckets, so that
 /// no interval of the stated length holds more retries than allowed.
 const BUCKET_WIDTH: Millis = Millis(500);
 
+/// Retries of a host's share that are left to streams that have begun: a prefill and its decode.
+const RESUME_RESERVE: f64 = 2.0;
+/// Largest part of a share that is left to them.
+const MAX_RESERVED_SHARE: f64 = 0.25;
+
+/// What a retry is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Purpose {
+    /// A request whose answer has not begun. Its caller may try again.
+    Start,
+    /// A stream that has begun, and is cut without a retry.
+    Resume,
+}
+
 /// Limits of the budget over all hosts.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct BudgetLimits {
@@ -23,6 +39,7 @@
 struct Bucket {
     start: Millis,
     requests: u32,
+    /// Retries that arrived, by the time at which their result was known.
     retries: u32,
 }
 
@@ -33,6 +50,8 @@
 #[derive(Debug, Default)]
 pub struct SharedBudget {
     buckets: VecDeque<Bucket>,
+    /// Retries that were taken and whose sends have not ended.
+    outstanding: u32,
 }
 
 impl SharedBudget {
@@ -41,44 +60,58 @@
         self.current_bucket(now, limits).requests += 1;
     }
 
-    /// Whether the budget of this host, one of `hosts`, allows another retry.
-    pub fn allows(&mut self, now: Millis, limits: BudgetLimits, hosts: usize) -> bool {
-        self.allows_many(now, limits, hosts, 1)
+    /// Whether the budget of this host, one of `hosts`, allows `count` retries.
+    pub fn allows(
+        &mut self,
+        now: Millis,
+        limits: BudgetLimits,
+        hosts: usize,
+        purpose: Purpose,
+        count: u32,
+    ) -> bool {
+        let (used, allowed) = self.balance(now, limits, hosts);
+        let reserved = match purpose {
+            Purpose::Start => RESUME_RESERVE.min(allowed * MAX_RESERVED_SHARE),
+            Purpose::Resume => 0.0,
+        };
+        f64::from(used) + f64::from(count) <= allowed - reserved
     }
 
-    fn allows_many(&mut self, now: Millis, limits: BudgetLimits, hosts: usize, count: u32) -> bool {
+    /// Retries of this host in the window or outstanding, and those that its share, one of `hosts`, allows there.
+    pub fn balance(&mut self, now: Millis, limits: BudgetLimits, hosts: usize) -> (u32, f64) {
         self.current_bucket(now, limits);
         let requests: u32 = self.in_window(now, limits.window).map(|b| b.requests).sum();
-        let retries: u32 = self.buckets.iter().map(|b| b.retries).sum();
+        let arrived: u32 = self.buckets.iter().map(|b| b.retries).sum();
+        let used = arrived + self.outstanding;
         let allowed = limits.ratio * f64::from(requests) + limits.extra / hosts.max(1) as f64;
-        f64::from(retries) + f64::from(count) <= allowed
-    }
-
-    /// Takes one retry from the budget of this host, one of `hosts`; returns whether the budget
-    /// allows it.
-    pub fn take(&mut self, now: Millis, limits: BudgetLimits, hosts: usize) -> bool {
-        self.take_many(now, limits, hosts, 1)
+        (used, allowed)
     }
 
     /// Takes `count` retries from the budget of this host, one of `hosts`, or none of them; returns
     /// whether the budget allows all.
-    pub fn take_many(
+    pub fn take(
         &mut self,
         now: Millis,
         limits: BudgetLimits,
         hosts: usize,
+        purpose: Purpose,
         count: u32,
     ) -> bool {
-        let allowed = self.allows_many(now, limits, hosts, count);
+        let allowed = self.allows(now, limits, hosts, purpose, count);
         if allowed {
-            self.current_bucket(now, limits).retries += count;
+            self.outstanding += count;
         }
         allowed
     }
 
-    /// Counts a retry that was made without asking the budget.
-    pub fn charge(&mut self, now: Millis, limits: BudgetLimits) {
-        self.current_bucket(now, limits).retries += 1;
+    /// Settles retries that were taken. Those that arrived count from `now` on, which is not before
+    /// their arrival, so each window holds all that arrived in it.
+    pub fn settle(&mut self, now: Millis, limits: BudgetLimits, settlement: Settlement) {
+        let Settlement { arrived, returned } = settlement;
+        self.outstanding = self.outstanding.saturating_sub(arrived + returned);
+        if arrived > 0 {
+            self.current_bucket(now, limits).retries += arrived;
+        }
     }
 
     /// Buckets that start within the window. Older buckets are kept for one width longer, because
