admit, edge: remember which servers refuse, and tell the other hosts

Each repeat takes from the retry budget, and a prompt that is prefilled for an engine which then refuses is wasted.

Cause: a refusal kept its engine out of the choice for 200 ms, each time anew, on the one host that saw it.

Change: * A server counts as full for 200 ms after a refusal, doubled with each further one up to 1.6 s; an accepted request sent after the refusals ends that. A refused reservation, which is no arrival, stays at 200 ms. * For 3 s after a refusal servers that refuse nothing are preferred, and no decode is planned at a refusing engine while another one accepts: calls wait for that one. * Hosts report the servers that refused them in their datagrams; receivers prefer others for 1 s after each report.

--- a/crates/admit/src/call.rs
+++ b/crates/admit/src/call.rs
@@ -14,6 +14,8 @@
 pub(crate) const AVOIDED_PENALTY_MS: f64 = 100_000.0;
 /// Penalty of a failing server, in ms, multiplied by its share of errors.
 pub(crate) const FAILING_PENALTY_MS: f64 = 10_000.0;
+/// Penalty of a server that refused its latest request, in ms.
+const REFUSING_PENALTY_MS: f64 = 1_000.0;
 /// Range of the random part of a score, in ms: hosts with the same view would otherwise all choose
 /// the same server.
 const JITTER_MS: f64 = 3.0;
@@ -115,5 +117,9 @@
         true => FAILING_PENALTY_MS * server.health.error_share(),
         false => 0.0,
     };
-    avoided + failing
+    let refusing = match server.is_refusing(now) {
+        true => REFUSING_PENALTY_MS,
+        false => 0.0,
+    };
+    avoided + failing + refusing
 }
--- a/crates/admit/src/fleet.rs
+++ b/crates/admit/src/fleet.rs
@@ -10,7 +10,7 @@
 use crate::update_intervals;
 
 /// Identifies one send.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct SendId(u64);
 
 /// Work that a send puts on its server.
@@ -34,6 +34,8 @@
     /// updated.
     Unverified,
     /// The server refused to run the request.
+    Refused,
+    /// The server refused a reservation for the request, which was not sent.
     Full,
     /// The send failed.
     Failed(Fault),
@@ -74,6 +76,9 @@
 /// Time, beyond the interval of the reports, for which an engine gets no requests after another host
 /// reported that the engine changes its role.
 const ROLE_CHANGE_TTL: Millis = Millis(1_200);
+/// Time, beyond the interval of the reports, for which a server counts as refusing after another host
+/// reported it.
+const REFUSING_TTL: Millis = Millis(1_000);
 /// Time after which a waiting call moves one host forward in the admission order of the hosts.
 const ADMISSION_STEP_TIME: Millis = Millis(100);
 /// Weight of the newest sample in a moving average.
@@ -145,14 +150,11 @@
     /// Records a sign of progress of a send, such as an event of its stream, and that it needs at
     /// least this many tokens.
     pub fn record_progress(&mut self, now: Millis, id: &BackendId, send: SendId, tokens: Tokens) {
-        if let Some(send) = self
-            .server_or_insert(id)
-            .sends
-            .iter_mut()
-            .find(|s| s.id == send)
-        {
-            send.last_progress_at = now;
-            send.work.tokens = send.work.tokens.max(tokens);
+        let server = self.server_or_insert(id);
+        if let Some(known) = server.sends.iter_mut().find(|s| s.id == send) {
+            known.last_progress_at = now;
+            known.work.tokens = known.work.tokens.max(tokens);
+            server.record_acceptance(send);
         }
     }
 
@@ -164,10 +166,15 @@
         };
         server.sends.remove(at);
         match outcome {
-            SendOutcome::Answered { error } => server.health.record_answer(error),
+            SendOutcome::Answered { error } => {
+                server.record_acceptance(send);
+                server.health.record_answer(error);
+            }
+            SendOutcome::Unverified => server.record_acceptance(send),
             SendOutcome::Failed(fault) => server.health.record_fault(now, fault),
-            SendOutcome::Full => server.record_refusal(now),
-            SendOutcome::Cancelled | SendOutcome::Unverified => {}
+            SendOutcome::Refused => server.record_refusal(now, send),
+            SendOutcome::Full => server.record_full(now),
+            SendOutcome::Cancelled => {}
         }
     }
 
@@ -237,6 +244,12 @@
             .collect()
     }
 
+    /// Servers that refused the latest request of this host.
+    pub fn refusing(&self, now: Millis) -> Vec<BackendId> {
+        let refusing = self.servers.iter().filter(|s| s.refuses_own(now));
+        refusing.map(|s| s.id.clone()).collect()
+    }
+
     /// Whether an engine is changing its role.
     pub fn is_changing(&self, now: Millis, id: &BackendId) -> bool {
         self.find(id).is_some_and(|s| now < s.changing_until)
@@ -276,14 +289,18 @@
         load: PeerLoad,
     ) {
         let (loads, changing) = (load.loads.clone(), load.engines_changing_role.clone());
+        let refusing = load.refusing.clone();
         let Some(before) = self.peers.update(now, host, message_seq, load) else {
             return;
         };
         self.add_peer_load(&before.loads, -1.0);
         self.add_peer_load(&loads, 1.0);
-        let ttl = ROLE_CHANGE_TTL + update_intervals::remote_interval(self.expected_peers + 1);
+        let interval = update_intervals::remote_interval(self.expected_peers + 1);
         for engine in changing {
-            self.server_or_insert(&engine).changing_until = now + ttl;
+            self.server_or_insert(&engine).changing_until = now + interval + ROLE_CHANGE_TTL;
+        }
+        for id in refusing {
+            self.server_or_insert(&id).peer_refusing_until = now + interval + REFUSING_TTL;
         }
     }
 
--- a/crates/admit/src/model.rs
+++ b/crates/admit/src/model.rs
@@ -107,6 +107,8 @@
     baseline_error_share: f64,
     /// Whether at least one decode engine is not avoided.
     any_not_avoided: bool,
+    /// Whether at least one of these has refused no request lately.
+    any_accepting: bool,
 }
 
 /// Predicted time at an engine, and the penalty for its faults and errors.
@@ -298,10 +300,15 @@
     fn summarize(&self, now: Millis, entries: &[&Registration]) -> CandidateSummary {
         let is_not_avoided =
             |e: &Registration| !self.find(&e.id).is_some_and(|s| s.is_avoided(now));
-        let mut engines = entries.iter().filter(|e| serves(e, Stage::Decode));
+        let is_accepting = |e: &Registration| !self.find(&e.id).is_some_and(|s| s.is_refusing(now));
+        let mut engines = entries
+            .iter()
+            .filter(|e| serves(e, Stage::Decode) && is_not_avoided(e))
+            .peekable();
         CandidateSummary {
             baseline_error_share: self.baseline_error_share(entries),
-            any_not_avoided: engines.any(|e| is_not_avoided(e)),
+            any_not_avoided: engines.peek().is_some(),
+            any_accepting: engines.any(|e| is_accepting(e)),
         }
     }
 
@@ -395,6 +402,10 @@
         if summary.any_not_avoided && server.is_avoided(now) {
             return None;
         }
+        // A refusal wastes the prompt that another engine prefilled, so waiting is better here too.
+        if summary.any_accepting && server.is_refusing(now) {
+            return None;
+        }
         let load = server.load(now, self.all_peers_known());
         // An empty engine takes any request, as one that exceeds the planned memory must run
         // somewhere.
--- a/crates/admit/src/peers.rs
+++ b/crates/admit/src/peers.rs
@@ -27,6 +27,8 @@
     pub first_waiting: Option<QueuedCall>,
     /// Engines that change their role on an order of the reporting host.
     pub engines_changing_role: Vec<BackendId>,
+    /// Servers that refused the latest request of the reporting host.
+    pub refusing: Vec<BackendId>,
 }
 
 #[derive(Debug, Clone)]
--- a/crates/admit/src/server.rs
+++ b/crates/admit/src/server.rs
@@ -8,8 +8,13 @@
 
 /// Time over which the weight of a report falls to zero. Engines report with a lag of 900 ms.
 const REPORT_FADE_TIME: Millis = Millis(1_000);
-/// Time for which a server counts as full after it refused a request.
+/// Time for which a server counts as full after it refused a request or a reservation; doubles with
+/// each consecutive refusal of a request.
 const FULL_DURATION: Millis = Millis(200);
+/// Longest time for which a server counts as full.
+const MAX_FULL_DURATION: Millis = Millis(1_600);
+/// Time after a refusal for which servers that refuse no requests are preferred.
+const REFUSAL_MEMORY: Millis = Millis(3_000);
 /// Tokens assumed for a request of another host that is known only from a report.
 const USUAL_REQUEST_TOKENS: f64 = 4_200.0;
 
@@ -50,6 +55,14 @@
     reported_peer_requests: f64,
     reported_at: Millis,
     full_until: Millis,
+    /// Requests refused in a row.
+    consecutive_refusals: u32,
+    /// The latest send that was refused.
+    refused_send: Option<SendId>,
+    /// Time until which other servers are preferred after a refusal of this host's request.
+    refusing_until: Millis,
+    /// Time until which other servers are preferred because another host reported a refusal.
+    pub peer_refusing_until: Millis,
     /// Time until which the engine is assumed to change its role.
     pub changing_until: Millis,
 }
@@ -64,6 +77,10 @@
             reported_peer_requests: 0.0,
             reported_at: Millis::ZERO,
             full_until: Millis::ZERO,
+            consecutive_refusals: 0,
+            refused_send: None,
+            refusing_until: Millis::ZERO,
+            peer_refusing_until: Millis::ZERO,
             changing_until: Millis::ZERO,
         }
     }
@@ -75,9 +92,42 @@
         self.reported_at = now;
     }
 
+    /// Records that the server refused a reservation.
+    pub fn record_full(&mut self, now: Millis) {
+        self.full_until = self.full_until.max(now + FULL_DURATION);
+    }
+
     /// Records that the server refused a request.
-    pub fn record_refusal(&mut self, now: Millis) {
-        self.full_until = now + FULL_DURATION;
+    pub fn record_refusal(&mut self, now: Millis, send: SendId) {
+        self.refused_send = self.refused_send.max(Some(send));
+        // Requests that were under way at the first refusal say nothing more.
+        if self.consecutive_refusals > 0 && now < self.full_until {
+            return;
+        }
+        let doublings = self.consecutive_refusals.min(8);
+        let duration = Millis(FULL_DURATION.0 << doublings).min(MAX_FULL_DURATION);
+        self.consecutive_refusals = self.consecutive_refusals.saturating_add(1);
+        self.full_until = now + duration;
+        self.refusing_until = now + REFUSAL_MEMORY;
+    }
+
+    /// Records that the server accepted a request. One that was sent before the latest refusal does
+    /// not end the refusals.
+    pub fn record_acceptance(&mut self, send: SendId) {
+        if Some(send) > self.refused_send {
+            self.consecutive_refusals = 0;
+            self.refusing_until = Millis::ZERO;
+        }
+    }
+
+    /// Whether the server refused this host's latest request.
+    pub fn refuses_own(&self, now: Millis) -> bool {
+        now < self.refusing_until
+    }
+
+    /// Whether the server refused a request lately.
+    pub fn is_refusing(&self, now: Millis) -> bool {
+        self.refuses_own(now) || now < self.peer_refusing_until
     }
 
     /// Whether the server refused a request a moment ago or is changing its role.
--- a/crates/edge/src/model/decode.rs
+++ b/crates/edge/src/model/decode.rs
@@ -223,7 +223,7 @@
                     .prompt_lost(now, &self.req, &prompt.engine.id, &engine.id);
             }
             _ => {
-                tracked_send.end(SendOutcome::Full);
+                tracked_send.end(SendOutcome::Refused);
                 self.exclude(&engine.id);
                 self.edge.logs.engine_full(now, &self.req, &engine.id);
             }
--- a/crates/edge/src/model/prefill.rs
+++ b/crates/edge/src/model/prefill.rs
@@ -136,7 +136,7 @@
                 })
             }
             Err(PrefillError::NotRun) => {
-                tracked_send.end(SendOutcome::Full);
+                tracked_send.end(SendOutcome::Refused);
                 counters::retry("prefill_not_run");
                 None
             }
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -223,7 +223,7 @@
             return SendResult::TryNext;
         }
         if answer.facts.not_run {
-            tracked_send.end(SendOutcome::Full);
+            tracked_send.end(SendOutcome::Refused);
             counters::retry("not_run");
             return SendResult::TryNext;
         }
--- a/crates/edge/src/usage.rs
+++ b/crates/edge/src/usage.rs
@@ -58,6 +58,9 @@
     /// the store for others, or is not answered.
     #[prost(uint64, optional, tag = "10")]
     store_age_ms: Option<u64>,
+    /// Servers that refused the sender's latest request.
+    #[prost(string, repeated, tag = "11")]
+    refusing: Vec<String>,
 }
 
 /// The first call in the sender's queue. Times are sent as durations, since clocks differ.
@@ -163,6 +166,7 @@
         waiting_tokens: state.queue.tokens(),
         first_waiting: state.queue.first(now),
         engines_changing_role: state.fleet.engines_changing_role(now),
+        refusing: state.fleet.refusing(now),
     }
 }
 
@@ -191,6 +195,7 @@
             .iter()
             .map(BackendId::to_string)
             .collect(),
+        refusing: load.refusing.iter().map(BackendId::to_string).collect(),
         config_changed,
         servers_changed,
         head: load.first_waiting.map(|call| encode_head(now, call)),
@@ -260,12 +265,14 @@
         });
     }
     let changing: Result<Vec<BackendId>, _> = update.changing.iter().map(|id| id.parse()).collect();
+    let refusing: Result<Vec<BackendId>, _> = update.refusing.iter().map(|id| id.parse()).collect();
     let now = edge.now();
     let peer_load = PeerLoad {
         first_waiting: update.head.as_ref().map(|head| decode_head(now, head)),
         loads,
         waiting_tokens: Tokens(update.waiting_tokens),
         engines_changing_role: changing?,
+        refusing: refusing?,
     };
     let message_seq = (update.incarnation, update.sequence);
     let mut state = edge.state();
