edge: do not blame the prefill engine when a decode engine answers 429

While decode engines refused, callers lost healthy prefill engines: after a 429 of a decode engine with room the prefill engine counted as faulty and was avoided, and the decode engine as one that accepts.

Cause: each refusal by a decode engine with ample room was read as a lost KV cache. An engine that cannot get the KV cache answers 503; 429 only says that it takes no requests.

Change: only a 503 counts as a lost KV cache.

--- a/crates/edge/src/model/decode.rs
+++ b/crates/edge/src/model/decode.rs
@@ -6,6 +6,7 @@
 use bv_roster::Registration;
 use bv_route::Kind;
 use bv_types::{Millis, ZoneId};
+use http::StatusCode;
 
 use super::prefill::PrefilledPrompt;
 use super::reservation::Reservation;
@@ -152,7 +153,10 @@
             Ok(answer) if answer.facts.not_run => {
                 match answer.facts.misdirected {
                     true => self.handle_misdirected(&engine, tracked_send),
-                    false => self.handle_refusal(&engine, tracked_send, prompt),
+                    false => {
+                        let status = answer.response.status();
+                        self.handle_refusal(&engine, tracked_send, prompt, status);
+                    }
                 }
                 PlanResult::TryNextPlan
             }
@@ -199,6 +203,7 @@
         engine: &Registration,
         tracked_send: TrackedSend,
         prompt: Option<&mut PrefilledPrompt>,
+        status: StatusCode,
     ) {
         counters::retry("decode_not_run");
         let now = self.edge.now();
@@ -209,7 +214,8 @@
                 .has_ample_capacity(now, &engine.id, &self.placement_query(now))
         };
         match prompt {
-            Some(prompt) if has_capacity => {
+            // An engine that lacks the KV cache answers 503; 429 says that it takes no requests.
+            Some(prompt) if has_capacity && status == StatusCode::SERVICE_UNAVAILABLE => {
                 tracked_send.end(SendOutcome::Unverified);
                 prompt.consumed = true;
                 self.exclude(&prompt.engine.id);
