admit: let a refusing engine take prompts that it prefills itself

Cause: the rule is there because a refusal wastes the prompt that a prefill engine has read. A decode engine that prefills by itself wastes nothing when it refuses.

Change: the rule holds for plans with a prefill apart only. A refusing engine still has the penalty of one, so it is chosen only when no other has room.

--- a/crates/admit/src/model.rs
+++ b/crates/admit/src/model.rs
@@ -402,8 +402,9 @@
         if summary.any_not_avoided && server.is_avoided(now) {
             return None;
         }
-        // A refusal wastes the prompt that another engine prefilled, so waiting is better here too.
-        if summary.any_accepting && server.is_refusing(now) {
+        // A refusal wastes the prompt that another engine prefilled, so waiting is better here too. An
+        // engine that prefills by itself wastes nothing when it refuses.
+        if prefill_zone.is_some() && summary.any_accepting && server.is_refusing(now) {
             return None;
         }
         let load = server.load(now, self.all_peers_known());
