--- a/crates/edge/src/model/prefill.rs
+++ b/crates/edge/src/model/prefill.rs
@@ -146,7 +146,7 @@
                     consumed: false,
                 });
             }
-            Err(PrefillError::NotRun) => (SendOutcome::Full, "prefill_not_run"),
+            Err(PrefillError::NotRun) => (SendOutcome::Refused, "prefill_not_run"),
             Err(PrefillError::Failed(fault, reason)) => (SendOutcome::Failed(fault), reason),
         };
         tracked_send.end(outcome);
