admit, lease, roster, types: numbers of others do not overflow

A debug build panics, a release build goes on with a small number: a full server looks free, and a fence after the highest one is 0, lower than all that engines have seen.

Cause: load reports, tokens, the store's time and fences were added with plain arithmetic although others write them.

Change: Tokens add and sum with saturation, as Millis do; reports are summed as f64; the difference of the clocks saturates. A fence without a successor is not followed by another one: no lease and no term is taken.

--- a/crates/admit/src/fleet.rs
+++ b/crates/admit/src/fleet.rs
@@ -313,12 +313,8 @@
 
     /// Tokens of the calls that wait for capacity at other hosts.
     pub fn peer_waiting_tokens(&self) -> Tokens {
-        Tokens(
-            self.peers
-                .iter()
-                .map(|peer| peer.load.waiting_tokens.0)
-                .sum(),
-        )
+        let peers = self.peers.iter();
+        peers.map(|peer| peer.load.waiting_tokens).sum()
     }
 
     /// Load of this host at model engines. Plain servers have no tokens and are left out.
@@ -328,7 +324,7 @@
             ServerLoad {
                 server: server.id.clone(),
                 requests: sends.clone().count() as u32,
-                tokens: Tokens(sends.map(|send| send.work.tokens.0).sum()),
+                tokens: sends.map(|send| send.work.tokens).sum(),
             }
         });
         loads.filter(|load| load.tokens.0 > 0).collect()
--- a/crates/admit/src/model.rs
+++ b/crates/admit/src/model.rs
@@ -256,7 +256,7 @@
             return Millis(self.stream_ms(request.service) as u64);
         }
         let freed_per_ms = engines * capacity / self.stream_ms(request.service).max(1.0);
-        let wanted = (ahead.0 + request.total.0) as f64 - free;
+        let wanted = (ahead + request.total).0 as f64 - free;
         Millis((wanted.max(0.0) / freed_per_ms).ceil() as u64)
     }
 
--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -70,12 +70,12 @@
             .waiting
             .iter()
             .filter(|(t, w)| *t != ticket && rank(now, w) < own);
-        Tokens(before.map(|(_, w)| w.tokens.0).sum())
+        before.map(|(_, w)| w.tokens).sum()
     }
 
     /// Tokens of all waiting calls.
     pub fn tokens(&self) -> Tokens {
-        Tokens(self.waiting.iter().map(|(_, w)| w.tokens.0).sum())
+        self.waiting.iter().map(|(_, w)| w.tokens).sum()
     }
 
     /// Number of waiting calls.
--- a/crates/admit/src/server.rs
+++ b/crates/admit/src/server.rs
@@ -70,7 +70,7 @@
 
     /// Records a report; the host's own requests are subtracted.
     pub fn record_report(&mut self, now: Millis, report: Report) {
-        let total = f64::from(report.running + report.waiting);
+        let total = f64::from(report.running) + f64::from(report.waiting);
         self.reported_peer_requests = (total - self.sends.len() as f64).max(0.0);
         self.reported_at = now;
     }
@@ -110,7 +110,7 @@
 
     /// Tokens of this host's requests in progress.
     pub fn own_tokens(&self) -> Tokens {
-        Tokens(self.sends.iter().map(|send| send.work.tokens.0).sum())
+        self.sends.iter().map(|send| send.work.tokens).sum()
     }
 
     /// Whether a request has made no progress for longer than its `stuck_after`.
--- a/crates/edge/src/model/mod.rs
+++ b/crates/edge/src/model/mod.rs
@@ -22,7 +22,7 @@
 /// Assumed size of a prompt whose size the caller does not state.
 const DEFAULT_PROMPT_TOKENS: Tokens = Tokens(2_000);
 /// Tokens reserved for a stream beyond those that it has produced.
-const GROWTH_TOKENS: u64 = 150;
+const GROWTH_TOKENS: Tokens = Tokens(150);
 /// Time without an event, beyond the predicted time, after which a resumable stream moves to
 /// another engine.
 pub(crate) const STALL_TIMEOUT: Millis = Millis(1_200);
@@ -95,9 +95,7 @@
         ModelCall {
             edge: edge.clone(),
             last_event: facts.last_event,
-            planned_tokens: Tokens(
-                facts.prompt_tokens.unwrap_or(DEFAULT_PROMPT_TOKENS).0 + output.0,
-            ),
+            planned_tokens: facts.prompt_tokens.unwrap_or(DEFAULT_PROMPT_TOKENS) + output,
             event_tokens: engine.map_or(1, |engine| engine.event_tokens),
             req,
             tried: Vec::new(),
@@ -167,12 +165,13 @@
 
     /// Tokens of the answer that the caller received so far.
     pub fn output(&self) -> Tokens {
-        Tokens(self.last_event.unwrap_or(0) * self.event_tokens)
+        let events = self.last_event.unwrap_or(0);
+        Tokens(events.saturating_mul(self.event_tokens))
     }
 
     /// Minimum number of KV cache tokens that the stream needs.
     pub fn min_tokens(&self) -> Tokens {
-        Tokens(self.prompt().0 + self.output().0 + GROWTH_TOKENS)
+        self.prompt() + self.output() + GROWTH_TOKENS
     }
 
     fn prompt(&self) -> Tokens {
--- a/crates/edge/src/model/place.rs
+++ b/crates/edge/src/model/place.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use bv_admit::{ModelPlan, ModelRequest, PlacementError, QueuedCall, Ticket, Work};
-use bv_types::{Millis, Refusal, Tokens};
+use bv_types::{Millis, Refusal};
 
 use super::{MAX_SENDS, ModelCall, STALL_TIMEOUT};
 use crate::answer::{DEFAULT_RETRY_AFTER, Failure};
@@ -85,7 +85,7 @@
     fn join_queue(&self) -> Result<QueueEntry, Failure> {
         let now = self.edge.now();
         let objective = self.req.route.objective;
-        let wait_limit = Millis(objective.0 * CANCEL_AFTER_OBJECTIVES);
+        let wait_limit = Millis(objective.0.saturating_mul(CANCEL_AFTER_OBJECTIVES));
         let is_first_run = self.runs == 0;
         let until = match is_first_run {
             true => self.req.arrived + (wait_limit - FIRST_EVENT_TIME),
@@ -103,7 +103,7 @@
             let state = &mut *state;
             let ticket = state.queue.push(call);
             let ahead = state.queue.ahead(now, ticket);
-            let ahead = Tokens(ahead.0 + state.fleet.peer_waiting_tokens().0);
+            let ahead = ahead + state.fleet.peer_waiting_tokens();
             let entries = state.roster.of_service(now, &self.req.service);
             (
                 ticket,
--- a/crates/lease/src/lease.rs
+++ b/crates/lease/src/lease.rs
@@ -362,8 +362,11 @@
     }
 
     fn acquire(&mut self, now: Millis, row: Option<&StoredLease>, actions: &mut Vec<Action>) {
+        // Without a higher fence, engines would refuse the orders of the lease.
+        let Some(fence) = self.highest_fence.0.checked_add(1).map(Fence) else {
+            return;
+        };
         let version = row.map(|row| row.version);
-        let fence = Fence(self.highest_fence.0 + 1);
         let stored = self.next_row(version, fence);
         self.write(now, stored, version, actions);
     }
--- a/crates/lease/src/term.rs
+++ b/crates/lease/src/term.rs
@@ -27,7 +27,8 @@
             // The store's clock was set back, so the age of the earlier round is not known.
             Some(term) if store_time < term.taken_at => return None,
             Some(term) if store_time < term.taken_at + MIN_TERM_INTERVAL => return None,
-            Some(term) => Fence(term.fence.0 + 1),
+            // No higher fence exists, so engines would refuse the orders.
+            Some(term) => Fence(term.fence.0.checked_add(1)?),
         };
         Some(Term {
             holder: host.clone(),
--- a/crates/lease/tests/lease_terms.rs
+++ b/crates/lease/tests/lease_terms.rs
@@ -179,3 +179,23 @@
     let actions = lease.handle(sent + Millis(500), Event::FenceSeen(Fence(40)));
     assert_eq!(actions[0], Action::Lost(Fence(1)));
 }
+
+/// Guards against a fence that wraps around to a low one.
+#[test]
+fn highest_fence_has_no_successor() {
+    let mut lease = Lease::new(holder("a", 2));
+    lease.handle(Millis(0), Event::FenceSeen(Fence(u64::MAX)));
+    let mut actions = lease.handle(Millis(0), Event::Want(true));
+    for second in 1..60 {
+        let now = Millis::from_secs(second);
+        for action in std::mem::take(&mut actions) {
+            match action {
+                Action::Read { read } => {
+                    actions = lease.handle(now, Event::Read { read, row: None });
+                }
+                other => panic!("{other:?}"),
+            }
+        }
+        actions.extend(lease.handle(now, Event::Tick));
+    }
+}
--- a/crates/lease/tests/order_rounds.rs
+++ b/crates/lease/tests/order_rounds.rs
@@ -113,3 +113,14 @@
         Some((Role::Prefill, 2))
     );
 }
+
+/// Guards against a fence that wraps around to a low one.
+#[test]
+fn highest_fence_has_no_successor() {
+    let last = Term {
+        holder: host("a"),
+        fence: Fence(u64::MAX),
+        taken_at: Millis::ZERO,
+    };
+    assert_eq!(Term::next(Some(&last), &host("b"), Millis(1_000_000)), None);
+}
--- a/crates/roster/src/store_clock.rs
+++ b/crates/roster/src/store_clock.rs
@@ -21,9 +21,9 @@
     /// Time at which the store gave an answer that carries `store_time`. `began` is the time of the
     /// call, `now` that of the arrival; the result lies between them.
     pub fn answered_at(&mut self, began: Millis, now: Millis, store_time: Millis) -> Millis {
-        let difference = now.0 as i64 - store_time.0 as i64;
+        let difference = (now.0 as i64).saturating_sub(store_time.0 as i64);
         let offset = match self.offset {
-            Some(offset) => difference.min(offset + DRIFT_PER_ANSWER_MS),
+            Some(offset) => difference.min(offset.saturating_add(DRIFT_PER_ANSWER_MS)),
             None => difference,
         };
         self.offset = Some(offset);
--- a/crates/roster/tests/store_clock.rs
+++ b/crates/roster/tests/store_clock.rs
@@ -42,3 +42,15 @@
         .answered_at(Millis(began), Millis(now), Millis(store_time))
         .0
 }
+
+/// Guards against an overflow by an odd time of the store.
+#[test]
+fn largest_times() {
+    for store_time in [u64::MAX, i64::MAX as u64, i64::MAX as u64 + 1, 0] {
+        let mut clock = StoreClock::default();
+        for _ in 0..3 {
+            let at = answer(&mut clock, 10_000, 10_010, store_time);
+            assert!((10_000..=10_010).contains(&at), "{store_time}: {at}");
+        }
+    }
+}
--- a/crates/types/src/size.rs
+++ b/crates/types/src/size.rs
@@ -1,6 +1,8 @@
 //! Sizes, rates, versions and fencing tokens.
 
 use std::fmt;
+use std::iter::Sum;
+use std::ops::Add;
 use std::str::FromStr;
 
 use serde::{Deserialize, Serialize};
@@ -63,6 +65,20 @@
     }
 }
 
+/// Saturates: sizes in messages of others may be any number.
+impl Add for Tokens {
+    type Output = Tokens;
+    fn add(self, other: Tokens) -> Tokens {
+        Tokens(self.0.saturating_add(other.0))
+    }
+}
+
+impl Sum for Tokens {
+    fn sum<I: Iterator<Item = Tokens>>(items: I) -> Tokens {
+        items.fold(Tokens(0), Add::add)
+    }
+}
+
 /// A rate per second; finite and above zero.
 #[derive(Debug, Clone, Copy, PartialEq, PartialOrd, Serialize, Deserialize)]
 #[serde(try_from = "f64", into = "f64")]
