platform, config: an odd row names no server to use

Here the process goes on, but such a row was used: one with 4,294,967,295 slots takes most calls, since no call seems to wait there, and one with the largest sequence or start time hides each later row of its server, which counts as older.

Cause: each number that fits its type was taken, and each address that parses, such as port 0, 0.0.0.0 or a multicast address.

Not covered: a row that is well-formed under the id of a live server with a plausible higher sequence still hides that server's own later rows.

--- a/crates/config/src/checker.rs
+++ b/crates/config/src/checker.rs
@@ -5,7 +5,7 @@
 use std::ops::Range;
 use std::str::FromStr;
 
-use bv_types::{Millis, RatePerSec};
+use bv_types::{Millis, RatePerSec, is_server_address};
 use miette::NamedSource;
 use smol_str::SmolStr;
 use toml::Spanned;
@@ -110,12 +110,13 @@
     }
 
     pub fn addr(&self, field: &'static str, value: &Spanned<SmolStr>) -> Checked<SocketAddr> {
-        value.get_ref().parse().map_err(|_| {
+        let addr = value.get_ref().parse().ok();
+        addr.filter(|addr| is_server_address(*addr)).ok_or_else(|| {
             self.error(
                 field,
                 value.span(),
                 format!(
-                    "{:?} is not an IP address with a port, such as 10.0.0.7:8000",
+                    "{:?} is not a server's IP address with a port, such as 10.0.0.7:8000",
                     value.get_ref()
                 ),
             )
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -1,10 +1,12 @@
 //! Ids, sizes, rates, the clock and reason codes, shared by all crates.
 
+mod addr;
 mod clock;
 mod id;
 mod reason;
 mod size;
 
+pub use addr::is_server_address;
 pub use clock::{Clock, Millis};
 pub use id::{
     AttemptId, BackendId, Fingerprint, HostId, Incarnation, ModelId, PoolId, RequestId, RouteId,
