platform, edge: an odd row or key does not stop a host from following

Cause, two ways. An answer of the store was decoded as a whole, so one row whose key or value is no text hid all others, for ever, since each later read failed too. And the key at the end of a page was put into the path of the next call as it was: with a control character or a space the call could not be made, and with '&' or '#' it asked for the same page again.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use bv_platform::{HostRow, Rows, StoreError, Table};
+use bv_platform::{DecodeError, HostRow, Rows, StoreError, Table};
 use bv_roster::store_intervals;
 use bv_route::ApplyResult;
 use bv_types::{Millis, Version};
@@ -339,6 +339,15 @@
     }
 }
 
+/// Counts and logs rows that cannot be read.
+pub(crate) fn log_unreadable_rows(table: Table, errors: &[DecodeError]) {
+    let table = table_name(table);
+    for err in errors {
+        counters::unreadable_row(table);
+        warn!(table, error = %err, "rows: unreadable row ignored");
+    }
+}
+
 /// Follows the table of backend servers.
 pub(crate) async fn servers(edge: Arc<Edge>) {
     let mut health = StoreHealth::new(Table::Servers, edge.now());
@@ -383,10 +392,8 @@
             errors
         };
         record_answered(&edge, Table::Servers, reading.confirmed_at);
-        for err in errors {
-            counters::unreadable_row("servers");
-            warn!(error = %err, "servers: unreadable row ignored");
-        }
+        log_unreadable_rows(Table::Servers, &errors);
+        log_unreadable_rows(Table::Servers, &rows.unreadable);
         let pause = match now < edge.started_at + SETTLE_TIME {
             true => SETTLING_PAUSE,
             false => store_intervals::CHANGE_PAUSE,
@@ -462,6 +469,7 @@
     if !is_fresh {
         write_own_row(edge, before.store_time).await?;
     }
+    log_unreadable_rows(Table::Hosts, &before.unreadable);
     let now = edge.now();
     let mut state = edge.state();
     state.observe_store_time(now, before.store_time);
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bv_platform::{Row, Rows};
+use bv_platform::{Row, Rows, Table};
 use bv_roster::{HostEntry, RowsSince};
 use bv_types::{Millis, Version};
 use bytes::Bytes;
@@ -20,7 +20,7 @@
 
 use crate::counters;
 use crate::edge::Edge;
-use crate::follow::log_applied_config;
+use crate::follow::{log_applied_config, log_unreadable_rows};
 use crate::hosts::Hosts;
 use crate::state::State;
 
@@ -408,7 +408,7 @@
         let rows = Rows {
             rows: all.into_iter().map(to_row).collect(),
             version,
-            store_time: Millis::ZERO,
+            ..Rows::default()
         };
         info!(
             peer = %peer,
@@ -424,10 +424,7 @@
         Vec::new()
     };
     counters::servers(state.roster.usable_count(now));
-    for err in errors {
-        counters::unreadable_row("servers");
-        warn!(error = %err, "servers: unreadable row ignored");
-    }
+    log_unreadable_rows(Table::Servers, &errors);
     changed
 }
 
