edge, roster: the row of a host does not live for ever

Cause: the age of a row was the store's time less the time in the row, and 0 for a time in the future. Such a row counted as a live host for ever: a part of the retry budget went to it and it could be chosen as a reader. A host whose own row was overwritten like this took it for fresh and never wrote it again. A row with this host's address under another id made it ask itself.

Evidence, before: own_row_of_the_future: not within 8s: the host writes its own row. row_of_the_future checks the new is_row_live.

Change: a time as far ahead of the store's clock as a row lives counts as expired, and for the own row as not fresh; entries with the own address are left out.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -464,7 +464,8 @@
     let is_fresh = written
         .and_then(|body| HostRow::decode(body).ok())
         .is_some_and(|known| {
-            known.peer_addr == own.addr && (before.store_time - known.written_at).0 < fresh_until
+            let age = before.store_time.0.abs_diff(known.written_at.0);
+            known.peer_addr == own.addr && age < fresh_until
         });
     if !is_fresh {
         write_own_row(edge, before.store_time).await?;
--- a/crates/edge/src/hosts.rs
+++ b/crates/edge/src/hosts.rs
@@ -18,7 +18,7 @@
 impl Hosts {
     /// Reads the rows of all hosts; unreadable rows are ignored.
     pub fn read(own: &HostEntry, rows: &Rows) -> Self {
-        let lifetime = store_intervals::row_lifetime(rows.rows.len());
+        let count = rows.rows.len();
         let live = rows.rows.iter().filter_map(|row| {
             let host = HostRow::decode(row.value.as_ref()?).ok()?;
             let entry = HostEntry {
@@ -26,14 +26,17 @@
                 zone: host.zone,
                 addr: host.peer_addr,
             };
-            (host.written_at + lifetime > rows.store_time).then_some(entry)
+            let is_live = store_intervals::is_row_live(count, host.written_at, rows.store_time);
+            is_live.then_some(entry)
         });
         Hosts::from_entries(own, live)
     }
 
     /// The hosts among these entries, which may include this one.
     pub fn from_entries(own: &HostEntry, entries: impl Iterator<Item = HostEntry>) -> Self {
-        let mut others: Vec<HostEntry> = entries.filter(|entry| entry.id != own.id).collect();
+        // At its own address, a host would only ask itself.
+        let is_other = |entry: &HostEntry| entry.id != own.id && entry.addr != own.addr;
+        let mut others: Vec<HostEntry> = entries.filter(is_other).collect();
         others.sort_by(|a, b| a.id.cmp(&b.id));
         let digest = digest(own, &others);
         Hosts {
--- a/crates/roster/src/store_intervals.rs
+++ b/crates/roster/src/store_intervals.rs
@@ -56,6 +56,12 @@
     Millis(row_interval(hosts).0 * 5 / 2)
 }
 
+/// Whether the row of a host is one of a live host. A time that is as far ahead of the store's clock is
+/// not the time of a write.
+pub fn is_row_live(hosts: usize, written_at: Millis, store_time: Millis) -> bool {
+    store_time.0.abs_diff(written_at.0) < row_lifetime(hosts).0
+}
+
 /// Minimum pause after `failures` failed calls in a row.
 pub fn failure_pause(is_reader: bool, failures: u32) -> Millis {
     if is_reader {
