store: an unreadable row is not a missing one

Cause: an answer of the table service that is not JSON for us, such as a row with a deeply nested attribute or 1e400, was taken as null, and null has no "Item": the read said that the row does not exist. For the ledger that is a call that nobody claimed; only the condition of the next write prevented a second run. A conflicting row that cannot be read was reported as absent, too. The key of the row was not compared with the one asked for, and version has no successor (version + 1 overflows).

Evidence, before: odd_rows_are_not_missing: {"Item":{..."more":[[[[... is read as Ok(None).

Change: a successful read must be a JSON object, and its item must have the key and a version up to 2^53 - 1. Otherwise the table counts as unavailable and the rows already known stay in force.

--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -17,6 +17,9 @@
 const MAX_ANSWER_BYTES: usize = 64 << 20;
 /// Service name and API version, the first part of the header `x-amz-target`.
 const TARGET_PREFIX: &str = "DynamoDB_20120810";
+/// Largest version of a row. Versions start from a time in milliseconds and grow by one, so a larger
+/// one is not from this system, and it may have no successor.
+const MAX_VERSION: u64 = (1 << 53) - 1;
 /// Code of a cancellation reason whose condition did not hold.
 const CONDITION_FAILED_CODE: &str = "ConditionalCheckFailed";
 
@@ -120,11 +123,15 @@
         if !status.is_success() {
             return Err(self.unavailable(OPERATION, format!("HTTP status {status}")));
         }
-        match answer.get("Item") {
-            None => Ok(None),
-            Some(item) => parse_row(item)
-                .map(Some)
-                .ok_or_else(|| self.unavailable(OPERATION, "the item in the answer is malformed")),
+        if !answer.is_object() {
+            return Err(self.unavailable(OPERATION, "the answer is not a JSON object"));
+        }
+        let Some(item) = answer.get("Item") else {
+            return Ok(None);
+        };
+        match parse_row(item).filter(|row| row.key == key) {
+            Some(row) => Ok(Some(row)),
+            None => Err(self.unavailable(OPERATION, "the item in the answer is malformed")),
         }
     }
 
@@ -188,9 +195,10 @@
 }
 
 fn parse_row(item: &Value) -> Option<Row> {
+    let version: u64 = item["ver"]["N"].as_str()?.parse().ok()?;
     Some(Row {
         key: item["k"]["S"].as_str()?.into(),
-        version: Version(item["ver"]["N"].as_str()?.parse().ok()?),
+        version: (version <= MAX_VERSION).then_some(Version(version))?,
         body: item["body"]["S"].as_str()?.to_owned(),
     })
 }
@@ -202,12 +210,15 @@
     }
     let refused = reasons
         .iter()
-        .map(|reason| match reason["Code"].as_str() {
-            Some(CONDITION_FAILED_CODE) => {
-                Refused::Conflict(reason.get("Item").and_then(parse_row))
-            }
-            _ => Refused::Unaffected,
-        })
-        .collect();
+        .map(
+            |reason| match (reason["Code"].as_str(), reason.get("Item")) {
+                (Some(CONDITION_FAILED_CODE), None) => Some(Refused::Conflict(None)),
+                (Some(CONDITION_FAILED_CODE), Some(item)) => {
+                    Some(Refused::Conflict(Some(parse_row(item)?)))
+                }
+                _ => Some(Refused::Unaffected),
+            },
+        )
+        .collect::<Option<_>>()?;
     Some(Transacted::Refused(refused))
 }
