server: an earlier answer on a kept connection is not that to another call

On the product's edge a caller could get the answer to another caller's call.

Cause: calls that may be repeated were sent on pooled connections, and the answers of plain services carry no id. A second copy of an answer that arrives between the check of the connection and the next answer, such as with that answer, was taken for it; each later answer was one behind.

Evidence, before: answers_belong_to_their_calls: BeforeNext, 200, call 1, left: "GET /booking/seats?round=0&call=0", right: "...&call=1".

Change: these calls open a connection each, as calls that must run once have done already. No check of the bytes can tell a repeated answer without an id from the right one.

"Not run" for a call that ran, or a second run, could not be shown: calls that must run once were not on pooled connections, and a model call keeps its outcome unknown after any answer of an engine.

Result: the test passes with the answer repeated at four moments and with 200, 429 and 503 as the first answer; backend_faults, resent_call, run_counts and hostile_input pass. Not measured: the cost of the connections.

--- a/crates/server/src/open_calls.rs
+++ b/crates/server/src/open_calls.rs
@@ -38,8 +38,9 @@
 /// Open non-idempotent calls of this host.
 pub(crate) struct OpenCalls {
     state: Mutex<State>,
-    /// Client that opens a connection for each call: a reused connection that has just closed
-    /// would make the outcome of the call unknown.
+    /// Client that opens a connection for each call of a plain service: a reused connection that has
+    /// just closed would make the outcome of the call unknown, and its next answer may be that to an
+    /// earlier call, since answers of plain services carry no id.
     pub client: BackendClient,
     /// Wakes [`run`] when the ledger or the queued writes have changed.
     changed: Notify,
--- a/crates/server/src/plain.rs
+++ b/crates/server/src/plain.rs
@@ -162,10 +162,8 @@
         let Some(server) = host.servers.choose(host.clock.now(), criteria) else {
             return last;
         };
-        let result = host
-            .backends
-            .forward(server.addr, parts, body.clone())
-            .await;
+        let client = &host.open_calls.client;
+        let result = client.forward(server.addr, parts, body.clone()).await;
         let now = host.clock.now();
         let reason = match result {
             Ok(answer) if is_retried(answer.status()) => {
