edge: a resumed stream holds only the events that follow

Cause: an answer with an error status was never forwarded here, but any stamped 2xx was taken for the rest of the stream. Text with blank lines was forwarded as events, an empty body or a 204 ended the stream as complete, and only ids that go back were refused. Two more of this class: an event that arrived together with a repeated one counted as forwarded and was not asked for again, and a stream whose events have no ids was run from its begin and joined to the first one.

Change: EventOrder checks each batch before any of it counts. A server that resumes a stream must answer 200, with text/event-stream if it names a content type, go on with the next id, have an id on each event, and have one event at least; otherwise another one is sought (retry reason no_event_stream) or the stream breaks off with the reason (event_missing, event_without_id, no_events). The next id is the last one plus 1, unless the first server's own ids have gaps: PROTOCOL says only that they grow. A stream that is not announced as events, or whose last event has no id, is not resumed.

A server that breaks off between the last event and the end now costs that stream its end: an empty answer to the resume cannot be told from a server that has lost it.

--- a/crates/edge/src/events.rs
+++ b/crates/edge/src/events.rs
@@ -11,6 +11,46 @@
     pub bytes: Bytes,
     /// Ids of the events that have one, in order.
     pub ids: Vec<u64>,
+    /// Whether an event has no id.
+    pub has_unnumbered: bool,
+    /// Whether the last event has no id.
+    pub ends_unnumbered: bool,
+}
+
+impl Events {
+    fn parse(bytes: Bytes) -> Self {
+        let mut ids = Vec::new();
+        let mut has_unnumbered = false;
+        let mut ends_unnumbered = false;
+        let mut has_fields = false;
+        let mut id = None;
+        for line in bytes.split(|b| *b == b'\n') {
+            match line.strip_suffix(b"\r").unwrap_or(line) {
+                [] => {
+                    if let Some(id) = id.take() {
+                        ids.push(id);
+                        ends_unnumbered = false;
+                    } else if has_fields {
+                        has_unnumbered = true;
+                        ends_unnumbered = true;
+                    }
+                    has_fields = false;
+                }
+                // A comment.
+                [b':', ..] => {}
+                field => {
+                    has_fields = true;
+                    id = event_id(field).or(id);
+                }
+            }
+        }
+        Events {
+            bytes,
+            ids,
+            has_unnumbered,
+            ends_unnumbered,
+        }
+    }
 }
 
 /// Buffers the part of a stream that is not a complete event yet.
@@ -30,13 +70,12 @@
     /// Takes all complete events.
     pub fn take(&mut self) -> Option<Events> {
         let end = last_event_end(&self.buf)?;
-        let bytes = self.buf.split_to(end).freeze();
-        let ids: Vec<u64> = bytes.split(|b| *b == b'\n').filter_map(event_id).collect();
-        self.unnumbered_bytes = match ids.is_empty() {
-            true => self.unnumbered_bytes + bytes.len(),
+        let events = Events::parse(self.buf.split_to(end).freeze());
+        self.unnumbered_bytes = match events.ids.is_empty() {
+            true => self.unnumbered_bytes + events.bytes.len(),
             false => 0,
         };
-        Some(Events { bytes, ids })
+        Some(events)
     }
 
     /// Whether an incomplete event is buffered.
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -8,6 +8,7 @@
 mod answer;
 mod counters;
 mod edge;
+mod event_order;
 mod events;
 mod follow;
 mod guard;
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -9,7 +9,8 @@
 use bv_types::{BackendId, Millis};
 use bytes::Bytes;
 use futures_util::stream;
-use http::Response;
+use http::response::Parts;
+use http::{Response, StatusCode, header};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 use tokio::sync::mpsc;
@@ -17,6 +18,7 @@
 use crate::answer::{Body, Failure};
 use crate::counters;
 use crate::edge::{Edge, RequestCountGuard};
+use crate::event_order::EventOrder;
 use crate::events::EventReader;
 use crate::model::{ModelCall, OpenedStream, STALL_TIMEOUT};
 use crate::plain::caller_response;
@@ -25,6 +27,8 @@
 /// Chunks of a stream that are buffered for a slow caller.
 const QUEUED_CHUNKS: usize = 4;
 
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+
 /// A message to the response body of a stream.
 enum Chunk {
     Events(Bytes),
@@ -59,6 +63,8 @@
         edge: edge.clone(),
         call,
         reader: EventReader::default(),
+        order: EventOrder::default(),
+        is_resumable: is_event_stream(&parts),
         tx,
         last_event_at: None,
     };
@@ -92,6 +98,15 @@
     }
 }
 
+/// Whether an answer announces events. One without a content type is judged by its events.
+fn is_event_stream(head: &Parts) -> bool {
+    let content_type = head.headers.get(header::CONTENT_TYPE);
+    content_type.is_none_or(|value| {
+        let media_type = value.as_bytes().split(|b| *b == b';').next();
+        media_type.is_some_and(|text| text.trim_ascii().eq_ignore_ascii_case(EVENT_STREAM))
+    })
+}
+
 fn body_from(rx: mpsc::Receiver<Chunk>) -> Body {
     let chunks = stream::unfold(Some(rx), |rx| async move {
         let mut rx = rx?;
@@ -117,6 +132,9 @@
     edge: Arc<Edge>,
     call: ModelCall,
     reader: EventReader,
+    order: EventOrder,
+    /// Whether the caller was told that events follow.
+    is_resumable: bool,
     tx: mpsc::Sender<Chunk>,
     /// When the last event was forwarded.
     last_event_at: Option<Millis>,
@@ -168,7 +186,7 @@
                     reason
                 }
             };
-            if !self.call.may_run_again() {
+            if !self.may_resume() {
                 return self.break_off(&server, reason);
             }
             self.edge
@@ -186,22 +204,35 @@
 
     /// Resumes the stream at another server.
     async fn resume(&mut self) -> Option<Source> {
-        let opened = tokio::select! {
-            opened = self.call.open() => opened.ok()?,
-            () = self.tx.closed() => return None,
-        };
-        if !opened.answer.response.status().is_success() {
+        loop {
+            let opened = tokio::select! {
+                opened = self.call.open() => opened.ok()?,
+                () = self.tx.closed() => return None,
+            };
+            let (parts, body) = opened.answer.response.into_parts();
+            if parts.status == StatusCode::OK && is_event_stream(&parts) {
+                self.order.begin_resumed();
+                return Some(Source {
+                    server: opened.server,
+                    tracked_send: opened.tracked_send,
+                    channel: opened.answer.channel,
+                    body,
+                });
+            }
             opened
                 .tracked_send
                 .end(SendOutcome::Answered { error: true });
-            return None;
+            if !self.may_resume() {
+                return None;
+            }
+            counters::retry("no_event_stream");
+            self.call.exclude(&opened.server);
         }
-        Some(Source {
-            server: opened.server,
-            tracked_send: opened.tracked_send,
-            channel: opened.answer.channel,
-            body: opened.answer.response.into_body(),
-        })
+    }
+
+    /// Whether another server may continue the stream.
+    fn may_resume(&self) -> bool {
+        self.call.may_run_again() && self.is_resumable && self.order.can_resume()
     }
 
     /// Forwards events until this source ends or fails.
@@ -228,6 +259,9 @@
                 Ok(None) if self.reader.has_incomplete_event() => {
                     return SourceEnd::Broken("event_cut", Fault::InvalidAnswer);
                 }
+                Ok(None) if !self.order.may_end() => {
+                    return SourceEnd::Broken("no_events", Fault::InvalidAnswer);
+                }
                 Ok(None) => return SourceEnd::Complete,
                 Ok(Some(Err(_))) => return SourceEnd::Broken("connection_lost", Fault::NoAnswer),
                 Ok(Some(Ok(frame))) => match frame.into_data() {
@@ -244,11 +278,9 @@
             let Some(events) = events else {
                 continue;
             };
-            for id in &events.ids {
-                if self.call.last_event.is_some_and(|last| *id <= last) {
-                    return SourceEnd::Broken("event_out_of_order", Fault::InvalidAnswer);
-                }
-                self.call.last_event = Some(*id);
+            match self.order.check(self.call.last_event, &events) {
+                Ok(last) => self.call.last_event = last,
+                Err(err) => return SourceEnd::Broken(err.code(), Fault::InvalidAnswer),
             }
             source.tracked_send.record_progress(self.call.min_tokens());
             self.record_event();
