server: a resumed stream goes on with the next event

In the product neither the text nor the head of an error got into a stream: error statuses, a redirect, 204, an empty body, JSON, text and error events with and without data lines break it off, before this change too.

Cause of what could happen: after a resume only ids that go back were dropped. An event of the same attempt without an id, or one that skips others, was forwarded, and [DONE] after it completed the stream.

Evidence, before: odd_answers_to_a_resumed_stream, case "head in the body" (an event without id after the head): other words in the body, is_truncated: false.

Change: after a resume each event needs an id, the next one after the last that was forwarded. Where the engine's own ids had gaps before, missing events cannot be told and the ids only have to grow, as before.

Open: a [DONE] alone after a resume is believed, since it is what an engine sends whose last event had arrived.

--- a/crates/server/src/events.rs
+++ b/crates/server/src/events.rs
@@ -23,6 +23,9 @@
     body: Incoming,
     buf: BytesMut,
     last_event: Option<SmolStr>,
+    is_resumed: bool,
+    /// Whether the ids have gaps, so that a missing event cannot be detected.
+    has_gaps: bool,
 }
 
 /// One event of a stream.
@@ -50,6 +53,16 @@
             body,
             buf: BytesMut::new(),
             last_event: last_event.map(SmolStr::new),
+            is_resumed: last_event.is_some(),
+            has_gaps: false,
+        }
+    }
+
+    /// This stream as the continuation of an earlier one, whose events are numbered the same way.
+    pub fn continuing(self, earlier: &EventStream) -> Self {
+        EventStream {
+            has_gaps: earlier.has_gaps,
+            ..self
         }
     }
 
@@ -127,12 +140,32 @@
         if json["id"].as_str() != Some(self.attempt.as_str()) {
             return Err(wrong_attempt(self.step, self.peer));
         }
-        if let Some(id) = field(event, b"id:") {
-            self.last_event = Some(SmolStr::new(String::from_utf8_lossy(id)));
+        match field(event, b"id:") {
+            Some(id) => self.record_id(&String::from_utf8_lossy(id))?,
+            None if self.is_resumed => return Err(self.malformed("an event has no id")),
+            None => {}
         }
         Ok(StreamEvent::Data(data_event(data)))
     }
 
+    /// Records the id of an event, which must be the next one after a resume.
+    fn record_id(&mut self, id: &str) -> Result<(), CallError> {
+        let next = match self.last_event.as_deref() {
+            Some(last) => last
+                .parse::<u64>()
+                .ok()
+                .and_then(|last| last.checked_add(1)),
+            None => Some(0),
+        };
+        let is_next = next.is_some_and(|next| id.parse() == Ok(next));
+        if !is_next && self.is_resumed && !self.has_gaps {
+            return Err(self.malformed("an event is missing"));
+        }
+        self.has_gaps |= !is_next;
+        self.last_event = Some(SmolStr::new(id));
+        Ok(())
+    }
+
     fn lost(&self, detail: String) -> CallError {
         CallError::Lost {
             step: self.step,
--- a/crates/server/src/model/stream.rs
+++ b/crates/server/src/model/stream.rs
@@ -106,7 +106,7 @@
             match resumed.await {
                 Ok(events) => {
                     counters::retried(RetryReason::StreamResumed);
-                    self.events = events;
+                    self.events = events.continuing(&self.events);
                     return Ok(());
                 }
                 // The engine no longer has the stream.
