--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -9,7 +9,8 @@
 use bv_types::{BackendId, Millis};
 use bytes::Bytes;
 use futures_util::stream;
-use http::Response;
+use http::response::Parts;
+use http::{Response, StatusCode, header};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 use tokio::sync::mpsc;
@@ -17,6 +18,7 @@
 use crate::answer::{Body, Failure};
 use crate::counters;
 use crate::edge::{Edge, RequestCountGuard};
+use crate::event_order::EventOrder;
 use crate::events::EventReader;
 use crate::model::{ModelCall, OpenedStream, PreparedDecode, STALL_TIMEOUT, Waited};
 use crate::plain::caller_response;
@@ -25,6 +27,8 @@
 /// Chunks of a stream that are buffered for a slow caller.
 const QUEUED_CHUNKS: usize = 4;
 
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+
 /// A message to the response body of a stream.
 enum Chunk {
     Events(Bytes),
@@ -61,6 +65,8 @@
         edge: edge.clone(),
         call,
         reader: EventReader::default(),
+        order: EventOrder::default(),
+        is_resumable: is_event_stream(&parts),
         tx,
         last_event_at: None,
         opened_at: edge.now(),
@@ -95,6 +101,15 @@
     }
 }
 
+/// Whether an answer announces events. One without a content type is judged by its events.
+fn is_event_stream(head: &Parts) -> bool {
+    let content_type = head.headers.get(header::CONTENT_TYPE);
+    content_type.is_none_or(|value| {
+        let media_type = value.as_bytes().split(|b| *b == b';').next();
+        media_type.is_some_and(|text| text.trim_ascii().eq_ignore_ascii_case(EVENT_STREAM))
+    })
+}
+
 fn body_from(rx: mpsc::Receiver<Chunk>) -> Body {
     let chunks = stream::unfold(Some(rx), |rx| async move {
         let mut rx = rx?;
@@ -120,6 +135,9 @@
     edge: Arc<Edge>,
     call: ModelCall,
     reader: EventReader,
+    order: EventOrder,
+    /// Whether the caller was told that events follow.
+    is_resumable: bool,
     tx: mpsc::Sender<Chunk>,
     /// When the last event was forwarded.
     last_event_at: Option<Millis>,
@@ -177,7 +195,7 @@
                     "timeout"
                 }
             };
-            if !self.call.may_run_again() {
+            if !self.may_resume() {
                 return self.break_off(&server, reason);
             }
             self.edge
@@ -195,29 +213,43 @@
 
     /// Resumes the stream at another server: at `prepared` if there is one.
     async fn resume(&mut self, prepared: Option<Box<PreparedDecode>>) -> Option<Source> {
-        let call = &mut self.call;
-        let opening = async {
-            match prepared {
-                Some(prepared) => call.start(*prepared).await,
-                None => call.open().await,
+        let mut prepared = prepared;
+        loop {
+            let call = &mut self.call;
+            let opening = async {
+                match prepared.take() {
+                    Some(prepared) => call.start(*prepared).await,
+                    None => call.open().await,
+                }
+            };
+            let opened = tokio::select! {
+                opened = opening => opened.ok()?,
+                () = self.tx.closed() => return None,
+            };
+            let (parts, body) = opened.answer.response.into_parts();
+            if parts.status == StatusCode::OK && is_event_stream(&parts) {
+                self.order.begin_resumed();
+                return Some(Source {
+                    server: opened.server,
+                    tracked_send: opened.tracked_send,
+                    channel: opened.answer.channel,
+                    body,
+                });
             }
-        };
-        let opened = tokio::select! {
-            opened = opening => opened.ok()?,
-            () = self.tx.closed() => return None,
-        };
-        if !opened.answer.response.status().is_success() {
             opened
                 .tracked_send
                 .end(SendOutcome::Answered { error: true });
-            return None;
+            if !self.may_resume() {
+                return None;
+            }
+            counters::retry("no_event_stream");
+            self.call.exclude(&opened.server);
         }
-        Some(Source {
-            server: opened.server,
-            tracked_send: opened.tracked_send,
-            channel: opened.answer.channel,
-            body: opened.answer.response.into_body(),
-        })
+    }
+
+    /// Whether another server may continue the stream.
+    fn may_resume(&self) -> bool {
+        self.call.may_run_again() && self.is_resumable && self.order.can_resume()
     }
 
     /// Forwards events until this source ends or fails.
@@ -225,7 +257,7 @@
         loop {
             let began = self.edge.now();
             let silence = Silence::new(began, STALL_TIMEOUT, self.call.req.deadline);
-            let may_move = self.call.may_run_again();
+            let may_move = self.may_resume();
             let waiting = self.call.wait_for(
                 &source.server,
                 silence,
@@ -249,6 +281,9 @@
                 None if self.reader.has_incomplete_event() => {
                     return SourceEnd::Broken("event_cut", Fault::InvalidAnswer);
                 }
+                None if !self.order.may_end() => {
+                    return SourceEnd::Broken("no_events", Fault::InvalidAnswer);
+                }
                 None => return SourceEnd::Complete,
                 Some(Err(_)) => return SourceEnd::Broken("connection_lost", Fault::NoAnswer),
                 Some(Ok(frame)) => match frame.into_data() {
@@ -265,11 +300,9 @@
             let Some(events) = events else {
                 continue;
             };
-            for id in &events.ids {
-                if self.call.last_event.is_some_and(|last| *id <= last) {
-                    return SourceEnd::Broken("event_out_of_order", Fault::InvalidAnswer);
-                }
-                self.call.last_event = Some(*id);
+            match self.order.check(self.call.last_event, &events) {
+                Ok(last) => self.call.last_event = last,
+                Err(err) => return SourceEnd::Broken(err.code(), Fault::InvalidAnswer),
             }
             source.tracked_send.record_progress(self.call.min_tokens());
             self.record_event();
