edge: a resumed stream may be empty if its answer is an event stream with a marked end

Change: such an answer ends the stream as complete if its head names text/event-stream and marks the end of the body (length or chunks). An answer without a content type, or one that ends with its connection, still breaks the stream off.

What remains: a faulty server that answers a resume with a stamped, empty and complete event stream is believed.

--- a/crates/edge/src/event_order.rs
+++ b/crates/edge/src/event_order.rs
@@ -34,14 +34,18 @@
     has_events: bool,
     /// Whether the ids of the first server have gaps, so that a missing event cannot be detected.
     has_gaps: bool,
+    /// Whether the present server may have no event left to send.
+    may_be_empty: bool,
     /// Whether the last forwarded event has no id after which the stream could be resumed.
     ends_unnumbered: bool,
 }
 
 impl EventOrder {
-    /// Begins with the events of a server that resumes the stream.
-    pub fn begin_resumed(&mut self) {
+    /// Begins with the events of a server that resumes the stream. `may_be_empty` says that its answer
+    /// is certain to be an event stream whose end is marked.
+    pub fn begin_resumed(&mut self, may_be_empty: bool) {
         self.is_resumed = true;
+        self.may_be_empty = may_be_empty;
         self.has_events = false;
     }
 
@@ -51,9 +55,9 @@
     }
 
     /// Whether the stream may be complete where the present server ends it. A server that resumes a
-    /// stream and has no event may have lost it.
+    /// stream has no event left if the one before was left between the last event and the end.
     pub fn may_end(&self) -> bool {
-        self.has_events || !self.is_resumed
+        self.has_events || !self.is_resumed || self.may_be_empty
     }
 
     /// Checks events that follow the one with the id `last`; returns the id of the last event.
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -110,6 +110,13 @@
     })
 }
 
+/// Whether an answer names the content type of event streams and marks the end of its body.
+fn is_marked_event_stream(head: &Parts) -> bool {
+    let has = |name| head.headers.contains_key(name);
+    let is_end_marked = has(header::CONTENT_LENGTH) || has(header::TRANSFER_ENCODING);
+    has(header::CONTENT_TYPE) && is_event_stream(head) && is_end_marked
+}
+
 fn body_from(rx: mpsc::Receiver<Chunk>) -> Body {
     let chunks = stream::unfold(Some(rx), |rx| async move {
         let mut rx = rx?;
@@ -228,7 +235,7 @@
             };
             let (parts, body) = opened.answer.response.into_parts();
             if parts.status == StatusCode::OK && is_event_stream(&parts) {
-                self.order.begin_resumed();
+                self.order.begin_resumed(is_marked_event_stream(&parts));
                 return Some(Source {
                     server: opened.server,
                     tracked_send: opened.tracked_send,
