--- a/crates/edge/src/logs.rs
+++ b/crates/edge/src/logs.rs
@@ -160,7 +160,7 @@
                 send = kind.code(),
                 count,
                 used = balance.used,
-                allowed = balance.allowed,
+                allowed = (balance.allowed * 10.0).floor() / 10.0,
                 hosts = balance.hosts,
                 ms = (now - req.arrived).0,
                 "{message}"
