--- a/crates/config/src/checker.rs
+++ b/crates/config/src/checker.rs
@@ -116,7 +116,7 @@
                 field,
                 value.span(),
                 format!(
-                    "{:?} is not a server's IP address with a port, such as 10.0.0.7:8000",
+                    "{:?} is not an IP address with a port, such as 10.0.0.7:8000",
                     value.get_ref()
                 ),
             )
