edge: log the source, position and age with a configuration that comes into force

The line named the version and "peer" only, so it did not tell which host had answered, with which position, or as of when.

The line now has the address of the host or "store", the version up to which the answer holds all changes, the version after which it holds them (none for a whole table) and the age. No change of logic.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -1,5 +1,6 @@
 //! Tasks that follow the tables of the store: configuration, backend servers and hosts.
 
+use std::fmt;
 use std::sync::Arc;
 
 use bv_platform::{HostRow, Rows, StoreError, Table};
@@ -300,7 +301,15 @@
                     .apply_config(reading.confirmed_at, &reading.rows);
                 record_answered(&edge, Table::Config, reading.confirmed_at);
                 match applied {
-                    Ok(result) => log_applied_config(&edge, result, "store"),
+                    Ok(result) => {
+                        let taken = Taken {
+                            from: &"store",
+                            position: reading.rows.version,
+                            after,
+                            confirmed_at: reading.confirmed_at,
+                        };
+                        log_applied_config(&edge, result, &taken);
+                    }
                     Err(err) => {
                         counters::unreadable_row("config");
                         warn!(error = %err, "configuration: unreadable row ignored");
@@ -322,8 +331,20 @@
     }
 }
 
+/// An answer from which rows were taken, for the log.
+pub(crate) struct Taken<'a> {
+    /// The store, or the address of another host.
+    pub from: &'a dyn fmt::Display,
+    /// Version up to which the answer holds all changes.
+    pub position: Version,
+    /// Version after which it holds them; none if it holds the whole table.
+    pub after: Option<Version>,
+    /// When the store had no newer change.
+    pub confirmed_at: Millis,
+}
+
 /// Logs a configuration that came into force.
-pub(crate) fn log_applied_config(edge: &Edge, result: ApplyResult, source: &'static str) {
+pub(crate) fn log_applied_config(edge: &Edge, result: ApplyResult, taken: &Taken<'_>) {
     if result != ApplyResult::Applied {
         return;
     }
@@ -333,7 +354,10 @@
         info!(
             version = table.version().0,
             routes = table.len(),
-            source,
+            source = %taken.from,
+            position = taken.position.0,
+            after = taken.after.map(|version| version.0),
+            age_ms = (edge.now() - taken.confirmed_at).0,
             "configuration: in force"
         );
     }
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -20,7 +20,7 @@
 
 use crate::counters;
 use crate::edge::Edge;
-use crate::follow::log_applied_config;
+use crate::follow::{Taken, log_applied_config};
 use crate::hosts::Hosts;
 use crate::state::State;
 
@@ -374,7 +374,15 @@
     }
     drop(state);
     match applied {
-        Some(Ok(result)) => log_applied_config(edge, result, "peer"),
+        Some(Ok(result)) => {
+            let taken = Taken {
+                from: &peer,
+                position: Version(reply.config_version),
+                after: Some(Version(query.config_version)),
+                confirmed_at: now - age,
+            };
+            log_applied_config(edge, result, &taken);
+        }
         Some(Err(err)) => {
             warn!(peer = %peer, error = %err, "configuration: unreadable row of peer ignored");
         }
@@ -413,6 +421,7 @@
         info!(
             peer = %peer,
             version = version.0,
+            after = query.servers_version,
             servers = rows.rows.len(),
             "servers: taken over from a peer"
         );
