retry: a restarted process holds back the earned part of its share as well

Callers see nothing of it; a service may get more repeats than rule BUDGET allows.

Cause: a restarted process held back the fixed part of its share only. The process before it may have used what the requests of the last window earned just before the restart, and both fall into one window.

Change: in its first window a process has 0.15 of the ratio as well. With the 0.85 that the process before may have used, both stay within the ratio of the requests of one window.

--- a/crates/retry/src/host.rs
+++ b/crates/retry/src/host.rs
@@ -7,8 +7,8 @@
 
 /// Share of the retry budget that is used. The rest is for processes in their first window.
 const BUDGET_SHARE: f64 = 0.85;
-/// Share of the fixed part that a process reaches at the end of its first window. It grows in
-/// proportion to the age of the process, so that any number of restarts in a window use no more.
+/// Share that a process has in its first window. The fixed part of it grows in proportion to the age
+/// of the process, so that any number of restarts in a window use no more.
 const STARTING_SHARE: f64 = 1.0 - BUDGET_SHARE;
 /// Time for which the largest known number of hosts counts. A host that is no longer known may
 /// still be running, or has used its part in the current window.
@@ -124,9 +124,17 @@
     /// The part of the budget that may be used, and the number of hosts that share it.
     fn own_share(&self, now: Millis, limits: BudgetLimits) -> (BudgetLimits, usize) {
         let hosts = self.most_hosts(now);
-        let share = self.fixed_share(now, limits.window);
+        let age = self.restarted_at.map(|at| now - at);
+        let age = age.filter(|age| *age < limits.window);
+        let (ratio_share, share) = match age {
+            Some(age) => {
+                let progress = age.0 as f64 / limits.window.0 as f64;
+                (STARTING_SHARE, STARTING_SHARE * progress)
+            }
+            None => (BUDGET_SHARE, BUDGET_SHARE),
+        };
         let limits = BudgetLimits {
-            ratio: limits.ratio * BUDGET_SHARE,
+            ratio: limits.ratio * ratio_share,
             // Before the other hosts are known, they may be using the fixed part.
             extra: hosts.map_or(0.0, |_| limits.extra * share),
             ..limits
@@ -134,14 +142,6 @@
         (limits, hosts.unwrap_or(1))
     }
 
-    /// Share of the fixed part that all processes as old as this one may use together.
-    fn fixed_share(&self, now: Millis, window: Millis) -> f64 {
-        match self.restarted_at.map(|at| now - at) {
-            Some(age) if age < window => STARTING_SHARE * age.0 as f64 / window.0 as f64,
-            _ => BUDGET_SHARE,
-        }
-    }
-
     /// Largest number of hosts that was known lately.
     fn most_hosts(&self, now: Millis) -> Option<usize> {
         let earlier = self.earlier_hosts.iter();
