admit: record what servers announce in their answers

Cause: a host decides by the rows of the store and by its own sends; no code holds what an answer announces. Change: bv_admit::Announcements, without I/O, answers whether a server may be sent something now. Leaving is final for one process (id and start time) and independent of rows. A rest lasts for the announced time plus a random part (up to a fifth of it, at most 500 ms), so that hosts turned away together return apart; it is never shortened, and never longer than 10 min. If all servers of a service rest, the refusal carries a Retry-After up to the first return plus a random part (a quarter of the wait, 100 to 500 ms), if that leaves the caller time to be served. At most 4,096 processes are recorded. Not connected yet.

--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -6,6 +6,7 @@
 //! Reports are up to a second old, so a host relies on its own sends first, and the weight of a
 //! report decreases with its age.
 
+mod announced;
 mod call;
 mod fleet;
 mod health;
@@ -15,6 +16,10 @@
 mod server;
 pub mod update_intervals;
 
+pub use announced::{
+    AllResting, AnnouncedChange, Announcement, Announcements, Block, Instance, MAX_INSTANCES,
+    MAX_REST,
+};
 pub use call::{CallRequest, Choice};
 pub use fleet::{Fleet, SendId, SendOutcome, Work};
 pub use health::{Fault, Health};
