edge: send nothing to servers that announced that they leave or rest

Cause: no path that sends listens to the answers of servers. While all servers that could run a request rest, it is refused at once as servers_resting.

--- a/crates/edge/src/answer.rs
+++ b/crates/edge/src/answer.rs
@@ -1,5 +1,6 @@
 //! Responses to callers.
 
+use bv_admit::AllResting;
 use bv_types::{Millis, Refusal};
 use bytes::Bytes;
 use http::header::{self, HeaderValue};
@@ -41,6 +42,15 @@
         }
     }
 
+    /// The refusal while all servers of a service rest. If none returns in time for the caller,
+    /// another host may still serve it.
+    pub fn resting(resting: AllResting) -> Self {
+        Failure::NotRun {
+            reason: Refusal::ServersResting,
+            retry_after: resting.retry_after.unwrap_or(DEFAULT_RETRY_AFTER),
+        }
+    }
+
     /// Status for the caller.
     pub fn status(self) -> StatusCode {
         match self {
--- a/crates/edge/src/counters.rs
+++ b/crates/edge/src/counters.rs
@@ -20,6 +20,8 @@
 const BAD_ROWS: &str = "burdockvale_unreadable_rows_total";
 const CONFIG_VERSION: &str = "burdockvale_config_version";
 const SERVERS: &str = "burdockvale_backend_servers";
+const SERVERS_ANNOUNCED: &str = "burdockvale_server_announcements_total";
+const BAD_HEADERS: &str = "burdockvale_unreadable_headers_total";
 const LOGS_DROPPED: &str = "burdockvale_log_lines_dropped_total";
 
 /// Upper bounds of the latency histogram, in seconds.
@@ -53,6 +55,11 @@
     describe_counter!(BAD_ROWS, "Rows of the store that cannot be read, by table.");
     describe_gauge!(CONFIG_VERSION, "Version of the configuration in force.");
     describe_gauge!(SERVERS, "Backend servers that may receive work.");
+    describe_counter!(
+        SERVERS_ANNOUNCED,
+        "Servers that announced that they leave or rest, by kind."
+    );
+    describe_counter!(BAD_HEADERS, "Headers of answers that cannot be read.");
     describe_counter!(LOGS_DROPPED, "Log lines left out to bound their rate.");
     Ok(handle)
 }
@@ -107,6 +114,14 @@
     counter!(BAD_ROWS, "table" => table).increment(1);
 }
 
+pub(crate) fn server_announced(kind: &'static str) {
+    counter!(SERVERS_ANNOUNCED, "kind" => kind).increment(1);
+}
+
+pub(crate) fn unreadable_header(header: &'static str) {
+    counter!(BAD_HEADERS, "header" => header).increment(1);
+}
+
 pub(crate) fn config_version(version: u64) {
     gauge!(CONFIG_VERSION).set(version as f64);
 }
--- a/crates/edge/src/logs.rs
+++ b/crates/edge/src/logs.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddr;
 use std::sync::{Mutex, PoisonError};
 
-use bv_types::{BackendId, Millis, Tokens};
+use bv_admit::Instance;
+use bv_types::{BackendId, Millis, ParseError, Tokens};
 use http::StatusCode;
 use tracing::{debug, info, warn};
 
@@ -213,6 +214,56 @@
         }
     }
 
+    /// Logs that a server announced that it leaves.
+    pub fn server_leaves(&self, now: Millis, server: &Instance, status: StatusCode) {
+        if self.take(now) {
+            info!(
+                server = %server.id,
+                started_at = server.started_at.map(|at| at.0),
+                status = status.as_u16(),
+                "server: announced that it leaves, nothing new is sent to it"
+            );
+        }
+    }
+
+    /// Logs that a server asked for a rest.
+    pub fn server_rests(
+        &self,
+        now: Millis,
+        server: &Instance,
+        asked: Option<Millis>,
+        until: Millis,
+    ) {
+        if self.take(now) {
+            info!(
+                server = %server.id,
+                started_at = server.started_at.map(|at| at.0),
+                asked_ms = asked.map(|asked| asked.0),
+                rest_ms = (until - now).0,
+                "server: asked for a rest, nothing is sent to it"
+            );
+        }
+    }
+
+    /// Logs that the time of a server's rest is over.
+    pub fn rest_ended(&self, now: Millis, server: &Instance) {
+        if self.take(now) {
+            info!(
+                server = %server.id,
+                started_at = server.started_at.map(|at| at.0),
+                reason = "time_over",
+                "server: its rest ended"
+            );
+        }
+    }
+
+    /// Logs that a header of a server's answer cannot be read and is ignored.
+    pub fn unreadable_header(&self, now: Millis, server: &BackendId, err: &ParseError) {
+        if self.take(now) {
+            info!(server = %server, error = %err, "server: header ignored");
+        }
+    }
+
     /// Logs that a stream was forwarded to its end.
     pub fn stream_complete(&self, edge: &Edge, call: &ModelCall, server: &BackendId) {
         let now = edge.now();
--- a/crates/edge/src/model/decode.rs
+++ b/crates/edge/src/model/decode.rs
@@ -79,6 +79,7 @@
                 let mut state = self.edge.state();
                 let state = &mut *state;
                 let entries = state.roster.of_service(now, &self.req.service);
+                let entries = state.announced.allowed(now, entries);
                 state
                     .fleet
                     .place_decode(now, self.placement_query(now), zone, entries)
@@ -107,8 +108,8 @@
             mut reservation,
         } = target;
         let now = self.edge.now();
-        // An engine that left during the prefill gets no new work.
-        if self.edge.state().roster.usable(now, &engine.id).is_none() {
+        // An engine that left or began a rest during the prefill gets no new work.
+        if !self.edge.state().may_send(now, &engine) {
             self.exclude(&engine.id);
             return PlanResult::TryNextPlan;
         }
--- a/crates/edge/src/model/place.rs
+++ b/crates/edge/src/model/place.rs
@@ -3,11 +3,13 @@
 use std::sync::Arc;
 
 use bv_admit::{ModelPlan, ModelRequest, PlacementError, QueuedCall, Ticket, Work};
+use bv_roster::Stage;
 use bv_types::{Millis, Refusal, Tokens};
 
 use super::{MAX_SENDS, ModelCall, STALL_TIMEOUT};
 use crate::answer::{DEFAULT_RETRY_AFTER, Failure};
 use crate::edge::{Edge, TrackedSend};
+use crate::state::State;
 
 /// Callers cancel a stream whose first event takes longer than this many latency objectives.
 const CANCEL_AFTER_OBJECTIVES: u64 = 4;
@@ -27,9 +29,6 @@
 /// Interval at which a call that is not first in the queue checks whether it has become first; the
 /// queue order changes with time.
 const QUEUE_POLL: Millis = Millis(100);
-/// A caller honours a Retry-After of at most its remaining time divided by this.
-const RETRY_AFTER_DIVISOR: u64 = 3;
-
 /// An entry in the queue, removed when dropped.
 #[derive(Debug)]
 struct QueueEntry {
@@ -101,10 +100,14 @@
         let (ticket, wait) = {
             let mut state = self.edge.state();
             let state = &mut *state;
+            if let Some(failure) = self.all_resting(now, state) {
+                return Err(failure);
+            }
             let ticket = state.queue.push(call);
             let ahead = state.queue.ahead(now, ticket);
             let ahead = Tokens(ahead.0 + state.fleet.peer_waiting_tokens().0);
             let entries = state.roster.of_service(now, &self.req.service);
+            let entries = state.announced.allowed(now, entries);
             (
                 ticket,
                 state
@@ -127,10 +130,23 @@
 
     /// Retry-After for a caller if capacity is predicted to become free after `wait`.
     fn retry_after(&self, now: Millis, wait: Millis) -> Millis {
-        let honoured = Millis(self.req.remaining(now).0 / RETRY_AFTER_DIVISOR);
+        let honoured = self.req.longest_retry_after(now);
         wait.max(DEFAULT_RETRY_AFTER).min(honoured)
     }
 
+    /// The failure of a request while all engines that could produce its tokens rest; a resumed
+    /// stream breaks off.
+    fn all_resting(&self, now: Millis, state: &mut State) -> Option<Failure> {
+        let entries = state.roster.of_service(now, &self.req.service);
+        let engines = entries.filter(|entry| entry.stage != Some(Stage::Prefill));
+        let longest = self.req.longest_retry_after(now);
+        let resting = state.announced.all_resting(now, longest, engines)?;
+        Some(match self.runs {
+            0 => Failure::resting(resting),
+            _ => Failure::AnswerLost,
+        })
+    }
+
     fn try_place(
         &self,
         entry: &QueueEntry,
@@ -156,11 +172,15 @@
             ..self.placement_query(now)
         };
         let entries = state.roster.of_service(now, &self.req.service);
+        let entries = state.announced.allowed(now, entries);
         let plan = match state.fleet.place_model(now, query, entries) {
             Ok(plan) => plan,
             Err(PlacementError::NoCapacity) => return Ok(Placement::NoCapacity),
             Err(PlacementError::NoServer) => {
-                return Err(self.final_failure(Refusal::NoBackend, DEFAULT_RETRY_AFTER));
+                let resting = self.all_resting(now, state);
+                return Err(resting.unwrap_or_else(|| {
+                    self.final_failure(Refusal::NoBackend, DEFAULT_RETRY_AFTER)
+                }));
             }
             Err(PlacementError::TooLate { retry_after }) => {
                 return Err(self.final_failure(Refusal::FirstTokenTooLate, retry_after));
--- a/crates/edge/src/model/prefill.rs
+++ b/crates/edge/src/model/prefill.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use bv_admit::{Fault, SendOutcome};
+use bv_admit::{Fault, Instance, SendOutcome};
 use bv_platform::{BackendHeaders, PrefillResult, kv_handle_path, parse_prefill_answer};
 use bv_roster::Registration;
 use bv_types::Millis;
@@ -33,7 +33,9 @@
 
 impl Drop for PrefilledPrompt {
     fn drop(&mut self) {
-        if !self.consumed {
+        let engine = Instance::from(&self.engine);
+        let now = self.edge.now();
+        if !self.consumed && self.edge.state().announced.may_release(now, &engine) {
             tokio::spawn(free(
                 self.edge.clone(),
                 self.engine.address,
@@ -83,6 +85,10 @@
         engine: &Registration,
         predicted: Millis,
     ) -> Option<PrefilledPrompt> {
+        // The engine may have announced that it leaves or rests during the reservation.
+        if !self.edge.state().may_send(self.edge.now(), engine) {
+            return None;
+        }
         self.sends += 1;
         self.retries.begin_prefill();
         // The engine stays excluded unless the prefill succeeds.
--- a/crates/edge/src/model/reservation.rs
+++ b/crates/edge/src/model/reservation.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use bv_admit::SendOutcome;
+use bv_admit::{Instance, SendOutcome};
 use bv_link::collect;
 use bv_platform::{
     parse_answer_head, parse_reservation_answer, release_request, reservation_request,
@@ -36,7 +36,7 @@
 #[derive(Debug)]
 pub(super) struct Reservation {
     edge: Arc<Edge>,
-    engine: SocketAddr,
+    engine: Registration,
     /// Id that the engine gave to the reservation.
     pub id: SmolStr,
     /// Whether the request was sent with this reservation.
@@ -45,8 +45,14 @@
 
 impl Drop for Reservation {
     fn drop(&mut self) {
-        if !self.used {
-            tokio::spawn(release(self.edge.clone(), self.engine, self.id.clone()));
+        let engine = Instance::from(&self.engine);
+        let now = self.edge.now();
+        if !self.used && self.edge.state().announced.may_release(now, &engine) {
+            tokio::spawn(release(
+                self.edge.clone(),
+                self.engine.address,
+                self.id.clone(),
+            ));
         }
     }
 }
@@ -125,7 +131,7 @@
                 counters::reservation("held");
                 Some(Reservation {
                     edge: self.edge.clone(),
-                    engine: engine.address,
+                    engine: engine.clone(),
                     id,
                     used: false,
                 })
@@ -150,6 +156,11 @@
                 return None;
             }
         };
+        // The answer may have announced that the engine leaves.
+        if !self.edge.state().may_send(now, engine) {
+            tracked_send.end(SendOutcome::Unverified);
+            return None;
+        }
         tracked_send.confirm();
         let connection = match is_reusable {
             true => Connection::Open(channel),
@@ -201,6 +212,11 @@
             StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => ReserveReply::Full,
             status => ReserveReply::Unsupported(status),
         };
+        // These answers carry neither stamp nor request id. The connection is new, and another
+        // process at the address would have refused the call as misdirected.
+        if matches!(reply, ReserveReply::Reserved(_) | ReserveReply::Full) {
+            self.edge.record_announced(engine, parts.status, &facts);
+        }
         Ok((reply, !facts.closes))
     }
 }
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -97,6 +97,7 @@
             remaining,
         };
         let entries = state.roster.of_service(now, service);
+        let entries = state.announced.allowed(now, entries);
         let choice = state.fleet.place_call(now, query, entries);
         match choice {
             Ok(choice) => {
@@ -106,7 +107,13 @@
                 Ok(choice.server)
             }
             Err(PlacementError::NoServer | PlacementError::NoCapacity) => {
-                Err(self.final_failure(Refusal::NoBackend))
+                let entries = state.roster.of_service(now, service);
+                let longest = self.req.longest_retry_after(now);
+                let resting = state.announced.all_resting(now, longest, entries);
+                Err(match (resting, self.run_state) {
+                    (Some(resting), RunState::NotRun) => Failure::resting(resting),
+                    _ => self.final_failure(Refusal::NoBackend),
+                })
             }
             Err(PlacementError::TooLate { retry_after }) => Err(match self.run_state {
                 RunState::MayHaveRun => Failure::AnswerLost,
@@ -193,7 +200,7 @@
         let has_other = state
             .roster
             .of_service(now, service)
-            .any(|entry| is_untried(&entry.id));
+            .any(|entry| is_untried(&entry.id) && state.announced.may_send(now, entry));
         has_other && state.allows_retry(now, service, limits)
     }
 
--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -9,6 +9,9 @@
 use http::{HeaderMap, Method, Request, Uri};
 use http_body_util::Full;
 
+/// A caller honours a Retry-After of at most its remaining time divided by this.
+const RETRY_AFTER_DIVISOR: u64 = 3;
+
 /// A request that was read completely, with its route.
 #[derive(Debug)]
 pub(crate) struct CallerRequest {
@@ -35,6 +38,11 @@
         self.deadline - now
     }
 
+    /// Longest Retry-After that the caller honours.
+    pub fn longest_retry_after(&self, now: Millis) -> Millis {
+        Millis(self.remaining(now).0 / RETRY_AFTER_DIVISOR)
+    }
+
     /// The request to a backend server, without this system's headers.
     pub fn to_forward(&self) -> Request<Full<Bytes>> {
         let mut req = Request::new(Full::new(self.body.clone()));
--- a/crates/edge/src/send.rs
+++ b/crates/edge/src/send.rs
@@ -162,6 +162,12 @@
             "the answer carries no request id, or that of another request",
         ));
     }
+    // The answer to a prefill-only request is used by this host only and carries no stamp.
+    let needs_stamp = !backend_headers.prefill_only;
+    let is_servers_own = facts.stamped || facts.not_run || !needs_stamp;
+    if is_servers_own && !facts.misdirected {
+        edge.record_announced(server, response.status(), &facts);
+    }
     if let Some(load) = facts.load {
         let report = Report {
             running: load.running,
@@ -171,8 +177,6 @@
             .fleet
             .record_report(edge.now(), &server.id, report);
     }
-    // The answer to a prefill-only request is used by this host only and carries no stamp.
-    let needs_stamp = !backend_headers.prefill_only;
     let is_usable = (facts.stamped || !needs_stamp) && !facts.encoded;
     if response.status().is_success() && !is_usable {
         return Err(SendError::InvalidAnswer(
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -1,9 +1,11 @@
 //! State of the host that its decisions are based on.
 
-use bv_admit::{Fleet, Queue};
+use bv_admit::{Announcements, Fleet, Queue};
 use bv_platform::{DecodeError, Row, Rows, Table, decode_config, decode_server};
 use bv_retry::{BudgetLimits, SharedBudget};
-use bv_roster::{AgeBounds, HostEntry, Roster, RowEffect, RowLog, SourceChoice, StoreClock};
+use bv_roster::{
+    AgeBounds, HostEntry, Registration, Roster, RowEffect, RowLog, SourceChoice, StoreClock,
+};
 use bv_route::{ApplyResult, InForce};
 use bv_types::{BackendId, Millis, ServiceId, Version};
 use bytes::Bytes;
@@ -82,6 +84,8 @@
     pub in_force: InForce,
     pub roster: Roster,
     pub fleet: Fleet,
+    /// What servers announced in their answers.
+    pub announced: Announcements,
     /// Model calls that wait for capacity.
     pub queue: Queue,
     pub hosts: Hosts,
@@ -105,6 +109,7 @@
             in_force: InForce::default(),
             roster: Roster::default(),
             fleet: Fleet::new(seed),
+            announced: Announcements::new(seed),
             queue: Queue::default(),
             hosts: Hosts::default(),
             known: KnownRows::default(),
@@ -209,6 +214,11 @@
         self.in_force.table().is_some() && self.known.servers_read_up_to.is_some()
     }
 
+    /// Whether a server that was chosen earlier may still be sent work.
+    pub fn may_send(&self, now: Millis, server: &Registration) -> bool {
+        self.roster.usable(now, &server.id).is_some() && self.announced.may_send(now, server)
+    }
+
     /// Counts a caller's request to a service.
     pub fn count_request(&mut self, now: Millis, service: &ServiceId, limits: BudgetLimits) {
         self.budget(service).request(now, limits);
--- a/crates/edge/src/usage.rs
+++ b/crates/edge/src/usage.rs
@@ -120,6 +120,7 @@
         let pause = COALESCE_TIME + Millis(near.len() as u64 * COALESCE_PER_HOST_US / 1_000);
         tokio::time::sleep(pause.duration()).await;
         let now = edge.now();
+        edge.end_rests(now);
         let load = own_load(&edge, now);
         let store_age = edge.state().sources.own_report(now);
         let reads_store = store_age.is_some();
--- a/crates/types/src/reason.rs
+++ b/crates/types/src/reason.rs
@@ -72,6 +72,8 @@
         TooLarge = "too_large",
         /// No backend server can take the request.
         NoBackend = "no_backend",
+        /// All backend servers that could run the request rest.
+        ServersResting = "servers_resting",
         /// Every connection attempt was refused.
         ConnectRefused = "connect_refused",
         /// The retry budget is exhausted.
