--- a/crates/retry/src/lib.rs
+++ b/crates/retry/src/lib.rs
@@ -24,11 +24,13 @@
 mod backoff;
 mod budget;
 mod ejection;
-mod model_sends;
+mod host;
+mod sends;
 mod shared;
 
 pub use backoff::Backoff;
 pub use budget::Budget;
 pub use ejection::{Ejection, Outcome};
-pub use model_sends::ModelSends;
+pub use host::{Balance, HostBudgets};
+pub use sends::{Delivery, RequestSends, SendKind, Settlement};
 pub use shared::{BudgetLimits, SharedBudget};
