edge: keep the prompt when a decode engine refuses because it rests

Callers' prompts were read twice: a decode engine with ample capacity that refused a stream with 503 and Retry-After was taken for one whose peer had lost the prompt.

Cause: a refusal in spite of capacity counts as a lost prompt. A server that leaves or rests refuses whatever its capacity is. Change: the refusal counts as that of a full engine if the engine may not be sent anything now; the prompt goes to another decode engine, and the engine that read it gets no fault.

--- a/crates/edge/src/model/decode.rs
+++ b/crates/edge/src/model/decode.rs
@@ -205,9 +205,10 @@
         let now = self.edge.now();
         let has_capacity = {
             let state = self.edge.state();
-            state
-                .fleet
-                .has_ample_capacity(now, &engine.id, &self.placement_query(now))
+            let fleet = &state.fleet;
+            // An engine that leaves or rests refuses whatever its capacity is.
+            state.may_send(now, engine)
+                && fleet.has_ample_capacity(now, &engine.id, &self.placement_query(now))
         };
         match prompt {
             Some(prompt) if has_capacity => {
