--- a/crates/edge/src/announced.rs
+++ b/crates/edge/src/announced.rs
@@ -14,15 +14,16 @@
     /// from this server: another process may use its address.
     pub fn record_announced(&self, server: &Registration, status: StatusCode, head: &AnswerHead) {
         let now = self.now();
-        let rest = match &head.retry_after {
-            Some(Ok(after)) if status == StatusCode::SERVICE_UNAVAILABLE => Some(after.0),
+        let states_rest = status == StatusCode::SERVICE_UNAVAILABLE;
+        let rest = match head.retry_after.as_ref().filter(|_| states_rest) {
+            Some(Ok(after)) => Some(after.0),
             Some(Err(err)) => {
                 // The refusal itself still counts.
                 counters::unreadable_header("retry_after");
                 self.logs.unreadable_header(now, &server.id, err);
                 None
             }
-            Some(Ok(_)) | None => None,
+            None => None,
         };
         let announcement = Announcement {
             leaving: head.leaving,
--- a/crates/edge/src/model/place.rs
+++ b/crates/edge/src/model/place.rs
@@ -29,6 +29,7 @@
 /// Interval at which a call that is not first in the queue checks whether it has become first; the
 /// queue order changes with time.
 const QUEUE_POLL: Millis = Millis(100);
+
 /// An entry in the queue, removed when dropped.
 #[derive(Debug)]
 struct QueueEntry {
--- a/crates/edge/src/send.rs
+++ b/crates/edge/src/send.rs
@@ -162,7 +162,8 @@
             "the answer carries no request id, or that of another request",
         ));
     }
-    // The answer to a prefill-only request is used by this host only and carries no stamp.
+    // The answer to a prefill-only request is used by this host only and carries no stamp. Neither
+    // does a refusal.
     let needs_stamp = !backend_headers.prefill_only;
     let is_servers_own = facts.stamped || facts.not_run || !needs_stamp;
     if is_servers_own && !facts.misdirected {
