--- a/crates/edge/src/counters.rs
+++ b/crates/edge/src/counters.rs
@@ -28,6 +28,8 @@
 const ANSWERS_REJECTED: &str = "burdockvale_row_answers_rejected_total";
 const CONFIG_VERSION: &str = "burdockvale_config_version";
 const SERVERS: &str = "burdockvale_backend_servers";
+const SERVERS_ANNOUNCED: &str = "burdockvale_server_announcements_total";
+const BAD_HEADERS: &str = "burdockvale_unreadable_headers_total";
 const LOGS_DROPPED: &str = "burdockvale_log_lines_dropped_total";
 
 /// Upper bounds of the latency histogram, in seconds.
@@ -85,6 +87,11 @@
     );
     describe_gauge!(CONFIG_VERSION, "Version of the configuration in force.");
     describe_gauge!(SERVERS, "Backend servers that may receive work.");
+    describe_counter!(
+        SERVERS_ANNOUNCED,
+        "Servers that announced that they leave or rest, by kind."
+    );
+    describe_counter!(BAD_HEADERS, "Headers of answers that cannot be read.");
     describe_counter!(LOGS_DROPPED, "Log lines left out to bound their rate.");
     Ok(handle)
 }
@@ -165,6 +172,14 @@
     counter!(ANSWERS_REJECTED, "table" => table, "reason" => reason).increment(1);
 }
 
+pub(crate) fn server_announced(kind: &'static str) {
+    counter!(SERVERS_ANNOUNCED, "kind" => kind).increment(1);
+}
+
+pub(crate) fn unreadable_header(header: &'static str) {
+    counter!(BAD_HEADERS, "header" => header).increment(1);
+}
+
 pub(crate) fn config_version(version: u64) {
     gauge!(CONFIG_VERSION).set(version as f64);
 }
--- a/crates/edge/src/model/decode.rs
+++ b/crates/edge/src/model/decode.rs
@@ -84,6 +84,7 @@
                 let mut state = self.edge.state();
                 let state = &mut *state;
                 let entries = state.roster.of_service(now, &self.req.service);
+                let entries = state.announced.allowed(now, entries);
                 state
                     .fleet
                     .place_decode(now, self.placement_query(now), zone, entries)
@@ -112,8 +113,8 @@
             mut reservation,
         } = target;
         let now = self.edge.now();
-        // An engine that left during the prefill gets no new work.
-        if self.edge.state().roster.usable(now, &engine.id).is_none() {
+        // An engine that left or began a rest during the prefill gets no new work.
+        if !self.edge.state().may_send(now, &engine) {
             self.exclude(&engine.id);
             return PlanResult::TryNextPlan;
         }
@@ -242,9 +243,10 @@
         let now = self.edge.now();
         let has_capacity = {
             let state = self.edge.state();
-            state
-                .fleet
-                .has_ample_capacity(now, &engine.id, &self.placement_query(now))
+            let fleet = &state.fleet;
+            // An engine that leaves or rests refuses whatever its capacity is.
+            state.may_send(now, engine)
+                && fleet.has_ample_capacity(now, &engine.id, &self.placement_query(now))
         };
         match prompt {
             // An engine that lacks the KV cache answers 503; 429 says that it takes no requests.
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -129,7 +129,16 @@
             remaining,
         };
         let entries = state.roster.of_service(now, service);
+        let entries = state.announced.allowed(now, entries);
         let choice = state.fleet.place_call(now, query, entries);
+        let resting = match choice {
+            Err(PlacementError::NoServer | PlacementError::NoCapacity) => {
+                let entries = state.roster.of_service(now, service);
+                let longest = self.req.longest_retry_after(now);
+                state.announced.all_resting(now, longest, entries)
+            }
+            _ => None,
+        };
         drop(guard);
         match choice {
             Ok(choice) => {
@@ -139,7 +148,10 @@
                 Ok(choice.server)
             }
             Err(PlacementError::NoServer | PlacementError::NoCapacity) => {
-                Err(self.final_failure(Refusal::NoBackend))
+                Err(match (resting, self.run_state) {
+                    (Some(resting), RunState::NotRun) => Failure::resting(resting),
+                    _ => self.final_failure(Refusal::NoBackend),
+                })
             }
             Err(PlacementError::TooLate { retry_after }) => Err(match self.run_state {
                 RunState::MayHaveRun => Failure::AnswerLost,
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -1,10 +1,11 @@
 //! State of the host that its decisions are based on.
 
-use bv_admit::{Fleet, Queue};
+use bv_admit::{Announcements, Fleet, Queue};
 use bv_platform::{DecodeError, Row, Table, decode_config, decode_server};
 use bv_retry::HostBudgets;
 use bv_roster::{
-    AgeBounds, Answer, HostEntry, Rejected, Roster, RowEffect, SourceChoice, StoreClock, TableCopy,
+    AgeBounds, Answer, HostEntry, Registration, Rejected, Roster, RowEffect, SourceChoice,
+    StoreClock, TableCopy,
 };
 use bv_route::{ApplyResult, InForce};
 use bv_types::{BackendId, Millis, Version};
@@ -94,6 +95,8 @@
     pub in_force: InForce,
     pub roster: Roster,
     pub fleet: Fleet,
+    /// What servers announced in their answers.
+    pub announced: Announcements,
     /// Model calls that wait for capacity.
     pub queue: Queue,
     pub hosts: Hosts,
@@ -114,6 +117,7 @@
             in_force: InForce::default(),
             roster: Roster::default(),
             fleet: Fleet::new(seed),
+            announced: Announcements::new(seed),
             queue: Queue::default(),
             hosts: Hosts::default(),
             known: KnownRows::default(),
@@ -208,6 +212,11 @@
         self.in_force.table().is_some() && self.known.servers.position().is_some()
     }
 
+    /// Whether a server that was chosen earlier may still be sent work.
+    pub fn may_send(&self, now: Millis, server: &Registration) -> bool {
+        self.roster.usable(now, &server.id).is_some() && self.announced.may_send(now, server)
+    }
+
     /// Takes an answer about the configuration.
     pub fn take_config(&mut self, answer: Answer) -> Result<Taken, Rejected> {
         let rows = self.known.config.take(answer)?;
