retry, edge: keep the retry of a decode while its prefill is silent, give back the rest at its start

Change: retries are given back before a placement only if no send is in flight, and when the stream has opened.

--- a/crates/edge/src/model/mod.rs
+++ b/crates/edge/src/model/mod.rs
@@ -163,6 +163,8 @@
             loop {
                 match self.first_at {
                     Some(_) => self.retries.set_purpose(Purpose::Resume),
+                    // A prefill in flight may go on, and its decode needs a retry that was taken.
+                    None if self.retries.is_in_flight() => {}
                     // Other requests may use the retries while this one waits.
                     None => self.retries.release(),
                 }
@@ -201,7 +203,10 @@
             self.placed_at = prepared.placed_at;
             self.prefilled_at = prepared.prompt.as_ref().map(|prompt| prompt.prefilled_at);
             prepared = match self.run_decode(prepared).await {
-                PlanResult::Opened(opened) => return Ok(*opened),
+                PlanResult::Opened(opened) => {
+                    self.retries.release();
+                    return Ok(*opened);
+                }
                 PlanResult::Moved(next) => *next,
                 PlanResult::TryNextPlan => self.prepare().await?,
                 PlanResult::Fail(failure) => return Err(failure),
--- a/crates/edge/src/retries.rs
+++ b/crates/edge/src/retries.rs
@@ -115,6 +115,11 @@
         is_allowed
     }
 
+    /// Whether a send is in flight.
+    pub fn is_in_flight(&self) -> bool {
+        self.sends.is_in_flight()
+    }
+
     /// Records the start of a send.
     pub fn begin(&mut self) {
         self.sends.begin();
--- a/crates/retry/src/sends.rs
+++ b/crates/retry/src/sends.rs
@@ -122,6 +122,11 @@
         self.arrivals > 0
     }
 
+    /// Whether a send is in flight.
+    pub fn is_in_flight(&self) -> bool {
+        self.in_flight > 0
+    }
+
     /// Settles the retries of the sends that have arrived since the last call.
     fn settle(&mut self) -> Settlement {
         let arrived = retries_among(self.arrivals).min(self.taken) - self.settled;
--- a/crates/retry/tests/request_sends.rs
+++ b/crates/retry/tests/request_sends.rs
@@ -155,6 +155,18 @@
     }
 }
 
+/// Guards against a retry of the decode that is given back while its prefill is silent.
+#[test]
+fn prefill_in_flight() {
+    let mut sends = started_call();
+    sends.hold(2);
+    sends.begin();
+    assert!(sends.is_in_flight());
+    assert_eq!(sends.end(Prefill, Accepted), ONE_ARRIVED);
+    assert!(!sends.is_in_flight());
+    assert_eq!(sends.missing_for_run(), 0);
+}
+
 /// Guards against a search that is dropped and then costs the engine that went on its decode.
 #[test]
 fn dropped_prefill_in_search() {
