--- a/crates/edge/src/logs.rs
+++ b/crates/edge/src/logs.rs
@@ -115,6 +115,7 @@
                 server = %server,
                 reason = err.code(),
                 error = %err,
+                parts = req.facts.prompt_parts.join(","),
                 ms = (now - req.arrived).0,
                 "send: failed"
             );
@@ -366,6 +367,7 @@
             route = %req.route.name,
             server = %server,
             prompt = req.facts.prompt_tokens.map(|t| t.0),
+            parts = req.facts.prompt_parts.join(","),
             expected = req.facts.expected_output_tokens.map(|t| t.0),
             output = call.output().0,
             runs = call.runs,
@@ -398,6 +400,7 @@
                 id = %call.req.facts.request_id,
                 from = %server,
                 reason,
+                parts = call.req.facts.prompt_parts.join(","),
                 last_event = call.last_event,
                 "stream: goes on at another server"
             );
@@ -420,6 +423,7 @@
                 route = %call.req.route.name,
                 server = %server,
                 reason,
+                parts = call.req.facts.prompt_parts.join(","),
                 last_event = call.last_event,
                 runs = call.runs,
                 silent_ms = silent.0,
