blame: decide which contents crash engines from the crashes that all hosts saw

Cause: Blame digests model and body, so it knows no part of a prompt, and it sees only the runners of one host's shards. Change: CrashWatch keeps the runs of one host, counts a lost connection as a crash once the engine refuses connections, and merges the suspects and survivals that hosts report. A content is blocked after 3 crashes before an answer began (5 otherwise, 5 bursts if it survived within a minute before); contents that were suspects of the same crashes only together.

--- a/crates/blame/src/lib.rs
+++ b/crates/blame/src/lib.rs
@@ -20,6 +20,16 @@
 //! assert!(blame.is_blocked(Millis::from_secs(3), request));
 //! ```
 
+mod content;
+mod evidence;
 mod state;
+mod verdict;
+mod watch;
 
+pub use content::{Content, CrashId};
+pub use evidence::{MAX_SURVIVALS, MAX_SUSPECTS, SUSPECT_TIME as CRASH_MEMORY};
 pub use state::{Action, BLOCK_SCORE, BLOCK_TIME, Blame, Event, SUSPECT_TIME, Score};
+pub use verdict::{Block, Crash, MAX_BLOCK_TIME, MAX_CRASHES, Suspicion};
+pub use watch::{
+    CrashReport, CrashWatch, REPORT_TIME, Report, RunEnd, RunId, SURVIVAL_TIME, SurvivalReport,
+};
