edge: refuse requests whose prompt part or content crashes engines

Cause: each host sent such requests on like any other; nothing looked at what the requests of several crashes had in common, and no host sees more than its share of them. A stream without events whose end is not marked counts as broken.

--- a/crates/edge/src/counters.rs
+++ b/crates/edge/src/counters.rs
@@ -29,6 +29,8 @@
 const CONFIG_VERSION: &str = "burdockvale_config_version";
 const SERVERS: &str = "burdockvale_backend_servers";
 const SERVERS_ANNOUNCED: &str = "burdockvale_server_announcements_total";
+const ENGINE_CRASHES: &str = "burdockvale_engine_crashes_total";
+const BLOCKED_CONTENTS: &str = "burdockvale_blocked_contents";
 const BAD_HEADERS: &str = "burdockvale_unreadable_headers_total";
 const LOGS_DROPPED: &str = "burdockvale_log_lines_dropped_total";
 
@@ -62,6 +64,14 @@
         RETRY_BUDGET_ALLOWED,
         "Retries that this host's share allows in the window, by service."
     );
+    describe_counter!(
+        ENGINE_CRASHES,
+        "Crashes of engines that ended answers to this host."
+    );
+    describe_gauge!(
+        BLOCKED_CONTENTS,
+        "Blocks of prompt parts and requests that crash engines."
+    );
     describe_counter!(STREAMS_BROKEN, "Streams that ended early, by reason.");
     describe_counter!(
         SILENT_SERVERS,
@@ -191,3 +201,13 @@
 pub(crate) fn log_dropped() {
     counter!(LOGS_DROPPED).increment(1);
 }
+
+/// Counts a crash of an engine.
+pub(crate) fn engine_crashed() {
+    counter!(ENGINE_CRASHES).increment(1);
+}
+
+/// Sets the number of blocks of contents that crash engines.
+pub(crate) fn blocked_contents(count: usize) {
+    gauge!(BLOCKED_CONTENTS).set(count as f64);
+}
--- a/crates/edge/src/event_order.rs
+++ b/crates/edge/src/event_order.rs
@@ -41,6 +41,15 @@
 }
 
 impl EventOrder {
+    /// Begins with the events of the first server. `is_end_marked` says that its answer marks its end; a
+    /// stream without events is complete only then.
+    pub fn begin(is_end_marked: bool) -> Self {
+        EventOrder {
+            may_be_empty: is_end_marked,
+            ..EventOrder::default()
+        }
+    }
+
     /// Begins with the events of a server that resumes the stream. `may_be_empty` says that its answer
     /// is certain to be an event stream whose end is marked.
     pub fn begin_resumed(&mut self, may_be_empty: bool) {
@@ -55,9 +64,9 @@
     }
 
     /// Whether the stream may be complete where the present server ends it. A server that resumes a
-    /// stream has no event left if the one before was left between the last event and the end.
+    /// stream may have no event left if the one before was left between the last event and the end.
     pub fn may_end(&self) -> bool {
-        self.has_events || !self.is_resumed || self.may_be_empty
+        self.has_events || self.may_be_empty
     }
 
     /// Checks events that follow the one with the id `last`; returns the id of the last event.
--- a/crates/edge/src/model/decode.rs
+++ b/crates/edge/src/model/decode.rs
@@ -17,6 +17,7 @@
 };
 use crate::answer::Failure;
 use crate::counters;
+use crate::crashes::WatchedRun;
 use crate::edge::TrackedSend;
 use crate::plain::implies_not_run;
 use crate::retries::RetryKind;
@@ -118,6 +119,9 @@
             self.exclude(&engine.id);
             return PlanResult::TryNextPlan;
         }
+        if let Some(failure) = self.edge.blocked(&self.req) {
+            return PlanResult::Fail(self.blocked_failure(failure));
+        }
         reservation.take_if(|reservation| now >= reservation.expires_at);
         let remaining = self.req.remaining(now);
         let backend_headers = BackendHeaders {
@@ -135,6 +139,7 @@
         let silence = Silence::new(now, patience, self.req.deadline);
         let (edge, req) = (self.edge.clone(), self.req.clone());
         let mut is_silent = false;
+        let run = WatchedRun::begin(&edge, &req, &engine);
         self.retries.begin();
         let waited = {
             let mut sending = pin!(send(
@@ -200,9 +205,10 @@
                     prompt.consumed = true;
                     self.edge.state().fleet.record_success(&prompt.engine.id);
                 }
-                self.handle_answer(&engine, tracked_send, answer)
+                self.handle_answer(&engine, tracked_send, run, answer)
             }
             Err(err) => {
+                run.fail(&err);
                 self.record_failed_send(&engine, tracked_send, &err);
                 if let SendError::Unsent(_) = err {
                     return PlanResult::TryNextPlan;
@@ -275,6 +281,7 @@
         &mut self,
         engine: &Registration,
         tracked_send: TrackedSend,
+        run: WatchedRun,
         answer: Answer,
     ) -> PlanResult {
         let status = answer.response.status();
@@ -292,6 +299,7 @@
         PlanResult::Opened(Box::new(OpenedStream {
             server: engine.id.clone(),
             tracked_send,
+            run,
             answer,
         }))
     }
--- a/crates/edge/src/model/mod.rs
+++ b/crates/edge/src/model/mod.rs
@@ -19,6 +19,7 @@
 pub(crate) use self::silence::Waited;
 use crate::answer::{DEFAULT_RETRY_AFTER, Failure};
 use crate::counters;
+use crate::crashes::WatchedRun;
 use crate::edge::{Edge, TrackedSend};
 use crate::request::CallerRequest;
 use crate::retries::{Retries, RetryKind};
@@ -70,6 +71,7 @@
 pub(crate) struct OpenedStream {
     pub server: BackendId,
     pub tracked_send: TrackedSend,
+    pub run: WatchedRun,
     pub answer: Answer,
 }
 
@@ -133,7 +135,22 @@
     /// Whether the request may run again at another engine.
     pub fn may_run_again(&self) -> bool {
         let route = &self.req.route;
-        route.kind.may_repeat() && (self.runs == 0 || self.runs < route.max_attempts)
+        route.kind.may_repeat()
+            && (self.runs == 0 || (self.runs < route.max_attempts && self.may_retry()))
+    }
+
+    /// Whether the request may be sent again although its engine may have crashed because of it.
+    fn may_retry(&self) -> bool {
+        let state = self.edge.state();
+        state.crashes.may_retry(self.edge.now(), &self.req.content)
+    }
+
+    /// The failure of a request whose content is blocked, which may have run.
+    fn blocked_failure(&self, refusal: Failure) -> Failure {
+        match self.runs {
+            0 => refusal,
+            _ => Failure::AnswerLost,
+        }
     }
 
     /// Excludes an engine that failed from further plans of this call.
@@ -161,6 +178,9 @@
         // Boxed because a search for another prefill engine prepares a decode engine as well.
         Box::pin(async move {
             loop {
+                if let Some(failure) = self.edge.blocked(&self.req) {
+                    return Err(self.blocked_failure(failure));
+                }
                 match self.first_at {
                     Some(_) => self.retries.set_purpose(Purpose::Resume),
                     // A prefill in flight may go on, and its decode needs a retry that was taken.
--- a/crates/edge/src/model/prefill.rs
+++ b/crates/edge/src/model/prefill.rs
@@ -100,6 +100,10 @@
         if !self.edge.state().may_send(self.edge.now(), engine) {
             return Prefill::Failed;
         }
+        // A block that began during the wait is reported by the next plan.
+        if self.edge.blocked(&self.req).is_some() {
+            return Prefill::Failed;
+        }
         self.sends += 1;
         self.retries.begin();
         let began = self.edge.now();
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -13,10 +13,11 @@
 
 use crate::answer::{Body, Failure, full};
 use crate::counters;
+use crate::crashes::WatchedRun;
 use crate::edge::{Edge, TrackedSend};
 use crate::request::CallerRequest;
 use crate::retries::{Retries, RetryKind};
-use crate::send::{Answer, Connection, SendError, open, read_answer, send};
+use crate::send::{Answer, Connection, SendError, has_marked_end, open, read_answer, send};
 use crate::silence::{SearchOutcome, record_search};
 
 /// Time without an answer, in latency objectives, after which another server is sought for an
@@ -119,6 +120,12 @@
         if remaining == Millis::ZERO {
             return Err(self.final_failure(Refusal::QueuedTooLong));
         }
+        if let Some(refusal) = self.edge.blocked(self.req) {
+            return Err(match self.run_state {
+                RunState::NotRun => refusal,
+                RunState::MayHaveRun => Failure::AnswerLost,
+            });
+        }
         let service = &self.req.service;
         let mut guard = self.edge.state();
         let state = &mut *guard;
@@ -188,6 +195,7 @@
         let tracked_send = TrackedSend::begin(self.edge, &server.id, work);
         let backend_headers = BackendHeaders::default();
         let (edge, req) = (self.edge, self.req);
+        let run = WatchedRun::begin(edge, req, &server);
         self.retries.begin();
         let sent = send(
             edge,
@@ -199,9 +207,11 @@
         );
         match self.answer_or_next(&server, now, sent).await {
             Waited::Answer(Ok(answer)) => {
-                self.handle_answer(server, tracked_send, answer, now).await
+                self.handle_answer(server, tracked_send, run, answer, now)
+                    .await
             }
             Waited::Answer(Err(err)) => {
+                run.fail(&err);
                 if is_reused {
                     // The fault may be that of the reused connection, so the server is tried again
                     // on a new one.
@@ -318,6 +328,7 @@
         &mut self,
         server: Registration,
         tracked_send: TrackedSend,
+        run: WatchedRun,
         answer: Answer,
         sent_at: Millis,
     ) -> SendResult {
@@ -347,9 +358,11 @@
             return self.retry_or_fail(Failure::AnswerLost, "server_error");
         }
         let remaining = self.req.remaining(self.edge.now());
+        let has_marked_end = has_marked_end(answer.response.headers());
         let (head, body) = match read_answer(self.edge, &server.id, answer, remaining).await {
             Ok(whole) => whole,
             Err(err) => {
+                run.fail(&err);
                 tracked_send.end(SendOutcome::Failed(err.fault()));
                 let failure = match err {
                     SendError::Timeout(_) => Failure::DeadlinePassed,
@@ -358,6 +371,9 @@
                 return self.retry_or_fail(failure, err.code());
             }
         };
+        if status.is_success() && has_marked_end {
+            run.complete();
+        }
         let error = status.is_server_error();
         tracked_send.end(SendOutcome::Answered { error });
         let took = self.edge.now() - sent_at;
@@ -404,7 +420,9 @@
 
     fn may_run_again(&self) -> bool {
         let route = &self.req.route;
-        route.kind.may_repeat() && self.runs < route.max_attempts
+        let state = self.edge.state();
+        let may_retry = state.crashes.may_retry(self.edge.now(), &self.req.content);
+        route.kind.may_repeat() && self.runs < route.max_attempts && may_retry
     }
 
     fn retry_or_fail(&self, failure: Failure, reason: &'static str) -> SendResult {
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use bv_admit::{Fault, SendOutcome};
+use bv_link::is_unacknowledged;
 use bv_platform::strip_answer;
 use bv_retry::Silence;
 use bv_types::{BackendId, Millis};
@@ -17,12 +18,13 @@
 
 use crate::answer::{Body, Failure};
 use crate::counters;
+use crate::crashes::WatchedRun;
 use crate::edge::{Edge, RequestCountGuard};
 use crate::event_order::EventOrder;
 use crate::events::EventReader;
 use crate::model::{ModelCall, OpenedStream, PreparedDecode, STALL_TIMEOUT, Waited};
 use crate::plain::caller_response;
-use crate::send::read_answer;
+use crate::send::{has_marked_end, read_answer};
 
 /// Chunks of a stream that are buffered for a slow caller.
 const QUEUED_CHUNKS: usize = 4;
@@ -41,6 +43,8 @@
     Complete,
     CallerDisconnected,
     Broken(&'static str, Fault),
+    /// The server ended the connection too early.
+    Lost(&'static str, Fault),
     /// The server is silent, and another one is ready.
     Silent(Box<PreparedDecode>),
     /// The deadline of the request has passed.
@@ -59,13 +63,14 @@
         return error_answer(edge, &call, opened).await;
     }
     let (mut parts, body) = opened.answer.response.into_parts();
+    let has_marked_end = has_marked_end(&parts.headers);
     strip_answer(&mut parts.headers);
     let (tx, rx) = mpsc::channel(QUEUED_CHUNKS);
     let relay = Relay {
         edge: edge.clone(),
         call,
         reader: EventReader::default(),
-        order: EventOrder::default(),
+        order: EventOrder::begin(has_marked_end),
         is_resumable: is_event_stream(&parts),
         tx,
         last_event_at: None,
@@ -74,6 +79,8 @@
     let first = Source {
         server: opened.server,
         tracked_send: opened.tracked_send,
+        run: opened.run,
+        has_marked_end,
         channel: opened.answer.channel,
         body,
     };
@@ -112,9 +119,8 @@
 
 /// Whether an answer names the content type of event streams and marks the end of its body.
 fn is_marked_event_stream(head: &Parts) -> bool {
-    let has = |name| head.headers.contains_key(name);
-    let is_end_marked = has(header::CONTENT_LENGTH) || has(header::TRANSFER_ENCODING);
-    has(header::CONTENT_TYPE) && is_event_stream(head) && is_end_marked
+    let is_named = head.headers.contains_key(header::CONTENT_TYPE);
+    is_named && is_event_stream(head) && has_marked_end(&head.headers)
 }
 
 fn body_from(rx: mpsc::Receiver<Chunk>) -> Body {
@@ -134,6 +140,9 @@
 struct Source {
     server: BackendId,
     tracked_send: crate::edge::TrackedSend,
+    run: WatchedRun,
+    /// Whether the end of the stream is marked in the answer.
+    has_marked_end: bool,
     channel: bv_link::Channel,
     body: Incoming,
 }
@@ -159,13 +168,20 @@
             let server = source.server.clone();
             let Source {
                 tracked_send,
+                run,
                 channel,
+                has_marked_end,
                 ..
             } = source;
             drop(channel);
             let mut next = None;
             let reason = match end {
                 SourceEnd::Complete => {
+                    match has_marked_end {
+                        true => run.complete(),
+                        // The stream also ends like this if the server crashes.
+                        false => run.lose(),
+                    }
                     tracked_send.end(SendOutcome::Answered { error: false });
                     let took = self.edge.now() - self.opened_at;
                     let output = self.call.output();
@@ -196,6 +212,11 @@
                     tracked_send.end(SendOutcome::Failed(fault));
                     reason
                 }
+                SourceEnd::Lost(reason, fault) => {
+                    run.lose();
+                    tracked_send.end(SendOutcome::Failed(fault));
+                    reason
+                }
                 SourceEnd::Silent(prepared) => {
                     tracked_send.end(SendOutcome::Failed(Fault::NoAnswer));
                     next = Some(prepared);
@@ -239,6 +260,8 @@
                 return Some(Source {
                     server: opened.server,
                     tracked_send: opened.tracked_send,
+                    run: opened.run,
+                    has_marked_end: has_marked_end(&parts.headers),
                     channel: opened.answer.channel,
                     body,
                 });
@@ -286,13 +309,16 @@
             }
             let data = match frame {
                 None if self.reader.has_incomplete_event() => {
-                    return SourceEnd::Broken("event_cut", Fault::InvalidAnswer);
+                    return SourceEnd::Lost("event_cut", Fault::InvalidAnswer);
                 }
                 None if !self.order.may_end() => {
-                    return SourceEnd::Broken("no_events", Fault::InvalidAnswer);
+                    return SourceEnd::Lost("no_events", Fault::InvalidAnswer);
                 }
                 None => return SourceEnd::Complete,
-                Some(Err(_)) => return SourceEnd::Broken("connection_lost", Fault::NoAnswer),
+                Some(Err(err)) if is_unacknowledged(&err) => {
+                    return SourceEnd::Broken("connection_lost", Fault::NoAnswer);
+                }
+                Some(Err(_)) => return SourceEnd::Lost("connection_lost", Fault::NoAnswer),
                 Some(Ok(frame)) => match frame.into_data() {
                     Ok(data) => data,
                     Err(_) => continue,
@@ -312,6 +338,7 @@
                 Err(err) => return SourceEnd::Broken(err.code(), Fault::InvalidAnswer),
             }
             source.tracked_send.record_progress(self.call.min_tokens());
+            source.run.answering();
             self.record_event();
             if self.tx.send(Chunk::Events(events.bytes)).await.is_err() {
                 return SourceEnd::CallerDisconnected;
--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use bv_blame::Content;
 use bv_platform::CallerHeaders;
 use bv_route::{Route, RouteTable};
 use bv_types::{Millis, ServiceId};
@@ -22,6 +23,8 @@
     pub body: Bytes,
     /// Values of the headers that callers send to this system.
     pub facts: CallerHeaders,
+    /// What other requests may have in common with it that crashes engines.
+    pub content: Content,
     /// Configuration by which the request was routed.
     pub table: Arc<RouteTable>,
     pub route: Route,
--- a/crates/edge/src/send.rs
+++ b/crates/edge/src/send.rs
@@ -3,12 +3,14 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 use bv_admit::{Fault, Report};
-use bv_link::{Channel, CollectError, ConnectOptions, SendFailure, collect_within, connect};
+use bv_link::{
+    Channel, CollectError, ConnectOptions, SendFailure, collect_within, connect, is_unacknowledged,
+};
 use bv_platform::{AnswerHead, BackendHeaders, parse_answer_head, set_backend_headers};
 use bv_roster::Registration;
 use bv_types::{BackendId, Millis};
 use bytes::Bytes;
-use http::Response;
+use http::{HeaderMap, Response, header};
 use hyper::body::Incoming;
 
 use crate::counters;
@@ -36,6 +38,9 @@
     /// The server may have run the request.
     #[error("no answer: {0}")]
     ConnectionLost(String),
+    /// The server acknowledged nothing for a while; it may have run the request.
+    #[error("no answer: {0}")]
+    Unacknowledged(String),
     /// The answer is damaged or belongs to another request; the server may have run this one.
     #[error("unusable answer: {0}")]
     InvalidAnswer(&'static str),
@@ -51,9 +56,10 @@
     pub fn fault(&self) -> Fault {
         match self {
             SendError::Unsent(_) => Fault::Connect,
-            SendError::ConnectionLost(_) | SendError::TooLong(_) | SendError::Timeout(_) => {
-                Fault::NoAnswer
-            }
+            SendError::ConnectionLost(_)
+            | SendError::Unacknowledged(_)
+            | SendError::TooLong(_)
+            | SendError::Timeout(_) => Fault::NoAnswer,
             SendError::InvalidAnswer(_) => Fault::InvalidAnswer,
         }
     }
@@ -62,7 +68,7 @@
     pub fn code(&self) -> &'static str {
         match self {
             SendError::Unsent(_) => "connect_refused",
-            SendError::ConnectionLost(_) => "connection_lost",
+            SendError::ConnectionLost(_) | SendError::Unacknowledged(_) => "connection_lost",
             SendError::InvalidAnswer(_) => "crossed_answer",
             SendError::TooLong(_) => "answer_too_long",
             SendError::Timeout(_) => "timeout",
@@ -206,10 +212,23 @@
     edge.pool.close(&server.id);
     match err.unsent {
         true => SendError::Unsent(err.to_string()),
-        false => SendError::ConnectionLost(err.to_string()),
+        false => connection_lost(&err.source, err.to_string()),
+    }
+}
+
+fn connection_lost(err: &hyper::Error, text: String) -> SendError {
+    match is_unacknowledged(err) {
+        true => SendError::Unacknowledged(text),
+        false => SendError::ConnectionLost(text),
     }
 }
 
+/// Whether the end of an answer's body is marked by its length or by chunks. Otherwise it ends with the
+/// connection, also if the server ends early.
+pub(crate) fn has_marked_end(headers: &HeaderMap) -> bool {
+    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 /// Reads the body of an answer, and keeps its connection if it can be reused.
 pub(crate) async fn read_answer(
     edge: &Arc<Edge>,
@@ -226,8 +245,9 @@
     let reading = collect_within(body, MAX_ANSWER_BYTES, &edge.answer_memory);
     let body = match tokio::time::timeout(timeout.duration(), reading).await {
         Ok(Ok(body)) => body,
-        Ok(Err(err @ CollectError::Broken(_))) => {
-            return Err(SendError::ConnectionLost(err.to_string()));
+        Ok(Err(CollectError::Broken(err))) => {
+            let text = format!("read body: {err}");
+            return Err(connection_lost(&err, text));
         }
         Ok(Err(err)) => {
             counters::answer_given_up(match err {
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -3,12 +3,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bv_blame::Content;
 use bv_platform::{Table, parse_caller_headers, strip_request};
 use bv_roster::store_intervals;
 use bv_types::{Millis, Refusal, Version};
 use bytes::Bytes;
 use http::{Request, Response, header};
 use hyper::body::{Body as _, Incoming};
+use smol_str::SmolStr;
 
 use crate::answer::{Body, Failure, close};
 use crate::counters;
@@ -142,9 +144,19 @@
         .map_err(|reason| refuse(reason, age))?;
     let mut headers = parts.headers;
     strip_request(&mut headers);
+    let uri = origin_form(parts.uri);
+    let content = Content::new(
+        facts.prompt_parts.iter().map(SmolStr::as_str),
+        [
+            parts.method.as_str().as_bytes(),
+            uri.to_string().as_bytes(),
+            &body,
+        ],
+    );
     Ok(CallerRequest {
         method: parts.method,
-        uri: origin_form(parts.uri),
+        uri,
+        content,
         headers,
         body,
         facts,
@@ -189,6 +201,7 @@
         .retry_budgets
         .request(req.arrived, &req.service, limits);
     let result = match req.route.kind.is_stream() {
+        _ if let Some(failure) = edge.blocked(&req) => Err(failure),
         true => stream(edge, ModelCall::new(edge, req.clone()), count_guard).await,
         false => {
             let _count_guard = count_guard;
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -1,6 +1,7 @@
 //! State of the host that its decisions are based on.
 
 use bv_admit::{Announcements, Fleet, Queue};
+use bv_blame::{Block, CrashWatch};
 use bv_platform::{DecodeError, Row, Table, decode_config, decode_server};
 use bv_retry::HostBudgets;
 use bv_roster::{
@@ -109,6 +110,10 @@
     /// When the store last confirmed each table in an answer to this host.
     own_confirmations: OwnConfirmations,
     pub retry_budgets: HostBudgets,
+    /// Which requests crash engines.
+    pub crashes: CrashWatch,
+    /// The blocks of contents that crash engines, as they were logged last.
+    pub logged_blocks: Vec<Block>,
 }
 
 impl State {
@@ -126,6 +131,8 @@
             failing: Vec::new(),
             own_confirmations: OwnConfirmations::default(),
             retry_budgets,
+            crashes: CrashWatch::new(seed),
+            logged_blocks: Vec::new(),
         }
     }
 
--- a/crates/edge/src/usage.rs
+++ b/crates/edge/src/usage.rs
@@ -3,14 +3,15 @@
 //! Engines report their load with a lag of about a second; a host's own sends are known at once.
 //! Each host sends an update to all others of its zone whenever its own load changes, so that two
 //! hosts rarely choose the same free capacity, and to those of other zones at the intervals of
-//! [`update_intervals`].
+//! [`update_intervals`]. The updates also carry what this host knows of requests that crash engines.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use bv_admit::{PeerLoad, QueuedCall, ServerLoad, update_intervals};
+use bv_blame::{CrashId, CrashReport, Report, SurvivalReport, Suspicion};
 use bv_platform::Table;
-use bv_types::{BackendId, HostId, Millis, Tokens, Version};
+use bv_types::{BackendId, Fingerprint, HostId, Millis, Tokens, Version};
 use prost::Message;
 use tokio::net::UdpSocket;
 use tracing::debug;
@@ -61,6 +62,36 @@
     /// Servers that refused the sender's latest request.
     #[prost(string, repeated, tag = "11")]
     refusing: Vec<String>,
+    #[prost(message, repeated, tag = "12")]
+    crashes: Vec<EngineCrash>,
+    #[prost(message, repeated, tag = "13")]
+    survivals: Vec<ContentSurvival>,
+}
+
+/// A crash of an engine, with digests of the contents that may have caused it.
+#[derive(Clone, PartialEq, Message)]
+struct EngineCrash {
+    #[prost(fixed64, tag = "1")]
+    id: u64,
+    /// Time since the crash, in ms.
+    #[prost(uint64, tag = "2")]
+    age_ms: u64,
+    /// Contents of requests that had no answer yet.
+    #[prost(bytes = "vec", repeated, tag = "3")]
+    unanswered: Vec<Vec<u8>>,
+    /// Contents of requests whose answer had begun.
+    #[prost(bytes = "vec", repeated, tag = "4")]
+    answered: Vec<Vec<u8>>,
+}
+
+/// A content that an engine answered without a crash.
+#[derive(Clone, PartialEq, Message)]
+struct ContentSurvival {
+    #[prost(bytes = "vec", tag = "1")]
+    content: Vec<u8>,
+    /// Time since then, in ms.
+    #[prost(uint64, tag = "2")]
+    age_ms: u64,
 }
 
 /// The first call in the sender's queue. Times are sent as durations, since clocks differ.
@@ -93,17 +124,26 @@
 struct LastSent {
     load: PeerLoad,
     reads_store: bool,
+    /// Crashes of engines that this host saw.
+    crashes: u64,
     at: Millis,
 }
 
 impl LastSent {
     /// Whether the group is to be told the current load. `interval` is the minimum time between two
     /// updates; whether a call waits is told sooner, since other hosts leave capacity to it, and so
-    /// is whether this host reads the store.
-    fn is_due(&self, now: Millis, load: &PeerLoad, reads_store: bool, interval: Millis) -> bool {
+    /// is whether this host reads the store and that an engine has crashed.
+    fn is_due(
+        &self,
+        now: Millis,
+        load: &PeerLoad,
+        (reads_store, crashes): (bool, u64),
+        interval: Millis,
+    ) -> bool {
         let is_waiting_changed = load.first_waiting.is_some() != self.load.first_waiting.is_some();
         is_waiting_changed
             || reads_store != self.reads_store
+            || crashes != self.crashes
             || (*load != self.load && now >= self.at + interval)
             || now >= self.at + interval.max(REFRESH_INTERVAL)
     }
@@ -115,6 +155,7 @@
     let mut sequence = 0;
     let mut last_near = LastSent::default();
     let mut last_remote = LastSent::default();
+    let mut blocks_due = Millis::ZERO;
     loop {
         let change = edge.own_load_changed.notified();
         // Without a change the update is sent again all the same, in case a datagram was lost.
@@ -124,40 +165,60 @@
         tokio::time::sleep(pause.duration()).await;
         let now = edge.now();
         edge.end_rests(now);
+        edge.update_blocks(now);
         let load = own_load(&edge, now);
         let store_age = edge.state().sources.own_report(now);
         let reads_store = store_age.is_some();
+        let crashes = edge.state().crashes.own_crashes();
         let remote_interval = update_intervals::remote_interval(near.len() + remote.len() + 1);
         let mut receivers = Vec::new();
-        if last_near.is_due(now, &load, reads_store, Millis::ZERO) {
+        if last_near.is_due(now, &load, (reads_store, crashes), Millis::ZERO) {
             receivers.extend(near);
             last_near = LastSent {
                 load: load.clone(),
                 reads_store,
+                crashes,
                 at: now,
             };
         }
-        if last_remote.is_due(now, &load, reads_store, remote_interval) {
+        if last_remote.is_due(now, &load, (reads_store, crashes), remote_interval) {
             receivers.extend(remote);
             last_remote = LastSent {
                 load: load.clone(),
                 reads_store,
+                crashes,
                 at: now,
             };
         }
-        if receivers.is_empty() {
-            continue;
+        if !receivers.is_empty() {
+            sequence += 1;
+            let report = edge.state().crashes.report(now);
+            let update = encode_update(&edge, now, (incarnation, sequence), &load, store_age);
+            send_to(&socket, &with_report(update, &report), &receivers);
         }
-        sequence += 1;
-        let datagram = encode_update(&edge, now, (incarnation, sequence), &load, store_age);
-        for peer in receivers {
-            if let Err(err) = socket.try_send_to(&datagram, peer) {
-                debug!(peer = %peer, error = %err, "usage: sending the update to a peer failed");
+        // A host that was cut off or has started again missed the reports of the crashes.
+        if now >= blocks_due {
+            blocks_due = now + REFRESH_INTERVAL;
+            let report = edge.state().crashes.report_blocks(now);
+            let peer = edge.state().hosts.peer(fastrand::usize(..));
+            if let Some(peer) = peer.filter(|_| !report.is_empty()) {
+                sequence += 1;
+                let update = encode_update(&edge, now, (incarnation, sequence), &load, store_age);
+                send_to(&socket, &with_report(update, &report), &[peer]);
             }
         }
     }
 }
 
+fn send_to(socket: &UdpSocket, update: &UsageUpdate, receivers: &[SocketAddr]) {
+    let datagram = update.encode_to_vec();
+    for peer in receivers {
+        if let Err(err) = socket.try_send_to(&datagram, *peer) {
+            debug!(peer = %peer, error = %err, "usage: sending the update to a peer failed");
+        }
+    }
+}
+
 /// Load that this host reports to the others.
 fn own_load(edge: &Edge, now: Millis) -> PeerLoad {
     let mut state = edge.state();
@@ -177,7 +238,7 @@
     (incarnation, sequence): (u64, u64),
     load: &PeerLoad,
     store_age: Option<Millis>,
-) -> Vec<u8> {
+) -> UsageUpdate {
     let (config_changed, servers_changed) = {
         let known = &edge.state().known;
         (
@@ -185,7 +246,7 @@
             known.servers.newest_change().0,
         )
     };
-    let update = UsageUpdate {
+    UsageUpdate {
         host: edge.settings.host.to_string(),
         incarnation,
         sequence,
@@ -201,8 +262,67 @@
         servers_changed,
         head: load.first_waiting.map(|call| encode_head(now, call)),
         store_age_ms: store_age.map(|age| age.0),
+        ..UsageUpdate::default()
+    }
+}
+
+fn with_report(update: UsageUpdate, report: &Report) -> UsageUpdate {
+    UsageUpdate {
+        crashes: report.crashes.iter().map(encode_crash).collect(),
+        survivals: report.survivals.iter().map(encode_survival).collect(),
+        ..update
+    }
+}
+
+fn encode_crash(crash: &CrashReport) -> EngineCrash {
+    let of = |has_answer: bool| {
+        let suspects = crash.suspects.iter();
+        let suspects = suspects.filter(move |s| s.has_answer == has_answer);
+        suspects.map(|s| s.content.0.to_vec()).collect()
+    };
+    EngineCrash {
+        id: crash.id.0,
+        age_ms: crash.age.0,
+        unanswered: of(false),
+        answered: of(true),
+    }
+}
+
+fn encode_survival(survival: &SurvivalReport) -> ContentSurvival {
+    ContentSurvival {
+        content: survival.content.0.to_vec(),
+        age_ms: survival.age.0,
+    }
+}
+
+/// The report in an update. Digests of a wrong length are left out.
+fn decode_report(update: &UsageUpdate) -> Report {
+    let digest = |bytes: &Vec<u8>| Some(Fingerprint(bytes.as_slice().try_into().ok()?));
+    let suspicion = |bytes: &Vec<u8>, has_answer| {
+        let content = digest(bytes)?;
+        Some(Suspicion {
+            content,
+            has_answer,
+        })
     };
-    update.encode_to_vec()
+    let crashes = update.crashes.iter().map(|crash| CrashReport {
+        id: CrashId(crash.id),
+        age: Millis(crash.age_ms),
+        suspects: (crash.unanswered.iter().map(|bytes| (bytes, false)))
+            .chain(crash.answered.iter().map(|bytes| (bytes, true)))
+            .filter_map(|(bytes, has_answer)| suspicion(bytes, has_answer))
+            .collect(),
+    });
+    let survivals = update.survivals.iter().filter_map(|survival| {
+        Some(SurvivalReport {
+            content: digest(&survival.content)?,
+            age: Millis(survival.age_ms),
+        })
+    });
+    Report {
+        crashes: crashes.collect(),
+        survivals: survivals.collect(),
+    }
 }
 
 fn encode_use(load: &ServerLoad) -> EngineUse {
@@ -256,6 +376,7 @@
     datagram: &[u8],
 ) -> Result<(), Box<dyn std::error::Error>> {
     let update = UsageUpdate::decode(datagram)?;
+    let report = decode_report(&update);
     let host: HostId = update.host.parse()?;
     let mut loads = Vec::with_capacity(update.uses.len());
     for engine_use in update.uses {
@@ -278,6 +399,7 @@
     let message_seq = (update.incarnation, update.sequence);
     let mut state = edge.state();
     state.fleet.update_peer(now, host, message_seq, peer_load);
+    state.crashes.receive(now, &report);
     let known = &mut state.known;
     known.record_reported(
         Version(update.config_changed),
--- a/crates/link/src/channel.rs
+++ b/crates/link/src/channel.rs
@@ -79,6 +79,19 @@
     pub source: hyper::Error,
 }
 
+/// Whether a connection ended because the peer did not acknowledge data in time, rather than by an
+/// action of the peer.
+pub fn is_unacknowledged(err: &hyper::Error) -> bool {
+    let mut cause = std::error::Error::source(err);
+    while let Some(err) = cause {
+        if let Some(err) = err.downcast_ref::<io::Error>() {
+            return err.kind() == io::ErrorKind::TimedOut;
+        }
+        cause = err.source();
+    }
+    false
+}
+
 /// An open connection; closed when dropped.
 #[derive(Debug)]
 pub struct Channel {
