blame, edge: keep the blocks in the store, and exchange crashes there while hosts cannot hear each other

Cause: the evidence was in the memory of the hosts only, so a restart of all hosts forgot each block, and hosts that are cut from each other but not from the store shared nothing. Change: a host writes its row in the table crashes when it saw a crash and something is blocked or a live host is not heard (at most every 500 ms); it reads the table once at the start, and every second while a host is not heard and a run was lost within 30 s. The cut between hosts is shown by the decision test and the fleet test only, not between real daemons.

--- a/crates/admit/src/fleet.rs
+++ b/crates/admit/src/fleet.rs
@@ -278,6 +278,11 @@
         self.expected_peers = count;
     }
 
+    /// Number of other hosts that should report their load and do not.
+    pub fn missing_peers(&self) -> usize {
+        self.expected_peers.saturating_sub(self.peers.len())
+    }
+
     /// Records the load that another host reported. `message_seq` is the start time of its process
     /// and the sequence number of the message; a message that is not newer than the last one is
     /// ignored.
--- a/crates/blame/src/lib.rs
+++ b/crates/blame/src/lib.rs
@@ -22,12 +22,14 @@
 
 mod content;
 mod evidence;
+mod exchange;
 mod state;
 mod verdict;
 mod watch;
 
 pub use content::{Content, CrashId};
 pub use evidence::{MAX_SURVIVALS, MAX_SUSPECTS, SUSPECT_TIME as CRASH_MEMORY};
+pub use exchange::{ExchangeStep, ExchangeView, StoreExchange};
 pub use state::{Action, BLOCK_SCORE, BLOCK_TIME, Blame, Event, SUSPECT_TIME, Score};
 pub use verdict::{Block, Crash, MAX_BLOCK_TIME, MAX_CRASHES, Suspicion};
 pub use watch::{
--- a/crates/blame/src/watch.rs
+++ b/crates/blame/src/watch.rs
@@ -149,6 +149,7 @@
     /// Position of the next block in the reports of blocks.
     next_block: usize,
     own_crashes: u64,
+    last_loss_at: Option<Millis>,
 }
 
 impl CrashWatch {
@@ -163,6 +164,7 @@
             rng: Rng::with_seed(seed),
             next_block: 0,
             own_crashes: 0,
+            last_loss_at: None,
         }
     }
 
@@ -198,6 +200,11 @@
         self.evidence.version()
     }
 
+    /// When this host last lost the connection of a run.
+    pub fn last_loss_at(&self) -> Option<Millis> {
+        self.last_loss_at
+    }
+
     /// Number of reports of crashes that this host saw itself.
     pub fn own_crashes(&self) -> u64 {
         self.own_crashes
@@ -253,6 +260,7 @@
         let Some(run) = self.remove(run) else {
             return false;
         };
+        self.last_loss_at = Some(now);
         if run.has_survived {
             return false;
         }
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -258,6 +258,7 @@
         Table::Servers => "servers",
         Table::Hosts => "hosts",
         Table::Terms => "terms",
+        Table::Crashes => "crashes",
     }
 }
 
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -9,6 +9,7 @@
 mod answer;
 mod answer_log;
 mod counters;
+mod crash_rows;
 mod crashes;
 mod edge;
 mod event_order;
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -35,7 +35,7 @@
         match table {
             Table::Config => Some(&self.config),
             Table::Servers => Some(&self.servers),
-            Table::Hosts | Table::Terms => None,
+            Table::Hosts | Table::Terms | Table::Crashes => None,
         }
     }
 
@@ -44,7 +44,7 @@
         let reported = match table {
             Table::Config => self.reported_versions.0,
             Table::Servers => self.reported_versions.1,
-            Table::Hosts | Table::Terms => return false,
+            Table::Hosts | Table::Terms | Table::Crashes => return false,
         };
         let copy = self.copy(table).filter(|copy| copy.position().is_some());
         copy.is_some_and(|copy| copy.newest_stated() < reported)
@@ -64,7 +64,7 @@
         let reported = match table {
             Table::Config => &mut self.reported_versions.0,
             Table::Servers => &mut self.reported_versions.1,
-            Table::Hosts | Table::Terms => return,
+            Table::Hosts | Table::Terms | Table::Crashes => return,
         };
         *reported = (*reported).min(answered);
     }
@@ -155,7 +155,7 @@
         match table {
             Table::Config => own.config = Some(confirmed_at),
             Table::Servers => own.servers = Some(confirmed_at),
-            Table::Hosts | Table::Terms => return,
+            Table::Hosts | Table::Terms | Table::Crashes => return,
         }
         if let (Some(config), Some(servers)) = (own.config, own.servers) {
             self.sources.record_store_answer(now, config.min(servers));
@@ -168,7 +168,7 @@
         match table {
             Table::Config => own.config = None,
             Table::Servers => own.servers = None,
-            Table::Hosts | Table::Terms => return,
+            Table::Hosts | Table::Terms | Table::Crashes => return,
         }
         self.sources.record_store_failure();
     }
