drain, edge: accept a late call only if it can be answered before the process ends

Cause: calls were accepted until 1.5 s before the exit, whatever time they may take, and the exit cut what was left. Change: GracePeriod, without I/O, decides: from 2.9 s after the signal a call is accepted only if its time limit ends before the process does, else refused at once as not run; 0.2 s before the exit the calls that are left get 502 (host_ended).

--- a/crates/drain/src/lib.rs
+++ b/crates/drain/src/lib.rs
@@ -12,8 +12,10 @@
 //! assert!(!marks.is_leaving(&engine));
 //! ```
 
+mod grace;
 mod marks;
 mod shutdown;
 
+pub use grace::{GracePeriod, GracePhase, LateRequest};
 pub use marks::{LeavingMark, LeavingMarks};
 pub use shutdown::{Action, Event, Limits, Shutdown};
--- a/crates/edge/src/answer.rs
+++ b/crates/edge/src/answer.rs
@@ -31,6 +31,8 @@
     AnswerLost,
     /// The request may have run; its deadline has passed.
     DeadlinePassed,
+    /// The request may have run; this host ends before its answer.
+    HostEnded,
 }
 
 impl Failure {
@@ -54,7 +56,7 @@
     /// Status for the caller.
     pub fn status(self) -> StatusCode {
         match self {
-            Failure::AnswerLost => StatusCode::BAD_GATEWAY,
+            Failure::AnswerLost | Failure::HostEnded => StatusCode::BAD_GATEWAY,
             Failure::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
             Failure::NotRun { reason, .. } => match reason {
                 Refusal::BadRequest => StatusCode::BAD_REQUEST,
@@ -73,6 +75,7 @@
             Failure::NotRun { reason, .. } => reason.code(),
             Failure::AnswerLost => "answer_lost",
             Failure::DeadlinePassed => "deadline_passed",
+            Failure::HostEnded => "host_ended",
         }
     }
 
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -1,9 +1,10 @@
 //! State that the tasks of the host process share.
 
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 
 use bv_admit::{SendId, SendOutcome, Work};
+use bv_drain::{GracePeriod, LateRequest};
 use bv_link::AnswerMemory;
 use bv_platform::{PlatformSettings, StoreClient, Table};
 use bv_retry::{BudgetLimits, HostBudgets};
@@ -15,11 +16,6 @@
 use crate::send::ConnectionPool;
 use crate::state::State;
 
-/// Time after the signal to stop during which new streams are accepted. By then the load balancer
-/// in front of the hosts has stopped sending callers here, and a typical stream takes about half of
-/// the grace period.
-const STREAM_ACCEPT_TIME: Millis = Millis(2_900);
-
 /// Share of the process's memory that long answers may use together. A buffer may be twice as large
 /// as the bytes in it.
 const ANSWER_MEMORY_SHARE: f64 = 0.15;
@@ -54,8 +50,10 @@
     /// Notified when the load that this host reports to the others changes.
     pub own_load_changed: Notify,
     state: Mutex<State>,
-    /// When the process received the signal to stop, or 0.
-    stopping_since: AtomicU64,
+    /// Set when the process receives the signal to stop.
+    grace: OnceLock<GracePeriod>,
+    /// Whether the calls that are left are to be answered because the process ends.
+    ends: watch::Sender<bool>,
     in_progress: AtomicUsize,
     connections: AtomicUsize,
 }
@@ -85,7 +83,8 @@
             rows_changed: Notify::new(),
             sources_changed: Notify::new(),
             reads_store: watch::Sender::new(true),
-            stopping_since: AtomicU64::new(0),
+            grace: OnceLock::new(),
+            ends: watch::Sender::new(false),
             in_progress: AtomicUsize::new(0),
             connections: AtomicUsize::new(0),
         }
@@ -169,17 +168,31 @@
     }
 
     pub fn is_stopping(&self) -> bool {
-        self.stopping_since.load(Ordering::Relaxed) != 0
+        self.grace.get().is_some()
+    }
+
+    /// Begins the grace period, or returns the one that has begun.
+    pub fn stop(&self) -> GracePeriod {
+        let begin = || GracePeriod::new(self.now(), self.settings.grace_period);
+        *self.grace.get_or_init(begin)
     }
 
-    pub fn stop(&self) {
-        self.stopping_since.store(self.now().0, Ordering::Relaxed);
+    /// Whether a request that arrives now can be answered before the process ends.
+    pub fn may_accept(&self, now: Millis, request: LateRequest) -> bool {
+        let grace = self.grace.get();
+        grace.is_none_or(|grace| grace.may_accept(now, request))
     }
 
-    /// Whether a stream that begins now would probably be cut off by the end of the process.
-    pub fn is_too_late_for_streams(&self, now: Millis) -> bool {
-        let since = Millis(self.stopping_since.load(Ordering::Relaxed));
-        since != Millis::ZERO && now >= since + STREAM_ACCEPT_TIME
+    /// Lets the calls that are left be answered at once.
+    pub fn end_calls(&self) {
+        self.ends.send_replace(true);
+    }
+
+    /// Waits until the calls that are left are to be answered.
+    pub async fn wait_for_end(&self) {
+        let mut rx = self.ends.subscribe();
+        // The sender is a field of this struct, so it is not closed.
+        let _ = rx.wait_for(|ends| *ends).await;
     }
 
     /// Whether the load balancer may send callers to this host.
--- a/crates/edge/src/listen.rs
+++ b/crates/edge/src/listen.rs
@@ -11,6 +11,7 @@
 use axum::Router;
 use axum::extract::State as Shared;
 use axum::routing::get;
+use bv_drain::GracePhase;
 use bv_platform::READY_PATH;
 use bytes::Bytes;
 use http::{Response, StatusCode};
@@ -30,7 +31,6 @@
 use crate::guard::{GuardedStream, HeadGuard};
 use crate::retries;
 use crate::serve::serve;
-use crate::stop::DrainPhase;
 
 /// Share of the file descriptors that callers' connections may use; each request needs up to two
 /// more.
@@ -44,18 +44,18 @@
 /// Idle time after which keepalive probes are sent to a caller.
 const CALLER_KEEPALIVE_TIME: Duration = Duration::from_secs(5);
 
-/// Accepts callers until the phase is [`DrainPhase::StopAccepting`]. Each change of the phase
+/// Accepts callers until the phase is [`GracePhase::StopAccepting`]. Each change of the phase
 /// closes the open connections as soon as they are idle.
 pub(crate) async fn callers(
     edge: Arc<Edge>,
     listener: TcpListener,
-    mut drain_rx: watch::Receiver<DrainPhase>,
+    mut drain_rx: watch::Receiver<GracePhase>,
 ) {
     let max = (edge.settings.max_file_descriptors as f64 * CALLER_FILES_SHARE) as usize;
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = drain_rx.wait_for(|phase| *phase == DrainPhase::StopAccepting) => return,
+            _ = drain_rx.wait_for(|phase| *phase >= GracePhase::StopAccepting) => return,
         };
         match accepted {
             // The connection is dropped before a request is read, so no request is lost.
@@ -77,7 +77,7 @@
     edge: Arc<Edge>,
     stream: TcpStream,
     peer: SocketAddr,
-    mut drain_rx: watch::Receiver<DrainPhase>,
+    mut drain_rx: watch::Receiver<GracePhase>,
 ) {
     let _count_guard = ConnectionCountGuard::new(&edge);
     if let Err(err) = set_options(&stream) {
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 
+use bv_drain::GracePhase;
 use bv_platform::{DecodeError, PlatformSettings, SETTINGS_VARIABLE, read_settings};
 use miette::Diagnostic;
 use tokio::net::{TcpListener, UdpSocket};
@@ -118,7 +119,7 @@
     let mut terminate = signal(SignalKind::terminate())?;
     let mut hangup = signal(SignalKind::hangup())?;
     let edge = Arc::new(Edge::new(settings));
-    let (drain_tx, drain_rx) = watch::channel(stop::DrainPhase::Serving);
+    let (drain_tx, drain_rx) = watch::channel(GracePhase::Serving);
     tokio::spawn(follow::config(edge.clone()));
     tokio::spawn(follow::servers(edge.clone()));
     tokio::spawn(follow::hosts(edge.clone()));
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bv_blame::Content;
+use bv_drain::LateRequest;
 use bv_platform::{Table, parse_caller_headers, strip_request};
 use bv_roster::store_intervals;
 use bv_types::{Millis, Refusal, Version};
@@ -35,7 +36,7 @@
     let count_guard = RequestCountGuard::new(&edge);
     let arrived = edge.now();
     let mut response = match accept(&edge, verdict, req, arrived).await {
-        Ok(req) => run(&edge, req, count_guard).await,
+        Ok(req) => run_until_end(&edge, req, count_guard).await,
         Err(refused) => {
             edge.logs.refused(edge.now(), &refused);
             counters::refused(refused.failure.code());
@@ -121,7 +122,18 @@
             return Err(refuse(reason, age));
         }
     };
-    if route.kind.is_stream() && edge.is_too_late_for_streams(arrived) {
+    let service = route
+        .pick_service(fastrand::u64(..))
+        .cloned()
+        .ok_or_else(|| refuse(Refusal::NoBackend, age))?;
+    let time_limit = facts
+        .deadline
+        .map_or(route.timeout, |d| d.min(route.timeout));
+    let late = match route.kind.is_stream() {
+        true => LateRequest::Stream,
+        false => LateRequest::Call(time_limit),
+    };
+    if !edge.may_accept(arrived, late) {
         return Err(RefusedRequest {
             failure: Failure::NotRun {
                 reason: Refusal::ShuttingDown,
@@ -130,13 +142,6 @@
             ..refuse(Refusal::ShuttingDown, age)
         });
     }
-    let service = route
-        .pick_service(fastrand::u64(..))
-        .cloned()
-        .ok_or_else(|| refuse(Refusal::NoBackend, age))?;
-    let time_limit = facts
-        .deadline
-        .map_or(route.timeout, |d| d.min(route.timeout));
     let deadline = arrived + time_limit;
     let limit = table.limits().max_body.0 as usize;
     let body = read_body(body, limit, time_limit.min(BODY_TIMEOUT))
@@ -189,13 +194,31 @@
     }
 }
 
-/// Passes an accepted request to its service.
-async fn run(
+/// Serves an accepted request, or answers without its server if the process ends before.
+async fn run_until_end(
     edge: &Arc<Edge>,
     req: CallerRequest,
     count_guard: RequestCountGuard,
 ) -> Response<Body> {
     let req = Arc::new(req);
+    tokio::select! {
+        biased;
+        response = run(edge, req.clone(), count_guard) => response,
+        () = edge.wait_for_end() => {
+            let failure = Failure::HostEnded;
+            counters::refused(failure.code());
+            edge.logs.failed(edge.now(), &req, failure);
+            failure.response()
+        }
+    }
+}
+
+/// Passes an accepted request to its service.
+async fn run(
+    edge: &Arc<Edge>,
+    req: Arc<CallerRequest>,
+    count_guard: RequestCountGuard,
+) -> Response<Body> {
     let limits = edge.budget_limits();
     edge.state()
         .retry_budgets
