blame: example of CrashWatch in the crate docs

Cause: README promises an example in the docs of each decision crate. Change: an example of three crashes and a block. Result: doc tests pass.

--- a/crates/blame/src/lib.rs
+++ b/crates/blame/src/lib.rs
@@ -20,6 +20,26 @@
 //! assert!(blame.is_blocked(Millis::from_secs(3), request));
 //! ```
 
+//!
+//! [`CrashWatch`] does the same for prompt parts and whole requests where each host sees only its own
+//! runs: hosts report suspects and survivals to each other.
+//!
+//! ```
+//! use bv_blame::{Content, CrashId, CrashWatch};
+//! use bv_types::Millis;
+//!
+//! let mut watch = CrashWatch::new(1);
+//! let request = |own| Content::new(["shared", "crashing", own].into_iter(), [own.as_bytes()]);
+//! for (n, own) in ["a", "b", "c"].into_iter().enumerate() {
+//!     let now = Millis::from_secs(n as u64);
+//!     let engine = CrashId::of_process(&"engine".parse().unwrap(), Some(now));
+//!     let run = watch.begin(engine, request(own));
+//!     assert!(watch.lose(now, run));
+//!     watch.confirm(now, engine, true);
+//! }
+//! assert!(watch.block_of(Millis(2_500), &request("d")).is_some());
+//! ```
+
 mod content;
 mod evidence;
 mod exchange;
