--- a/crates/blame/src/verdict.rs
+++ b/crates/blame/src/verdict.rs
@@ -36,7 +36,7 @@
 pub const MAX_BLOCK_TIME: Millis = Millis::from_secs(24 * 3_600);
 /// Number of doublings after which every block reaches [`MAX_BLOCK_TIME`].
 const MAX_DOUBLINGS: u32 = 13;
-/// Maximum number of crashes that are kept; a set of them fits into [`CrashSet`].
+/// Maximum number of crashes that are kept; a set of them is a bit mask of 128 bits.
 pub const MAX_CRASHES: usize = 128;
 
 /// A content that may have caused a crash.
