edge: check a second time whether a server has ended

Cause: the connection that shows whether a server still runs was opened at once; the listener of a process that ends may be open longer than its connections, so the crash was taken for a reset and no host counted it. Evidence: with a stand-in whose listener closes 20 ms after its connections, all five tests of crashing_parts failed before this change (10 of 10 late arrivals, 16 engines). Change: a server that accepts is checked again after 100 ms.

--- a/crates/edge/src/crashes.rs
+++ b/crates/edge/src/crashes.rs
@@ -13,6 +13,8 @@
 use crate::request::CallerRequest;
 use crate::send::SendError;
 
+/// Time after which a server that still accepts connections is checked once more.
+const RECHECK_DELAY: Millis = Millis(100);
 /// Timeout of the connection that shows whether an engine still runs.
 const CHECK_TIMEOUT: Millis = Millis(150);
 
@@ -91,19 +93,28 @@
     }
 }
 
-/// Finds out whether a server still accepts connections.
+/// Finds out whether a server has ended: it accepts no connection any more.
 async fn check(edge: Arc<Edge>, server: Registration) {
+    let mut has_crashed = refuses_connections(&server).await;
+    if !has_crashed {
+        // The listener of a process that ends may be open longer than its connections.
+        tokio::time::sleep(RECHECK_DELAY.duration()).await;
+        has_crashed = refuses_connections(&server).await;
+    }
+    edge.confirm_crash(&server, has_crashed);
+}
+
+async fn refuses_connections(server: &Registration) -> bool {
     let options = ConnectOptions {
         timeout: CHECK_TIMEOUT,
         unacknowledged: CHECK_TIMEOUT,
     };
-    let has_crashed = match connect(server.address, options).await {
+    match connect(server.address, options).await {
         Ok(_) => false,
         Err(ConnectError::Timeout { .. }) => true,
         Err(ConnectError::Refused { source, .. }) => !is_local_limit(&source),
         Err(ConnectError::Handshake { .. }) => false,
-    };
-    edge.confirm_crash(&server, has_crashed);
+    }
 }
 
 /// Whether a connection failed because this host has no descriptor or port left.
