--- a/crates/blame/tests/crashing_fleet.rs
+++ b/crates/blame/tests/crashing_fleet.rs
@@ -152,6 +152,7 @@
                 at: 9_500,
                 for_ms: 8_000,
                 share: 0.3,
+                reach_store: true,
             },
             Trouble::HostsKilled {
                 at: 18_000,
@@ -190,3 +191,31 @@
         ];
     });
 }
+
+/// Guards against hosts in touch that do not learn of the crashes that isolated hosts cause.
+#[test]
+fn isolated_hosts() {
+    let mut setup = setup(8);
+    setup.parts = vec![part(10_000, 900)];
+    setup.troubles = vec![
+        Trouble::HostsCut {
+            at: 9_500,
+            for_ms: 8_000,
+            share: 0.3,
+            reach_store: false,
+        },
+        Trouble::HostsKilled {
+            at: 18_000,
+            share: 0.3,
+        },
+        Trouble::HostsKilled {
+            at: 24_000,
+            share: 1.0,
+        },
+        Trouble::Resets {
+            at: 12_000,
+            share: 0.3,
+        },
+    ];
+    check("hosts cut from all others and the store", &setup, 0..200);
+}
--- a/crates/blame/tests/fleet/mod.rs
+++ b/crates/blame/tests/fleet/mod.rs
@@ -43,8 +43,14 @@
     CrashSeries { from: u64, to: u64, interval: u64 },
     /// Connections of this share of the runs are reset; the engines live.
     Resets { at: u64, share: f64 },
-    /// This share of the hosts gets reports only through the store, and so do the others from them.
-    HostsCut { at: u64, for_ms: u64, share: f64 },
+    /// This share of the hosts gets reports only through the store, and so do the others from them;
+    /// none at all if it does not reach the store either.
+    HostsCut {
+        at: u64,
+        for_ms: u64,
+        share: f64,
+        reach_store: bool,
+    },
     /// This share of the hosts starts again.
     HostsKilled { at: u64, share: f64 },
 }
@@ -149,6 +155,7 @@
     requests: u64,
     /// Evidence of the blocks as the store keeps it.
     stored: Report,
+    cut_hosts_reach_store: bool,
     outcome: Outcome,
 }
 
@@ -183,6 +190,7 @@
             runs: Vec::new(),
             requests: 0,
             stored: Report::default(),
+            cut_hosts_reach_store: true,
             outcome: Outcome {
                 parts: vec![PartOutcome::default(); setup.parts.len()],
                 ..Outcome::default()
@@ -475,6 +483,9 @@
         let bytes = report.crashes.len() * 16 + suspects * 18 + report.survivals.len() * 24;
         self.outcome.report_bytes += bytes as u64;
         let is_cut = self.hosts[from].cut_until.max(self.hosts[to].cut_until) > self.now;
+        if is_cut && !self.cut_hosts_reach_store {
+            return;
+        }
         if !is_cut && self.rng.f64() < self.setup.report_loss {
             return;
         }
@@ -514,7 +525,13 @@
                     }
                 }
             }
-            Trouble::HostsCut { for_ms, share, .. } => {
+            Trouble::HostsCut {
+                for_ms,
+                share,
+                reach_store,
+                ..
+            } => {
+                self.cut_hosts_reach_store = reach_store;
                 for host in 0..self.hosts.len() {
                     if self.rng.f64() < share {
                         self.hosts[host].cut_until = self.now + for_ms;
