--- a/review/stand-ins/odd_entry.rs
+++ b/review/stand-ins/foreign_service.rs
@@ -1,4 +1,5 @@
-//! Another writer leaves an entry with missing fields under the id of a runner.
+//! Rows of the store that name no runner, or are no manifest. Requests must not follow them to another
+//! service.
 
 use std::net::IpAddr;
 use std::path::Path;
@@ -16,7 +17,7 @@
 /// Interval at which runners write their entries, `heartbeat_interval_ms`.
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
 const CALM: Duration = Duration::from_secs(4);
-/// Time for which clients send after the entry was written.
+/// Time for which clients send, from a status report interval after the row was written.
 const WATCH: Duration = Duration::from_secs(10);
 /// Time between two requests of the clients of one host.
 const PACE: Duration = Duration::from_millis(50);
@@ -24,18 +25,21 @@
 /// Runners of the service `bookings`, then those of `permits`.
 const RUNNERS: [(&str, &str); 4] =
     [("i-0", "bookings"), ("i-1", "bookings"), ("i-2", "permits"), ("i-3", "permits")];
-/// The runner under whose id the other writer leaves an entry.
+/// The runner whose id another writer uses.
 const NAMED: usize = 3;
 
-const MANIFEST: &str = r#"{"version":1,"routes":[
-{"name":"seat-booking","host":"ride.example","path_prefix":"/book/","kind":"unsafe","timeout_ms":600,
-"target_latency_ms":120,"priority":2,"service":"bookings","max_attempts":1},
-{"name":"permit","host":"ride.example","path_prefix":"/permit/","kind":"unsafe","timeout_ms":600,
-"target_latency_ms":120,"priority":2,"service":"permits","max_attempts":1}],
-"services":[{"name":"bookings","max_connections":96},{"name":"permits","max_connections":96}],
-"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}"#;
+/// A row that names no runner, or is no manifest, but that a host may take for one.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Trouble {
+    /// Another writer leaves an entry with missing fields under the id of a runner.
+    MissingFields,
+    /// Another writer has an entry of a runner in another part of the table.
+    EntryInOtherPart,
+    /// The operator keeps a draft of a manifest in another part of its table.
+    DraftInOtherPart,
+}
 
-pub fn run(folder: &Path, trouble: bool) -> Verdict {
+pub fn run(folder: &Path, troubles: &[Trouble], trouble: bool) -> Verdict {
     let Ok(record) = Record::create(folder) else {
         return Verdict::CouldNotRun;
     };
@@ -43,23 +47,34 @@
     if std::fs::create_dir_all(&temporary).is_err() {
         return Verdict::CouldNotRun;
     }
-    let verdict = play(&record, &temporary, trouble);
+    let mut foreign = Some(0);
+    for (number, kind) in troubles.iter().enumerate() {
+        let played = play(&record, &temporary, *kind, number as u8, trouble);
+        foreign = foreign.zip(played).map(|(sum, more)| sum + more);
+    }
     let _ = std::fs::remove_dir_all(&temporary);
-    verdict
+    match foreign {
+        None => Verdict::CouldNotRun,
+        Some(0) => Verdict::Held,
+        Some(_) => Verdict::Broken,
+    }
 }
 
-fn address(last: u8) -> IpAddr {
+/// A loopback address that no other round of this process uses.
+fn address(round: u8, last: u8) -> IpAddr {
     let process = std::process::id();
-    IpAddr::from([127, 20 + (process >> 8) as u8 % 200, process as u8, last])
+    IpAddr::from([127, 20 + (process >> 8) as u8 % 200, process as u8, round * 120 + last])
 }
 
-fn play(record: &Record, folder: &Path, trouble: bool) -> Verdict {
-    let store = Store::start(address(1));
-    store.put("op", "config", MANIFEST);
+/// Plays one round with processes of its own. Returns how many requests were run by a service to which no
+/// manifest allows them to go; none if the round could not be played.
+fn play(record: &Record, folder: &Path, kind: Trouble, round: u8, trouble: bool) -> Option<usize> {
+    let store = Store::start(address(round, 1));
+    store.put("op", "config", &manifest(1, "bookings"));
     let arrivals: Arc<Mutex<Vec<Arrival>>> = Arc::default();
     let mut runners = Vec::new();
     for (number, (id, service)) in RUNNERS.iter().enumerate() {
-        let ip = address(10 + number as u8);
+        let ip = address(round, 10 + number as u8);
         let work = Work::Plain(Duration::from_millis(15));
         runners.push(Runner::start(ip, id, service, ZONES[number % 2], work, 6, &arrivals));
     }
@@ -70,7 +85,7 @@
     for (number, zone) in ZONES.iter().enumerate() {
         hosts.push(Host::start(&Settings {
             folder,
-            ip: address(100 + number as u8),
+            ip: address(round, 100 + number as u8),
             name: &format!("frontend-{zone}-1"),
             zone,
             store: store.addr,
@@ -79,7 +94,7 @@
     }
     if !hosts.iter().all(Host::wait_ready) {
         record.line("a host did not become ready");
-        return Verdict::CouldNotRun;
+        return None;
     }
     std::thread::sleep(CALM);
     let is_over = Arc::new(AtomicBool::new(false));
@@ -94,24 +109,17 @@
     std::thread::sleep(Duration::from_secs(1));
     let written = Instant::now();
     if trouble {
-        let entry = format!(
-            r#"{{"service":"bookings","address":"{}","zone":"{}","slots":6,"state":"ready","born":{}}}"#,
-            runners[NAMED].addr,
-            runners[NAMED].zone,
-            unix_ms()
-        );
-        store.put("servers", RUNNERS[NAMED].0, &entry);
-        record.line(&format!("another writer writes servers/{}: {entry}", RUNNERS[NAMED].0));
+        make_trouble(record, &store, &runners[NAMED], kind);
     }
-    // The runner writes its own entry at its next status report; the others' entries don't change, as
-    // nothing but their sequence does.
+    // The runner writes its own entry at its next status report. The store shows that only where more
+    // than its sequence has changed.
     std::thread::sleep(HEARTBEAT);
-    if trouble {
+    if trouble && kind == Trouble::MissingFields {
         let entry = runners[NAMED].entry(5);
         store.put("servers", RUNNERS[NAMED].0, &entry);
         record.line(&format!("runner {} writes its entry again: {entry}", RUNNERS[NAMED].0));
     }
-    let rewritten = Instant::now();
+    let reported = Instant::now();
     std::thread::sleep(WATCH);
     is_over.store(true, Ordering::Relaxed);
     let mut outcomes = Vec::new();
@@ -119,10 +127,64 @@
         outcomes.extend(client.join().unwrap_or_default());
     }
     let arrivals = arrivals.lock().unwrap();
+    Some(judge(record, &outcomes, &arrivals, written, reported))
+}
+
+/// A manifest that sends `/book/` to `service`.
+fn manifest(version: u64, service: &str) -> String {
+    format!(
+        r#"{{"version":{version},"routes":[
+{{"name":"seat-booking","host":"ride.example","path_prefix":"/book/","kind":"unsafe","timeout_ms":600,
+"target_latency_ms":120,"priority":2,"service":"{service}","max_attempts":1}},
+{{"name":"permit","host":"ride.example","path_prefix":"/permit/","kind":"unsafe","timeout_ms":600,
+"target_latency_ms":120,"priority":2,"service":"permits","max_attempts":1}}],
+"services":[{{"name":"bookings","max_connections":96}},{{"name":"permits","max_connections":96}}],
+"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}}}"#
+    )
+}
+
+fn make_trouble(record: &Record, store: &Store, runner: &Runner, kind: Trouble) {
+    let id = &runner.id;
+    match kind {
+        Trouble::MissingFields => {
+            let entry = format!(
+                r#"{{"service":"bookings","address":"{}","zone":"{}","slots":6,"state":"ready","born":{}}}"#,
+                runner.addr,
+                runner.zone,
+                unix_ms()
+            );
+            store.put("servers", id, &entry);
+            record.line(&format!("another writer writes servers/{id}: {entry}"));
+        }
+        Trouble::EntryInOtherPart => {
+            let entry = runner.entry(900).replace("permits", "bookings");
+            store.put_in_part("servers", "staging", id, &entry);
+            record.line(&format!(
+                "another writer writes table servers, part staging, key {id}: {entry}"
+            ));
+        }
+        Trouble::DraftInOtherPart => {
+            store.put_in_part("op", "draft", "config", &manifest(2, "permits"));
+            record.line(
+                "the operator writes table op, part draft, key config: a manifest of version 2 that sends \
+                 /book/ to permits",
+            );
+        }
+    }
+}
+
+/// Number of requests that were run by a service to which no manifest allows them to go.
+fn judge(
+    record: &Record,
+    outcomes: &[(String, Outcome)],
+    arrivals: &[Arrival],
+    written: Instant,
+    reported: Instant,
+) -> usize {
     let mut foreign = 0;
     let mut last = Duration::ZERO;
-    let mut after_rewrite = 0;
-    for (id, outcome) in &outcomes {
+    let mut after_report = 0;
+    for (id, outcome) in outcomes {
         let runs = arrivals.iter().filter(|arrival| arrival.request == *id && arrival.ran);
         for arrival in runs {
             let service = RUNNERS.iter().find(|(id, _)| *id == arrival.server);
@@ -132,7 +194,7 @@
             }
             foreign += 1;
             last = last.max(arrival.at.saturating_duration_since(written));
-            after_rewrite += usize::from(arrival.at > rewritten);
+            after_report += usize::from(arrival.at > reported);
             record.line(&format!(
                 "request {id} on /book/ was run by {} of the service {service}; its client got {outcome}",
                 arrival.server
@@ -141,15 +203,12 @@
     }
     record.line(&format!(
         "{} requests on /book/, which every manifest sends to bookings; {foreign} of them were run by another \
-         service, the last one {:.1} s after the odd entry, {after_rewrite} after the runner had written its own \
-         entry again",
+         service, the last one {:.1} s after the row was written, {after_report} later than a status report \
+         interval after it",
         outcomes.len(),
         last.as_secs_f64()
     ));
-    match foreign {
-        0 => Verdict::Held,
-        _ => Verdict::Broken,
-    }
+    foreign
 }
 
 fn send_steadily(
--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -5,11 +5,11 @@
 //! runs without its disruption. Exits with 1 if the rule was broken, 0 if it held, 2 if it could not run.
 
 mod client;
+mod foreign_service;
 mod host;
 mod http;
 mod json;
 mod large_bodies;
-mod odd_entry;
 mod record;
 mod runner;
 mod store;
@@ -17,6 +17,8 @@
 use std::path::Path;
 use std::process::ExitCode;
 
+use foreign_service::Trouble;
+
 /// How a scenario ended.
 pub enum Verdict {
     Held,
@@ -30,10 +32,15 @@
         eprintln!("usage: review-stand-ins SCENARIO FOLDER");
         return ExitCode::from(2);
     };
+    let folder = Path::new(folder);
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let verdict = match scenario.as_str() {
-        "large-bodies" => large_bodies::run(Path::new(folder), trouble),
-        "odd-entry" => odd_entry::run(Path::new(folder), trouble),
+        "large-bodies" => large_bodies::run(folder, trouble),
+        "missing-fields" => foreign_service::run(folder, &[Trouble::MissingFields], trouble),
+        "other-part" => {
+            let troubles = [Trouble::EntryInOtherPart, Trouble::DraftInOtherPart];
+            foreign_service::run(folder, &troubles, trouble)
+        }
         _ => Verdict::CouldNotRun,
     };
     match verdict {
--- a/review/stand-ins/runner.rs
+++ b/review/stand-ins/runner.rs
@@ -82,11 +82,11 @@
     pub fn entry(&self, sequence: u64) -> String {
         let stage = match self.work {
             Work::Plain(_) => "",
-            Work::Prefill => "\"stage\":\"prefill\",",
-            Work::Decode(..) => "\"stage\":\"decode\",",
+            Work::Prefill => "\"stage\":\"prefill\",\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}],",
+            Work::Decode(..) => "\"stage\":\"decode\",\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}],",
         };
         format!(
-            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":1,\"slots\":{},\
+            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":{},\
              \"state\":\"ready\",{stage}\"cold_remaining_ms\":0,\"sequence\":{sequence},\"born\":{}}}",
             self.service, self.addr, self.zone, self.slots, self.born
         )
--- a/review/stand-ins/store.rs
+++ b/review/stand-ins/store.rs
@@ -10,6 +10,7 @@
 
 struct Row {
     table: String,
+    part: String,
     key: String,
     /// In base64; none if the row was removed.
     value: Option<String>,
@@ -54,10 +55,16 @@
         store
     }
 
-    /// Writes a row as the operator or a server.
+    /// Writes a row with an empty part, as the operator or a server.
     pub fn put(&self, table: &str, key: &str, value: &str) {
+        self.put_in_part(table, "", key, value);
+    }
+
+    /// Writes a row of any part.
+    pub fn put_in_part(&self, table: &str, part: &str, key: &str, value: &str) {
         let mut inner = self.shared.0.lock().unwrap();
-        inner.put(table, key, Some(base64(value.as_bytes())));
+        inner.ver += 1;
+        inner.set(table, part, key, Some(base64(value.as_bytes())));
         self.shared.1.notify_all();
     }
 
@@ -97,11 +104,10 @@
                 answer
             }
             "/-/rows-get" => {
-                let from = query("from");
-                let rows = inner.rows.iter();
-                let mut rows: Vec<&Row> = rows
-                    .filter(|row| row.table == table && row.value.is_some() && row.key >= from)
-                    .collect();
+                let (part, from) = (query("part"), query("from"));
+                let rows = inner.rows.iter().filter(|row| row.table == table && row.part == part);
+                let mut rows: Vec<&Row> =
+                    rows.filter(|row| row.value.is_some() && row.key >= from).collect();
                 rows.sort_by(|a, b| a.key.cmp(&b.key));
                 (200, page(&rows, inner.ver, self.now_ms()))
             }
@@ -131,19 +137,16 @@
 }
 
 impl Inner {
-    fn put(&mut self, table: &str, key: &str, value: Option<String>) {
-        self.ver += 1;
-        self.set(table, key, value);
-    }
-
     /// Sets a row at the current version.
-    fn set(&mut self, table: &str, key: &str, value: Option<String>) {
+    fn set(&mut self, table: &str, part: &str, key: &str, value: Option<String>) {
         let ver = self.ver;
-        let known = self.rows.iter_mut().find(|row| row.table == table && row.key == key);
+        let is_it = |row: &&mut Row| row.table == table && row.part == part && row.key == key;
+        let known = self.rows.iter_mut().find(is_it);
         match known {
             Some(row) => (row.value, row.ver) = (value, ver),
             None => self.rows.push(Row {
                 table: table.to_owned(),
+                part: part.to_owned(),
                 key: key.to_owned(),
                 value,
                 ver,
@@ -156,11 +159,9 @@
             return (400, "{}".to_owned());
         };
         for wanted in call.get("expected_revision").list() {
-            let (table, key) = (wanted.get("table").text(), wanted.get("key").text());
-            let found = self
-                .rows
-                .iter()
-                .find(|row| row.table == table && row.key == key && row.value.is_some());
+            let [table, part, key] = ["table", "part", "key"].map(|name| wanted.get(name).text());
+            let is_it = |row: &&Row| row.table == table && row.part == part && row.key == key;
+            let found = self.rows.iter().filter(|row| row.value.is_some()).find(is_it);
             if found.map_or(0, |row| row.ver) != wanted.get("ver").number() {
                 let found: Vec<&Row> = found.into_iter().collect();
                 return (412, page(&found, self.ver, now_ms));
@@ -173,11 +174,13 @@
         }
         self.ver += 1;
         for row in written {
+            let [table, part, key] = ["table", "part", "key"].map(|name| row.get(name).text());
             let value = row.get("value").text().to_owned();
-            self.set(row.get("table").text(), row.get("key").text(), Some(value));
+            self.set(table, part, key, Some(value));
         }
         for row in call.get("remove").list() {
-            self.set(row.get("table").text(), row.get("key").text(), None);
+            let [table, part, key] = ["table", "part", "key"].map(|name| row.get(name).text());
+            self.set(table, part, key, None);
         }
         (200, format!("{{\"ver\":{},\"now_ms\":{now_ms}}}", self.ver))
     }
@@ -192,8 +195,8 @@
                 None => "\"deleted\":true".to_owned(),
             };
             format!(
-                "{{\"table\":\"{}\",\"part\":\"\",\"key\":\"{}\",\"ver\":{},{rest}}}",
-                row.table, row.key, row.ver
+                "{{\"table\":\"{}\",\"part\":\"{}\",\"key\":\"{}\",\"ver\":{},{rest}}}",
+                row.table, row.part, row.key, row.ver
             )
         })
         .collect();
