--- a/review/stand-ins/foreign_service.rs
+++ b/review/stand-ins/foreign_service.rs
@@ -186,20 +186,22 @@
     let mut after_report = 0;
     for (id, outcome) in outcomes {
         let runs = arrivals.iter().filter(|arrival| arrival.request == *id && arrival.ran);
+        let mut places = Vec::new();
         for arrival in runs {
             let service = RUNNERS.iter().find(|(id, _)| *id == arrival.server);
             let service = service.map_or("", |(_, service)| *service);
-            if service == "bookings" {
-                continue;
+            places.push(format!("{} of {service}", arrival.server));
+            if service != "bookings" {
+                foreign += 1;
+                last = last.max(arrival.at.saturating_duration_since(written));
+                after_report += usize::from(arrival.at > reported);
             }
-            foreign += 1;
-            last = last.max(arrival.at.saturating_duration_since(written));
-            after_report += usize::from(arrival.at > reported);
-            record.line(&format!(
-                "request {id} on /book/ was run by {} of the service {service}; its client got {outcome}",
-                arrival.server
-            ));
         }
+        let places = match places.is_empty() {
+            true => "nobody".to_owned(),
+            false => places.join(" and "),
+        };
+        record.line(&format!("POST /book/7 with id {id}: run by {places}; the client got {outcome}"));
     }
     record.line(&format!(
         "{} requests on /book/, which every manifest sends to bookings; {foreign} of them were run by another \
