--- a/review/stand-ins/large_bodies.rs
+++ b/review/stand-ins/large_bodies.rs
@@ -11,7 +11,7 @@
 use crate::client::{self, Outcome};
 use crate::host::{Host, Settings};
 use crate::record::Record;
-use crate::runner::{Arrival, Runner, Work};
+use crate::runner::{Arrival, Runner, Silence, Work};
 use crate::store::Store;
 
 /// `max_body_bytes` of the manifest, as the bench's messages for the site show it.
@@ -65,7 +65,7 @@
     for number in 0..9u8 {
         let work = match number < 4 {
             true => Work::Prefill,
-            false => Work::Decode(14, Duration::from_millis(200)),
+            false => Work::Decode(14, Duration::from_millis(200), Silence::default()),
         };
         let zone = ZONES[number as usize % 2].0;
         let id = format!("i-{number}");
--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -11,6 +11,7 @@
 mod json;
 mod large_bodies;
 mod record;
+mod refused_move;
 mod runner;
 mod store;
 
@@ -41,6 +42,7 @@
             let troubles = [Trouble::EntryInOtherPart, Trouble::DraftInOtherPart];
             foreign_service::run(folder, &troubles, trouble)
         }
+        "refused-move" => refused_move::run(folder, trouble),
         _ => Verdict::CouldNotRun,
     };
     match verdict {
--- a/review/stand-ins/runner.rs
+++ b/review/stand-ins/runner.rs
@@ -17,10 +17,15 @@
     /// Answers of 800 bytes, each after this time.
     Plain(Duration),
     Prefill,
-    /// Streams of this many events, with this time between two of them.
-    Decode(u64, Duration),
+    /// Streams of this many events, with this time between two of them, and silent now and then.
+    Decode(u64, Duration, Silence),
+    /// Every slot and place in the queue is taken by other callers.
+    Full,
 }
 
+/// Time until which a runner sends nothing; it goes on afterwards.
+pub type Silence = Arc<Mutex<Option<Instant>>>;
+
 /// A request that a runner received.
 #[derive(Clone, Debug)]
 pub struct Arrival {
@@ -37,9 +42,13 @@
     pub addr: SocketAddr,
     pub service: &'static str,
     pub zone: &'static str,
+    /// Whether its entry names the stage of a model engine.
+    pub is_engine: bool,
     work: Work,
     slots: usize,
     busy: Arc<AtomicUsize>,
+    /// Runs whose channel was closed by its caller before the end.
+    pub cut: Arc<AtomicUsize>,
     next: Arc<AtomicU64>,
     arrivals: Arc<Mutex<Vec<Arrival>>>,
     born: u64,
@@ -61,9 +70,11 @@
             addr: listener.local_addr().expect("runner has an address"),
             service,
             zone,
+            is_engine: true,
             work,
             slots,
             busy: Arc::default(),
+            cut: Arc::default(),
             next: Arc::default(),
             arrivals: arrivals.clone(),
             born: unix_ms(),
@@ -81,8 +92,9 @@
     /// Its entry in the store.
     pub fn entry(&self, sequence: u64) -> String {
         let stage = match self.work {
-            Work::Plain(_) => "",
+            Work::Plain(_) | Work::Full => "",
             Work::Prefill => "\"stage\":\"prefill\",\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}],",
+            Work::Decode(..) if !self.is_engine => "",
             Work::Decode(..) => "\"stage\":\"decode\",\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}],",
         };
         format!(
@@ -138,7 +150,8 @@
             request,
             ran: false,
         };
-        if self.busy.fetch_add(1, Ordering::Relaxed) >= self.slots {
+        let is_full = matches!(self.work, Work::Full);
+        if self.busy.fetch_add(1, Ordering::Relaxed) >= self.slots || is_full {
             self.busy.fetch_sub(1, Ordering::Relaxed);
             self.arrivals.lock().unwrap().push(arrival);
             return send(stream, 503, &format!("{echo}X-Burdockvale-Not-Run: 1\r\n"), "");
@@ -146,6 +159,9 @@
         arrival.ran = true;
         self.arrivals.lock().unwrap().push(arrival);
         let answered = self.run(stream, &echo, number);
+        if answered.is_err() {
+            self.cut.fetch_add(1, Ordering::Relaxed);
+        }
         self.busy.fetch_sub(1, Ordering::Relaxed);
         answered
     }
@@ -157,7 +173,7 @@
                 std::thread::sleep(time);
                 send(stream, 200, &format!("{echo}{stamp}"), &"x".repeat(800))
             }
-            Work::Decode(events, pause) => {
+            Work::Decode(events, pause, ref silence) => {
                 write!(
                     stream,
                     "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\
@@ -165,12 +181,16 @@
                 )?;
                 for event in 1..=events {
                     std::thread::sleep(pause);
+                    let until = *silence.lock().unwrap();
+                    std::thread::sleep(until.map_or(Duration::ZERO, |until| {
+                        until.saturating_duration_since(Instant::now())
+                    }));
                     let text = format!("id: {event}\ndata: {}\n\n", "x".repeat(85));
                     write!(stream, "{:x}\r\n{text}\r\n", text.len())?;
                 }
                 stream.write_all(b"0\r\n\r\n")
             }
-            Work::Prefill => send(stream, 421, echo, ""),
+            Work::Prefill | Work::Full => send(stream, 421, echo, ""),
         }
     }
 }
