edge: leave a silent engine only when another one has accepted the request

Callers saw a stream that was cut (LOST) although its engine went on a moment later: after 1.2 s of silence the connection to the engine was closed as soon as another one was found, and if that one refused, was reset or could not import the KV cache, nothing was left. Cause: the move was one step, and its first half could not be taken back. The search now includes the send. The silent engine keeps the request until another one has answered with a stream, or for 300 ms (OVERLAP) after it was sent to one that says nothing, because two engines must not work on a request for longer than 400 ms. While another engine may run the request, replies of the silent one are not used, so both are never at work for longer. If the next one refuses later than that, the engine that was left may take the request again.

--- a/crates/edge/src/model/decode.rs
+++ b/crates/edge/src/model/decode.rs
@@ -21,7 +21,7 @@
 use crate::edge::TrackedSend;
 use crate::plain::implies_not_run;
 use crate::retries::RetryKind;
-use crate::send::{Answer, Connection, SendError, send};
+use crate::send::{Answer, Connection, SendError, is_event_stream, send};
 
 /// Interval at which another decode engine is sought while the KV cache handle of a prompt is
 /// valid.
@@ -141,6 +141,7 @@
         let mut is_silent = false;
         let run = WatchedRun::begin(&edge, &req, &engine);
         self.retries.begin();
+        self.offered_at.send_replace(Some(now));
         let waited = {
             let mut sending = pin!(send(
                 &edge,
@@ -158,30 +159,46 @@
                     // The engine may run the request, which a search elsewhere has to consider.
                     self.runs += 1;
                     let may_move = self.may_run_again();
-                    self.wait_for(&engine.id, silence, may_move, sending, Result::is_err)
-                        .await
+                    self.wait_for(
+                        &engine.id,
+                        silence,
+                        may_move,
+                        sending,
+                        Result::is_err,
+                        ModelCall::search_opened,
+                        || {},
+                    )
+                    .await
                 }
             }
         };
+        self.offered_at.send_replace(None);
         if let (Some(reservation), Waited::Engine(Ok(_))) = (&mut reservation, &waited) {
             reservation.used = true;
         }
         let delivery = match &waited {
             Waited::Engine(Ok(answer)) if !answer.facts.not_run => Delivery::Accepted,
             Waited::Engine(Err(SendError::Unsent(_))) => Delivery::NotSent,
-            Waited::Engine(_) | Waited::Moved(_) | Waited::DeadlinePassed => Delivery::Refused,
+            Waited::Engine(_) | Waited::Moved(_) | Waited::Lost(_) | Waited::DeadlinePassed => {
+                Delivery::Refused
+            }
         };
         self.retries.end(SendKind::Run, delivery);
         let sent = match waited {
-            Waited::Engine(sent) => sent,
-            Waited::DeadlinePassed => Err(SendError::Timeout(remaining)),
-            Waited::Moved(next) => {
+            Waited::Engine(sent) => Ok(sent),
+            Waited::DeadlinePassed => Ok(Err(SendError::Timeout(remaining))),
+            Waited::Moved(next) => Err(PlanResult::Opened(Box::new(next))),
+            Waited::Lost(failure) => Err(PlanResult::Fail(failure)),
+        };
+        let sent = match sent {
+            Ok(sent) => sent,
+            Err(result) => {
                 let err = SendError::Timeout(self.edge.now() - now);
                 self.record_failed_send(&engine, tracked_send, &err);
                 if let Some(prompt) = prompt {
                     prompt.consumed = true;
                 }
-                return PlanResult::Moved(next);
+                return result;
             }
         };
         if is_silent {
@@ -292,7 +309,14 @@
             counters::retry("server_error");
             return PlanResult::TryNextPlan;
         }
-        if is_failure {
+        let is_stream = status == StatusCode::OK && is_event_stream(answer.response.headers());
+        if self.has_begun && !is_stream && self.may_run_again() {
+            tracked_send.end(SendOutcome::Answered { error: true });
+            self.exclude(&engine.id);
+            counters::retry("no_event_stream");
+            return PlanResult::TryNextPlan;
+        }
+        if is_failure || (self.has_begun && !is_stream) {
             tracked_send.end(SendOutcome::Answered { error: true });
             return PlanResult::Fail(Failure::AnswerLost);
         }
--- a/crates/edge/src/model/mod.rs
+++ b/crates/edge/src/model/mod.rs
@@ -6,16 +6,17 @@
 mod reservation;
 mod silence;
 
-use std::pin::Pin;
 use std::sync::Arc;
 
 use bv_admit::{ModelPlan, ModelRequest, SendOutcome, Work};
 use bv_retry::Purpose;
 use bv_roster::Registration;
 use bv_types::{BackendId, Millis, Refusal, Tokens};
+use tokio::sync::watch;
 
 use self::decode::DecodeTarget;
 use self::prefill::{Prefill, PrefilledPrompt};
+use self::silence::SearchFuture;
 pub(crate) use self::silence::Waited;
 use crate::answer::{DEFAULT_RETRY_AFTER, Failure};
 use crate::counters;
@@ -50,6 +51,10 @@
     /// Number of sends of all kinds.
     sends: u32,
     retries: Retries,
+    /// When the request was sent to an engine that has neither accepted nor refused it yet.
+    offered_at: watch::Sender<Option<Millis>>,
+    /// Whether the caller has received the head of a stream, so that only another stream may follow.
+    pub has_begun: bool,
     /// Tokens of prompt and answer for which KV cache capacity is planned.
     planned_tokens: Tokens,
     /// Tokens in one event of the service's streams.
@@ -75,6 +80,13 @@
     pub answer: Answer,
 }
 
+impl OpenedStream {
+    /// Ends the send with an answer that is not used.
+    fn end_with_error(self) {
+        self.tracked_send.end(SendOutcome::Answered { error: true });
+    }
+}
+
 /// A decode engine that is ready for the request, with the prompt if it was prefilled apart.
 #[derive(Debug)]
 pub(crate) struct PreparedDecode {
@@ -85,17 +97,11 @@
     placed_at: Millis,
 }
 
-/// Result of [`ModelCall::prepare`].
-type PreparedFuture<'a> =
-    Pin<Box<dyn Future<Output = Result<PreparedDecode, Failure>> + Send + 'a>>;
-
 /// Result of sending the request to a prepared engine.
 enum PlanResult {
     Opened(Box<OpenedStream>),
     /// Another plan may be tried.
     TryNextPlan,
-    /// The engine was silent, and another one is ready.
-    Moved(Box<PreparedDecode>),
     Fail(Failure),
 }
 
@@ -125,6 +131,8 @@
             runs: 0,
             sends: 0,
             retries,
+            offered_at: watch::Sender::new(None),
+            has_begun: false,
             placed_at: Millis::ZERO,
             prefilled_at: None,
             first_at: None,
@@ -174,7 +182,7 @@
     ///
     /// # Errors
     /// No engine can run it in time.
-    pub fn prepare(&mut self) -> PreparedFuture<'_> {
+    pub fn prepare(&mut self) -> SearchFuture<'_, PreparedDecode> {
         // Boxed because a search for another prefill engine prepares a decode engine as well.
         Box::pin(async move {
             loop {
@@ -227,7 +235,6 @@
                     self.retries.release();
                     return Ok(*opened);
                 }
-                PlanResult::Moved(next) => *next,
                 PlanResult::TryNextPlan => self.prepare().await?,
                 PlanResult::Fail(failure) => return Err(failure),
             }
--- a/crates/edge/src/model/prefill.rs
+++ b/crates/edge/src/model/prefill.rs
@@ -119,12 +119,24 @@
         );
         // A request that still can be refused does not wait for the engine until its deadline.
         let silence = Silence::new(began, patience, self.placement_limit(began));
-        let waited = self.wait_for(&engine.id, silence, true, prefilling, Result::is_err);
-        let waited = waited.await;
+        let waited = self
+            .wait_for(
+                &engine.id,
+                silence,
+                true,
+                prefilling,
+                Result::is_err,
+                ModelCall::search_prepared,
+                || {},
+            )
+            .await;
         let delivery = match &waited {
             Waited::Engine(Ok(_)) => Delivery::Accepted,
             Waited::Engine(Err(PrefillError::Failed(Fault::Connect, _))) => Delivery::NotSent,
-            Waited::Engine(Err(_)) | Waited::Moved(_) | Waited::DeadlinePassed => Delivery::Refused,
+            Waited::Engine(Err(_))
+            | Waited::Moved(_)
+            | Waited::Lost(_)
+            | Waited::DeadlinePassed => Delivery::Refused,
         };
         self.retries.end(SendKind::Prefill, delivery);
         let result = match waited {
@@ -132,9 +144,11 @@
             Waited::Moved(prepared) => {
                 tracked_send.end(SendOutcome::Failed(Fault::NoAnswer));
                 counters::retry("timeout");
-                return Prefill::Moved(prepared);
+                return Prefill::Moved(Box::new(prepared));
+            }
+            Waited::Lost(_) | Waited::DeadlinePassed => {
+                Err(PrefillError::Failed(Fault::NoAnswer, "timeout"))
             }
-            Waited::DeadlinePassed => Err(PrefillError::Failed(Fault::NoAnswer, "timeout")),
         };
         let (outcome, reason) = match result {
             Ok(read) => {
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use futures_util::stream;
 use http::response::Parts;
-use http::{Response, StatusCode, header};
+use http::{Response, header};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 use tokio::sync::mpsc;
@@ -22,15 +22,13 @@
 use crate::edge::{Edge, RequestCountGuard};
 use crate::event_order::EventOrder;
 use crate::events::EventReader;
-use crate::model::{ModelCall, OpenedStream, PreparedDecode, STALL_TIMEOUT, Waited};
+use crate::model::{ModelCall, OpenedStream, STALL_TIMEOUT, Waited};
 use crate::plain::caller_response;
-use crate::send::{has_marked_end, read_answer};
+use crate::send::{has_marked_end, is_event_stream, read_answer};
 
 /// Chunks of a stream that are buffered for a slow caller.
 const QUEUED_CHUNKS: usize = 4;
 
-const EVENT_STREAM: &[u8] = b"text/event-stream";
-
 /// A message to the response body of a stream.
 enum Chunk {
     Events(Bytes),
@@ -45,8 +43,10 @@
     Broken(&'static str, Fault),
     /// The server ended the connection too early.
     Lost(&'static str, Fault),
-    /// The server is silent, and another one is ready.
-    Silent(Box<PreparedDecode>),
+    /// The server is silent, and another one has accepted the request.
+    Moved(Box<OpenedStream>),
+    /// The server was silent and has been left, and no other one took over.
+    Left,
     /// The deadline of the request has passed.
     DeadlinePassed,
 }
@@ -64,14 +64,16 @@
     }
     let (mut parts, body) = opened.answer.response.into_parts();
     let has_marked_end = has_marked_end(&parts.headers);
+    let is_resumable = is_event_stream(&parts.headers);
     strip_answer(&mut parts.headers);
+    call.has_begun = true;
     let (tx, rx) = mpsc::channel(QUEUED_CHUNKS);
     let relay = Relay {
         edge: edge.clone(),
         call,
         reader: EventReader::default(),
         order: EventOrder::begin(has_marked_end),
-        is_resumable: is_event_stream(&parts),
+        is_resumable,
         tx,
         last_event_at: None,
         opened_at: edge.now(),
@@ -81,7 +83,7 @@
         tracked_send: opened.tracked_send,
         run: opened.run,
         has_marked_end,
-        channel: opened.answer.channel,
+        channel: Some(opened.answer.channel),
         body,
     };
     tokio::spawn(async move {
@@ -108,19 +110,10 @@
     }
 }
 
-/// Whether an answer announces events. One without a content type is judged by its events.
-fn is_event_stream(head: &Parts) -> bool {
-    let content_type = head.headers.get(header::CONTENT_TYPE);
-    content_type.is_none_or(|value| {
-        let media_type = value.as_bytes().split(|b| *b == b';').next();
-        media_type.is_some_and(|text| text.trim_ascii().eq_ignore_ascii_case(EVENT_STREAM))
-    })
-}
-
 /// Whether an answer names the content type of event streams and marks the end of its body.
 fn is_marked_event_stream(head: &Parts) -> bool {
     let is_named = head.headers.contains_key(header::CONTENT_TYPE);
-    is_named && is_event_stream(head) && has_marked_end(&head.headers)
+    is_named && is_event_stream(&head.headers) && has_marked_end(&head.headers)
 }
 
 fn body_from(rx: mpsc::Receiver<Chunk>) -> Body {
@@ -143,7 +136,8 @@
     run: WatchedRun,
     /// Whether the end of the stream is marked in the answer.
     has_marked_end: bool,
-    channel: bv_link::Channel,
+    /// `None` once the server has been left.
+    channel: Option<bv_link::Channel>,
     body: Incoming,
 }
 
@@ -217,13 +211,17 @@
                     tracked_send.end(SendOutcome::Failed(fault));
                     reason
                 }
-                SourceEnd::Silent(prepared) => {
+                SourceEnd::Left => {
+                    tracked_send.end(SendOutcome::Failed(Fault::NoAnswer));
+                    return self.break_off(&server, "timeout");
+                }
+                SourceEnd::Moved(opened) => {
                     tracked_send.end(SendOutcome::Failed(Fault::NoAnswer));
-                    next = Some(prepared);
+                    next = Some(opened);
                     "timeout"
                 }
             };
-            if !self.may_resume() {
+            if next.is_none() && !self.may_resume() {
                 return self.break_off(&server, reason);
             }
             self.edge
@@ -232,48 +230,35 @@
             counters::retry("stream_resumed");
             self.call.exclude(&server);
             self.reader.clear();
-            source = match self.resume(next).await {
-                Some(next) => next,
+            if next.is_none() {
+                next = self.resume().await;
+            }
+            source = match next {
+                Some(next) => self.begin_resumed(*next),
                 None => return self.break_off(&server, reason),
             };
         }
     }
 
-    /// Resumes the stream at another server: at `prepared` if there is one.
-    async fn resume(&mut self, prepared: Option<Box<PreparedDecode>>) -> Option<Source> {
-        let mut prepared = prepared;
-        loop {
-            let call = &mut self.call;
-            let opening = async {
-                match prepared.take() {
-                    Some(prepared) => call.start(*prepared).await,
-                    None => call.open().await,
-                }
-            };
-            let opened = tokio::select! {
-                opened = opening => opened.ok()?,
-                () = self.tx.closed() => return None,
-            };
-            let (parts, body) = opened.answer.response.into_parts();
-            if parts.status == StatusCode::OK && is_event_stream(&parts) {
-                self.order.begin_resumed(is_marked_event_stream(&parts));
-                return Some(Source {
-                    server: opened.server,
-                    tracked_send: opened.tracked_send,
-                    run: opened.run,
-                    has_marked_end: has_marked_end(&parts.headers),
-                    channel: opened.answer.channel,
-                    body,
-                });
-            }
-            opened
-                .tracked_send
-                .end(SendOutcome::Answered { error: true });
-            if !self.may_resume() {
-                return None;
-            }
-            counters::retry("no_event_stream");
-            self.call.exclude(&opened.server);
+    /// Resumes the stream at another server.
+    async fn resume(&mut self) -> Option<Box<OpenedStream>> {
+        tokio::select! {
+            opened = self.call.open() => opened.ok().map(Box::new),
+            () = self.tx.closed() => None,
+        }
+    }
+
+    /// Begins to read the stream of a server that resumed it.
+    fn begin_resumed(&mut self, opened: OpenedStream) -> Source {
+        let (parts, body) = opened.answer.response.into_parts();
+        self.order.begin_resumed(is_marked_event_stream(&parts));
+        Source {
+            server: opened.server,
+            tracked_send: opened.tracked_send,
+            run: opened.run,
+            has_marked_end: has_marked_end(&parts.headers),
+            channel: Some(opened.answer.channel),
+            body,
         }
     }
 
@@ -294,6 +279,8 @@
                 may_move,
                 source.body.frame(),
                 |frame| matches!(frame, Some(Err(_))),
+                ModelCall::search_opened,
+                || drop(source.channel.take()),
             );
             let waited = tokio::select! {
                 waited = waiting => waited,
@@ -301,7 +288,8 @@
             };
             let frame = match waited {
                 Waited::Engine(frame) => frame,
-                Waited::Moved(prepared) => return SourceEnd::Silent(prepared),
+                Waited::Moved(opened) => return SourceEnd::Moved(Box::new(opened)),
+                Waited::Lost(_) => return SourceEnd::Left,
                 Waited::DeadlinePassed => return SourceEnd::DeadlinePassed,
             };
             if self.edge.now() - began >= STALL_TIMEOUT {
--- a/crates/edge/src/send.rs
+++ b/crates/edge/src/send.rs
@@ -29,6 +29,8 @@
 /// Largest answer body that is buffered.
 pub(crate) const MAX_ANSWER_BYTES: usize = 8 << 20;
 
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+
 /// Failure of a send.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum SendError {
@@ -223,6 +225,15 @@
     }
 }
 
+/// Whether an answer announces events. One without a content type is judged by its events.
+pub(crate) fn is_event_stream(headers: &HeaderMap) -> bool {
+    let content_type = headers.get(header::CONTENT_TYPE);
+    content_type.is_none_or(|value| {
+        let media_type = value.as_bytes().split(|b| *b == b';').next();
+        media_type.is_some_and(|text| text.trim_ascii().eq_ignore_ascii_case(EVENT_STREAM))
+    })
+}
+
 /// Whether the end of an answer's body is marked by its length or by chunks. Otherwise it ends with the
 /// connection, also if the server ends early.
 pub(crate) fn has_marked_end(headers: &HeaderMap) -> bool {
--- a/crates/retry/src/silence.rs
+++ b/crates/retry/src/silence.rs
@@ -5,6 +5,10 @@
 /// Time after a search for another server without success until the next one.
 const SEARCH_INTERVAL: Millis = Millis(200);
 
+/// Longest time for which a silent server keeps a request that was sent to another one and neither
+/// accepted nor refused there. Two servers must not work on a request for longer than 400 ms.
+pub const OVERLAP: Millis = Millis(300);
+
 /// What to do about a silent server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SilenceStep {
@@ -19,7 +23,8 @@
 /// The silence of a server that works on a request.
 ///
 /// A sound server may pause for a second or more, so silence is no reason to end a request: it only
-/// starts the search for another server, and the silent one is left when another one is ready.
+/// starts the search for another server, and the silent one is left when another one has accepted
+/// the request, or after [`OVERLAP`].
 #[derive(Debug, Clone)]
 pub struct Silence {
     began: Millis,
