--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -1,11 +1,11 @@
 //! Request-response calls of plain services.
 
-use std::pin::pin;
+use std::pin::Pin;
 use std::sync::Arc;
 
 use bv_admit::{CallRequest, Fault, PlacementError, SendOutcome, Work};
 use bv_platform::{BackendHeaders, strip_answer};
-use bv_retry::{Delivery, SendKind, Silence, SilenceStep};
+use bv_retry::{Delivery, OVERLAP, SendKind, Silence, SilenceStep};
 use bv_roster::Registration;
 use bv_types::{BackendId, Millis, Refusal, Tokens};
 use bytes::Bytes;
@@ -55,21 +55,41 @@
     is_reused: bool,
 }
 
+/// A call that was sent to a server.
+struct Sending<'a> {
+    server: Registration,
+    tracked_send: TrackedSend,
+    run: WatchedRun,
+    sent_at: Millis,
+    is_reused: bool,
+    /// Waits for the head of the answer; dropping it closes the connection.
+    answer: AnswerFuture<'a>,
+}
+
+type AnswerFuture<'a> = Pin<Box<dyn Future<Output = Result<Answer, SendError>> + Send + 'a>>;
+
 /// What ended the wait for the answer of a server.
-enum Waited {
+enum Waited<'a> {
     Answer(Result<Answer, SendError>),
-    /// The server is silent, and another one is ready.
-    Moved(Target),
+    /// The server is left with this result, and the call goes on at another one.
+    Moved(Result<Answer, SendError>, Box<Sending<'a>>),
+}
+
+/// What came first while two servers had the call.
+enum First {
+    Answer(Result<Answer, SendError>),
+    Next(Result<Answer, SendError>),
+    OverlapEnd,
 }
 
 /// Result of one send.
-enum SendResult {
+enum SendResult<'a> {
     /// The answer for the caller.
     Done(Response<Body>),
     /// Another server may be tried.
     TryNext,
-    /// The server was silent, and another one is ready.
-    Moved(Target),
+    /// The server was silent, and another one has the call.
+    Moved(Box<Sending<'a>>),
     /// The request ends.
     Fail(Failure),
 }
@@ -87,22 +107,25 @@
         fresh_only: false,
         error_response: None,
     };
-    let mut moved = None;
+    let mut moved: Option<Box<Sending<'_>>> = None;
     loop {
-        let target = match moved.take().map_or_else(|| call.next(), Ok) {
-            Ok(target) => target,
-            Err(failure) => return call.give_up(failure),
+        let sending = match moved.take() {
+            Some(sending) => *sending,
+            None => match call.next() {
+                Ok(target) => call.begin(target),
+                Err(failure) => return call.give_up(failure),
+            },
         };
-        match call.send_to(target).await {
+        match call.finish(sending).await {
             SendResult::Done(response) => return Ok(response),
             SendResult::TryNext => {}
-            SendResult::Moved(target) => moved = Some(target),
+            SendResult::Moved(sending) => moved = Some(sending),
             SendResult::Fail(failure) => return call.give_up(failure),
         }
     }
 }
 
-impl Call<'_> {
+impl<'a> Call<'a> {
     /// Chooses the next server and a connection to it.
     fn next(&mut self) -> Result<Target, Failure> {
         let server = self.place()?;
@@ -179,114 +202,144 @@
         }
     }
 
-    async fn send_to(&mut self, target: Target) -> SendResult {
+    /// Sends the call.
+    fn begin(&mut self, target: Target) -> Sending<'a> {
         let Target {
             server,
             connection,
             is_reused,
         } = target;
-        let now = self.edge.now();
+        let (edge, req) = (self.edge, self.req);
+        let sent_at = edge.now();
         self.tried.push(server.id.clone());
-        let stuck_after = self.objectives(STUCK_OBJECTIVES);
         let work = Work {
             tokens: Tokens(0),
-            stuck_after,
+            stuck_after: self.objectives(STUCK_OBJECTIVES),
         };
-        let tracked_send = TrackedSend::begin(self.edge, &server.id, work);
-        let backend_headers = BackendHeaders::default();
-        let (edge, req) = (self.edge, self.req);
-        let run = WatchedRun::begin(edge, req, &server);
         self.retries.begin();
-        let sent = send(
-            edge,
-            req,
-            &server,
-            &backend_headers,
-            connection,
-            req.remaining(now),
-        );
-        match self.answer_or_next(&server, now, sent).await {
-            Waited::Answer(Ok(answer)) => {
-                self.handle_answer(server, tracked_send, run, answer, now)
-                    .await
-            }
-            Waited::Answer(Err(err)) => {
-                run.fail(&err);
-                if is_reused {
-                    // The fault may be that of the reused connection, so the server is tried again
-                    // on a new one.
-                    self.tried.retain(|id| *id != server.id);
-                    self.fresh_only = true;
-                }
-                self.handle_failure(&server, tracked_send, err)
+        let to = server.clone();
+        Sending {
+            tracked_send: TrackedSend::begin(edge, &server.id, work),
+            run: WatchedRun::begin(edge, req, &server),
+            server,
+            sent_at,
+            is_reused,
+            answer: Box::pin(async move {
+                let headers = BackendHeaders::default();
+                let remaining = req.remaining(sent_at);
+                send(edge, req, &to, &headers, connection, remaining).await
+            }),
+        }
+    }
+
+    async fn finish(&mut self, mut sending: Sending<'a>) -> SendResult<'a> {
+        match self.answer_or_next(&mut sending).await {
+            Waited::Answer(Ok(answer)) => self.handle_answer(sending, answer).await,
+            Waited::Answer(Err(err)) => self.handle_failure(sending, err),
+            Waited::Moved(Ok(refusal), next) => {
+                self.handle_refusal(sending, &refusal);
+                SendResult::Moved(next)
             }
-            Waited::Moved(next) => {
-                let err = SendError::Timeout(edge.now() - now);
-                self.handle_failure(&server, tracked_send, err);
+            Waited::Moved(Err(err), next) => {
+                self.handle_failure(sending, err);
                 SendResult::Moved(next)
             }
         }
     }
 
     /// Waits for the answer of a server. When an idempotent call is late, another server is sought
-    /// while the call stays at this one.
-    async fn answer_or_next(
-        &mut self,
-        server: &Registration,
-        sent_at: Millis,
-        sent: impl Future<Output = Result<Answer, SendError>>,
-    ) -> Waited {
+    /// while the call stays at this one, which is left when the other one answers or has had the
+    /// call for [`OVERLAP`].
+    async fn answer_or_next(&mut self, sending: &mut Sending<'a>) -> Waited<'a> {
         let (edge, req) = (self.edge, self.req);
         let patience = self.objectives(ATTEMPT_TIMEOUT_OBJECTIVES);
-        let may_move = req.route.kind.may_repeat() && self.runs + 1 < req.route.max_attempts;
-        let mut silence = Silence::new(sent_at, patience, req.deadline);
-        let mut sent = pin!(sent);
+        let mut silence = Silence::new(sending.sent_at, patience, req.deadline);
+        let timeout = || SendError::Timeout(edge.now() - sending.sent_at);
         let mut has_searched = false;
-        let record = |silence: &Silence, outcome| {
-            let length = silence.length(edge.now());
-            record_search(edge, req, &server.id, length, outcome);
-        };
-        loop {
+        let (waited, outcome) = loop {
+            let may_move = req.route.kind.may_repeat() && self.runs + 1 < req.route.max_attempts;
             match silence.step(edge.now(), may_move) {
                 SilenceStep::DeadlinePassed => {
-                    if has_searched {
-                        record(&silence, SearchOutcome::DeadlinePassed);
-                    }
-                    return Waited::Answer(Err(SendError::Timeout(req.deadline - sent_at)));
+                    break (
+                        Waited::Answer(Err(timeout())),
+                        SearchOutcome::DeadlinePassed,
+                    );
                 }
                 SilenceStep::Wait(time) => {
-                    let answer = tokio::time::timeout(time.duration(), &mut sent).await;
-                    if let Ok(answer) = answer {
-                        if has_searched {
-                            record(&silence, SearchOutcome::of(&answer));
-                        }
-                        return Waited::Answer(answer);
+                    let waiting = tokio::time::timeout(time.duration(), &mut sending.answer);
+                    if let Ok(answer) = waiting.await {
+                        let outcome = SearchOutcome::of(&answer);
+                        break (Waited::Answer(answer), outcome);
                     }
+                    continue;
                 }
-                SilenceStep::Search => {
-                    if !has_searched {
-                        let length = silence.length(edge.now());
-                        edge.logs.search_began(edge.now(), req, &server.id, length);
-                        has_searched = true;
-                    }
-                    let opened = tokio::select! {
-                        biased;
-                        answer = &mut sent => {
-                            record(&silence, SearchOutcome::of(&answer));
-                            return Waited::Answer(answer);
-                        }
-                        opened = self.open_next() => opened,
+                SilenceStep::Search => {}
+            }
+            if !has_searched {
+                let length = silence.length(edge.now());
+                let server = &sending.server.id;
+                edge.logs.search_began(edge.now(), req, server, length);
+                has_searched = true;
+            }
+            let opened = tokio::select! {
+                biased;
+                answer = &mut sending.answer => {
+                    let outcome = SearchOutcome::of(&answer);
+                    break (Waited::Answer(answer), outcome);
+                }
+                opened = self.open_next() => opened,
+            };
+            let Some(target) = opened else {
+                silence.search_failed(edge.now());
+                continue;
+            };
+            let mut next = self.begin(target);
+            let first = tokio::select! {
+                biased;
+                answer = &mut sending.answer => First::Answer(answer),
+                answer = &mut next.answer => First::Next(answer),
+                () = tokio::time::sleep(OVERLAP.duration()) => First::OverlapEnd,
+            };
+            match first {
+                First::Answer(Ok(answer)) if !answer.facts.not_run => {
+                    self.cancel(next);
+                    break (Waited::Answer(Ok(answer)), SearchOutcome::WentOn);
+                }
+                First::Answer(result) => {
+                    break (Waited::Moved(result, Box::new(next)), SearchOutcome::Failed);
+                }
+                First::Next(Ok(answer)) if !answer.facts.not_run => {
+                    next.answer = Box::pin(std::future::ready(Ok(answer)));
+                    let next = Box::new(next);
+                    break (Waited::Moved(Err(timeout()), next), SearchOutcome::Moved);
+                }
+                First::Next(result) => {
+                    // Whether the call may be sent again is checked before the next search.
+                    match result {
+                        Ok(refusal) => self.handle_refusal(next, &refusal),
+                        Err(err) => self.handle_failure(next, err),
                     };
-                    match opened {
-                        Some(next) => {
-                            record(&silence, SearchOutcome::Moved);
-                            return Waited::Moved(next);
-                        }
-                        None => silence.search_failed(edge.now()),
-                    }
+                    silence.search_failed(edge.now());
+                }
+                First::OverlapEnd => {
+                    let next = Box::new(next);
+                    break (Waited::Moved(Err(timeout()), next), SearchOutcome::Moved);
                 }
             }
+        };
+        if has_searched {
+            let length = silence.length(edge.now());
+            record_search(edge, req, &sending.server.id, length, outcome);
         }
+        waited
+    }
+
+    /// Gives up a call that its server may run, because another one has answered.
+    fn cancel(&mut self, sending: Sending<'a>) {
+        drop(sending);
+        self.retries.end(SendKind::Run, Delivery::Refused);
+        self.runs += 1;
+        self.run_state = RunState::MayHaveRun;
     }
 
     /// Takes a retry and opens a connection to another server.
@@ -324,32 +377,37 @@
         Millis((self.req.route.objective.0 as f64 * factor) as u64)
     }
 
-    async fn handle_answer(
-        &mut self,
-        server: Registration,
-        tracked_send: TrackedSend,
-        run: WatchedRun,
-        answer: Answer,
-        sent_at: Millis,
-    ) -> SendResult {
-        let delivery = match answer.facts.not_run {
-            true => Delivery::Refused,
-            false => Delivery::Accepted,
-        };
-        self.retries.end(SendKind::Run, delivery);
-        let status = answer.response.status();
-        if answer.facts.misdirected {
+    /// Handles an answer that says that the call did not run.
+    fn handle_refusal(&mut self, sending: Sending<'a>, refusal: &Answer) -> SendResult<'a> {
+        self.retries.end(SendKind::Run, Delivery::Refused);
+        if refusal.facts.misdirected {
             let now = self.edge.now();
-            tracked_send.end(SendOutcome::Failed(Fault::Misdirected));
-            self.edge.logs.misdirected(now, self.req, &server.id);
+            sending
+                .tracked_send
+                .end(SendOutcome::Failed(Fault::Misdirected));
+            let server = &sending.server.id;
+            self.edge.logs.misdirected(now, self.req, server);
             counters::retry("misdirected");
             return SendResult::TryNext;
         }
+        sending.tracked_send.end(SendOutcome::Refused);
+        counters::retry("not_run");
+        SendResult::TryNext
+    }
+
+    async fn handle_answer(&mut self, sending: Sending<'a>, answer: Answer) -> SendResult<'a> {
         if answer.facts.not_run {
-            tracked_send.end(SendOutcome::Refused);
-            counters::retry("not_run");
-            return SendResult::TryNext;
+            return self.handle_refusal(sending, &answer);
         }
+        let Sending {
+            server,
+            tracked_send,
+            run,
+            sent_at,
+            ..
+        } = sending;
+        self.retries.end(SendKind::Run, Delivery::Accepted);
+        let status = answer.response.status();
         self.runs += 1;
         self.run_state = RunState::MayHaveRun;
         if !answer.facts.stamped {
@@ -393,12 +451,21 @@
         SendResult::Done(response)
     }
 
-    fn handle_failure(
-        &mut self,
-        server: &Registration,
-        tracked_send: TrackedSend,
-        err: SendError,
-    ) -> SendResult {
+    fn handle_failure(&mut self, sending: Sending<'a>, err: SendError) -> SendResult<'a> {
+        let Sending {
+            server,
+            tracked_send,
+            run,
+            is_reused,
+            ..
+        } = sending;
+        run.fail(&err);
+        if is_reused && !matches!(err, SendError::Timeout(_)) {
+            // The fault may be that of the reused connection, so the server is tried again on a new
+            // one.
+            self.tried.retain(|id| *id != server.id);
+            self.fresh_only = true;
+        }
         tracked_send.end(SendOutcome::Failed(err.fault()));
         self.edge
             .logs
@@ -425,7 +492,7 @@
         route.kind.may_repeat() && self.runs < route.max_attempts && may_retry
     }
 
-    fn retry_or_fail(&self, failure: Failure, reason: &'static str) -> SendResult {
+    fn retry_or_fail(&self, failure: Failure, reason: &'static str) -> SendResult<'a> {
         match self.may_run_again() {
             true => {
                 counters::retry(reason);
