retry, edge: leave a silent server 200 ms after the send to another one; log and count when it is left

300 ms leaves a host whose processor time runs out for 100 ms no margin to the 400 ms for which two servers may work on one request. The outcome left tells apart a move that another server accepted from one that it had only not refused yet, which the counter and the line 'server: silence ended' could not show.

--- a/crates/edge/src/model/silence.rs
+++ b/crates/edge/src/model/silence.rs
@@ -163,7 +163,7 @@
                         found => found,
                     };
                     break match found {
-                        Ok(Ok(next)) => (Waited::Moved(next), SearchOutcome::Moved),
+                        Ok(Ok(next)) => (Waited::Moved(next), SearchOutcome::Left),
                         Ok(Err(failure)) => (Waited::Lost(failure), SearchOutcome::Failed),
                         Err(_) => (Waited::DeadlinePassed, SearchOutcome::DeadlinePassed),
                     };
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -323,7 +323,7 @@
                 }
                 First::OverlapEnd => {
                     let next = Box::new(next);
-                    break (Waited::Moved(Err(timeout()), next), SearchOutcome::Moved);
+                    break (Waited::Moved(Err(timeout()), next), SearchOutcome::Left);
                 }
             }
         };
--- a/crates/edge/src/silence.rs
+++ b/crates/edge/src/silence.rs
@@ -11,9 +11,11 @@
 pub(crate) enum SearchOutcome {
     /// The silent server went on first.
     WentOn,
-    /// Another server was ready first.
+    /// Another server accepted the request first.
     Moved,
-    /// The silent server failed.
+    /// The silent server was left for one that had neither accepted nor refused yet.
+    Left,
+    /// The silent server failed, or was left and no other one took over.
     Failed,
     /// The time of the request was over.
     DeadlinePassed,
@@ -32,6 +34,7 @@
         match self {
             SearchOutcome::WentOn => "went_on",
             SearchOutcome::Moved => "moved",
+            SearchOutcome::Left => "left",
             SearchOutcome::Failed => "failed",
             SearchOutcome::DeadlinePassed => "deadline_passed",
         }
--- a/crates/retry/src/silence.rs
+++ b/crates/retry/src/silence.rs
@@ -6,8 +6,9 @@
 const SEARCH_INTERVAL: Millis = Millis(200);
 
 /// Longest time for which a silent server keeps a request that was sent to another one and neither
-/// accepted nor refused there. Two servers must not work on a request for longer than 400 ms.
-pub const OVERLAP: Millis = Millis(300);
+/// accepted nor refused there. Two servers must not work on a request for longer than 400 ms, and a
+/// host whose processor time is limited may act 100 ms late.
+pub const OVERLAP: Millis = Millis(200);
 
 /// What to do about a silent server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
