platform: take no row of another part for the configuration, a server or a removal

Callers saw requests run by servers of another service as soon as somebody kept a row in another part of the tables `op` or `servers`: a draft of the configuration was in force at once, and an entry in another part named a server. A removal in another part took a sound server out of use.

Cause: `rows-get` is asked for the empty part, but `rows-feed` returns the rows of all parts, and `RawRow` read neither `part` nor `table`. `TableCopy` took such a row for the one with the same key.

A row of another table or part is left out, in every answer and for every table, and counted. Its version still moves the position, as that of a row does: otherwise the feed would return it again at once, and a truncated answer with foreign rows only would never be passed.

--- a/crates/edge/src/counters.rs
+++ b/crates/edge/src/counters.rs
@@ -25,6 +25,7 @@
 const ROW_SOURCES: &str = "burdockvale_row_source_changes_total";
 const SOURCES_DROPPED: &str = "burdockvale_row_sources_dropped_total";
 const BAD_ROWS: &str = "burdockvale_unreadable_rows_total";
+const FOREIGN_ROWS: &str = "burdockvale_foreign_rows_total";
 const ANSWERS_REJECTED: &str = "burdockvale_row_answers_rejected_total";
 const CONFIG_VERSION: &str = "burdockvale_config_version";
 const SERVERS: &str = "burdockvale_backend_servers";
@@ -174,6 +175,10 @@
     counter!(BAD_ROWS, "table" => table).increment(1);
 }
 
+pub(crate) fn foreign_rows(table: &'static str, count: usize) {
+    counter!(FOREIGN_ROWS, "table" => table).increment(count as u64);
+}
+
 pub(crate) fn answer_rejected(table: &'static str, reason: Rejected) {
     let reason = match reason {
         Rejected::Gap => "gap",
--- a/crates/edge/src/crash_rows.rs
+++ b/crates/edge/src/crash_rows.rs
@@ -9,7 +9,7 @@
 
 use crate::counters;
 use crate::edge::Edge;
-use crate::follow::{log_unreadable_rows, table_name};
+use crate::follow::{log_left_out, log_unreadable_rows, table_name};
 
 /// Interval at which the next call is decided.
 const STEP_INTERVAL: Millis = Millis(200);
@@ -62,7 +62,7 @@
 
 async fn read(edge: &Edge) -> Result<(), StoreError> {
     let rows = edge.store.read_all(Table::Crashes).await?;
-    log_unreadable_rows(Table::Crashes, &rows.unreadable);
+    log_left_out(Table::Crashes, &rows);
     let now = edge.now();
     let mut state = edge.state();
     for row in &rows.rows {
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -2,10 +2,10 @@
 
 use std::sync::Arc;
 
-use bv_platform::{DecodeError, HostRow, StoreError, Table};
+use bv_platform::{DecodeError, HostRow, Rows, StoreError, Table};
 use bv_roster::{Answer, Extent, FeedAnswer, Rejected, TableAnswer, store_intervals};
 use bv_types::{Millis, Version};
-use tracing::{info, warn};
+use tracing::{debug, info, warn};
 
 use crate::answer_log::{AnswerLog, Origin, log_config, log_rejected, log_servers};
 use crate::counters;
@@ -146,7 +146,7 @@
             None => {
                 let began = edge.now();
                 let rows = edge.store.read_all(table).await?;
-                log_unreadable_rows(table, &rows.unreadable);
+                log_left_out(table, &rows);
                 let mut state = edge.state();
                 state.store_clock.observe(edge.now(), rows.store_time);
                 state.known.cap_reported(table, rows.version);
@@ -185,7 +185,7 @@
             result = edge.store.changes(table, after, wait) => {
                 let page = result?;
                 let (rows, now) = (page.rows, edge.now());
-                log_unreadable_rows(table, &rows.unreadable);
+                log_left_out(table, &rows);
                 if rows.rows.is_empty() && !rows.unreadable.is_empty() {
                     // The feed returns such a row at once until the position has passed it.
                     tokio::time::sleep(store_intervals::CHANGE_PAUSE.duration()).await;
@@ -196,6 +196,7 @@
                 let answer = Answer::Feed(FeedAnswer {
                     after,
                     rows: rows.rows,
+                    newest_foreign: rows.foreign.iter().copied().max(),
                     version: rows.version,
                     truncated: page.truncated,
                     store_time: rows.store_time,
@@ -335,6 +336,19 @@
     }
 }
 
+/// Counts and logs rows of an answer of the store that are not used.
+pub(crate) fn log_left_out(table: Table, rows: &Rows) {
+    log_unreadable_rows(table, &rows.unreadable);
+    if !rows.foreign.is_empty() {
+        let count = rows.foreign.len();
+        counters::foreign_rows(table_name(table), count);
+        debug!(
+            table = table_name(table),
+            count, "rows: rows of other parts ignored"
+        );
+    }
+}
+
 /// Counts and logs rows that cannot be read.
 pub(crate) fn log_unreadable_rows(table: Table, errors: &[DecodeError]) {
     let table = table_name(table);
@@ -460,7 +474,7 @@
     if !is_fresh {
         write_own_row(edge, before.store_time).await?;
     }
-    log_unreadable_rows(Table::Hosts, &before.unreadable);
+    log_left_out(Table::Hosts, &before);
     let now = edge.now();
     let mut state = edge.state();
     state.store_clock.observe(now, before.store_time);
--- a/crates/roster/src/table_copy.rs
+++ b/crates/roster/src/table_copy.rs
@@ -55,6 +55,9 @@
     pub after: Version,
     /// The rows that changed.
     pub rows: Vec<Row>,
+    /// Newest version of the rows that changed but do not belong to the table. Like a row, it shows
+    /// that the feed has passed this version.
+    pub newest_foreign: Option<Version>,
     /// Newest version of the store that it states.
     pub version: Version,
     /// Whether there are more rows than these.
@@ -178,9 +181,13 @@
             return Err(Rejected::Outdated);
         }
         let newest_row = feed.rows.iter().map(|row| row.version).max();
+        let newest_row = newest_row.max(feed.newest_foreign);
         let (up_to, confirmed_at) = match feed.truncated {
             // Of the newest transaction there may be more rows.
-            true => (newest_row.map(|row| Version(row.0 - 1)), Millis::ZERO),
+            true => (
+                newest_row.map(|row| Version(row.0.saturating_sub(1))),
+                Millis::ZERO,
+            ),
             false => (
                 newest_row.max(self.settled(feed.store_time)),
                 feed.store_time,
--- a/crates/roster/tests/replica/mod.rs
+++ b/crates/roster/tests/replica/mod.rs
@@ -328,6 +328,7 @@
             Some(after) => Call::Answered(Answer::Feed(FeedAnswer {
                 after,
                 rows: self.shown(after),
+                newest_foreign: None,
                 version,
                 truncated: false,
                 store_time,
--- a/crates/roster/tests/table_copy.rs
+++ b/crates/roster/tests/table_copy.rs
@@ -26,6 +26,7 @@
     Answer::Feed(FeedAnswer {
         after: Version(after),
         rows,
+        newest_foreign: None,
         version: Version(version),
         truncated: false,
         store_time: Millis(store_time),
@@ -97,3 +98,29 @@
     assert_eq!(copy.position(), Some(Version(11)));
     assert_eq!(copy.confirmed_at(), Some(Millis(1_000)));
 }
+
+#[test]
+fn foreign_rows_move_the_position() {
+    let mut copy = copy_at(10, 1_000);
+    let Answer::Feed(answer) = feed(10, Vec::new(), 20, 2_000) else {
+        unreachable!("the answer of a feed");
+    };
+    let foreign = FeedAnswer {
+        newest_foreign: Some(Version(14)),
+        ..answer
+    };
+    let truncated = FeedAnswer {
+        truncated: true,
+        ..foreign.clone()
+    };
+    assert_eq!(copy.take(Answer::Feed(truncated)), Ok(Vec::new()));
+    assert_eq!(copy.position(), Some(Version(13)));
+    assert_eq!(copy.confirmed_at(), Some(Millis(1_000)));
+    let changed = copy.take(Answer::Feed(FeedAnswer {
+        after: Version(13),
+        ..foreign
+    }));
+    assert_eq!(changed, Ok(Vec::new()));
+    assert_eq!(copy.position(), Some(Version(14)));
+    assert_eq!(copy.confirmed_at(), Some(Millis(2_000)));
+}
