place: compute the predicted ends of a full shard once an event

Cause: the owner of the shard answers too late. After each event it plans the queued requests, and for each pair of a prefill and a decode runner it computed the predicted end of each reservation anew, each with the batch of its runner: the work of one event grew with queued requests x pairs x reservations squared. In a full shard of 4 + 8 runners a poll's 12 reports held the state for 34 ms (debug build), where an owner is to answer within 20 ms (design, section on owners); the owner's process used about one core while the others used a fifth. Hosts then log "the owner of the shard did not answer in time", give up a finished prefill whose slot report was not answered (prefill_evicted), pass the owner over and let the second in rank grant the same slots again: decode starts queue at the engines (410, transfer_stalled). Each repeat polls all runners once more at the owner.

Change: the use and the sorted ends of each decode runner are computed once for all requests and pairs. The decisions are the same; the tests of bv-place pass unchanged.

Test, before: full_shard::polls_leave_time_for_calls panicked at crates/place/tests/full_shard.rs:83: 34.175934ms After: fastest poll 2.575163ms.

--- a/crates/place/src/admission.rs
+++ b/crates/place/src/admission.rs
@@ -114,14 +114,9 @@
         let urgent = request.class == Class::Urgent;
         let mut ends: Vec<Millis> = self
             .usable(Role::Decode)
-            .flat_map(|(_, runner)| {
-                runner
-                    .reservations
-                    .iter()
-                    .map(move |reservation| (runner, reservation))
-            })
+            .flat_map(|(_, runner)| runner.predicted_ends(now, pool))
             .filter(|(_, reservation)| urgent || reservation.request.class == Class::Waiting)
-            .map(|(runner, reservation)| runner.predicted_end(now, reservation, pool) - now)
+            .map(|(end, _)| end - now)
             .collect();
         ends.sort_unstable();
         let Some(last) = ends.last() else {
--- a/crates/place/src/planned.rs
+++ b/crates/place/src/planned.rs
@@ -59,16 +59,52 @@
     Later(f64),
 }
 
+/// Use of a decode runner, the same for all requests that are planned at one moment.
+#[derive(Debug)]
+pub(crate) struct DecodeUse {
+    index: usize,
+    usage: Usage,
+    /// What attempts that are expected to end free, by their predicted ends.
+    ending: Vec<(Millis, Usage)>,
+}
+
 impl Shard {
+    /// Use of the usable decode runners.
+    pub(crate) fn decode_uses(&self, now: Millis) -> Vec<DecodeUse> {
+        self.usable(Role::Decode)
+            .map(|(index, runner)| DecodeUse {
+                index,
+                usage: runner.usage(),
+                ending: self.ending(now, runner),
+            })
+            .collect()
+    }
+
+    /// Decoding attempts of a runner, by their predicted ends.
+    fn ending(&self, now: Millis, runner: &Runner) -> Vec<(Millis, Usage)> {
+        // The prediction for a long overdue attempt was wrong, so it may still run for a long time.
+        let mut ending: Vec<_> = runner
+            .predicted_ends(now, &self.spec.pool)
+            .filter(|(end, reservation)| {
+                reservation.phase == Phase::Decode
+                    && reservation.owns_slot
+                    && *end + MAX_OVERDUE > now
+            })
+            .map(|(end, reservation)| (end, freed_by(reservation)))
+            .collect();
+        ending.sort_by_key(|(end, _)| *end);
+        ending
+    }
+
     /// Chooses the pair of runners with the lowest predicted cost.
-    pub(crate) fn plan(&self, now: Millis, request: &Request) -> Choice {
+    pub(crate) fn plan(&self, now: Millis, request: &Request, uses: &[DecodeUse]) -> Choice {
         let preferred = self.preferred_prefill(request);
         let max_batch = self.spec.pool.max_batch(request.token_gap);
-        let decodes: Vec<(usize, Usage)> = self
-            .candidates(Role::Decode, request)
-            .into_iter()
-            .map(|index| (index, self.runners[index].usage()))
-            .filter(|(_, usage)| self.may_fit(request, usage, max_batch))
+        let candidates = self.candidates(Role::Decode, request);
+        let decodes: Vec<&DecodeUse> = uses
+            .iter()
+            .filter(|decode| candidates.contains(&decode.index))
+            .filter(|decode| self.may_fit(request, &decode.usage, max_batch))
             .collect();
         let mut best: Option<Plan> = None;
         let mut too_late = false;
@@ -83,14 +119,9 @@
                 true => prefill_ms * CACHED_PROMPT_SHARE,
                 false => 0.0,
             };
-            for (decode, usage) in &decodes {
-                let Some(plan) = self.plan_pair(
-                    now,
-                    request,
-                    (prefill, *decode),
-                    usage,
-                    wait_ms + prefill_ms,
-                ) else {
+            for decode in &decodes {
+                let plan = self.plan_pair(now, request, prefill, decode, wait_ms + prefill_ms);
+                let Some(plan) = plan else {
                     continue;
                 };
                 if plan.first_token > request.first_token_by || plan.end > request.deadline {
@@ -155,19 +186,20 @@
         &self,
         now: Millis,
         request: &Request,
-        (prefill, decode): (usize, usize),
-        usage: &Usage,
+        prefill: usize,
+        decode: &DecodeUse,
         prefill_ms: f64,
     ) -> Option<Plan> {
         let pool = &self.spec.pool;
-        let (prefill_runner, decode_runner) = (&self.runners[prefill], &self.runners[decode]);
+        let prefill_runner = &self.runners[prefill];
+        let decode_runner = &self.runners[decode.index];
         let to_prefill = self.hop_ms(&request.zone, &prefill_runner.spec.zone);
         let to_decode = self.hop_ms(&request.zone, &decode_runner.spec.zone);
         let between = self.hop_ms(&prefill_runner.spec.zone, &decode_runner.spec.zone);
         let computed = to_prefill + prefill_ms;
         // The entry host starts decode once the prefill runner has reported the end of prefill.
         let reported = computed + to_prefill;
-        let capacity = self.capacity(now, request, decode_runner, usage, reported)?;
+        let capacity = self.capacity(now, request, decode, reported)?;
         let slot = match capacity {
             Capacity::Now => reported,
             Capacity::Later(ms) => reported.max(ms),
@@ -175,7 +207,7 @@
         let link_free = (decode_runner.link_busy_until - now).0 as f64;
         let transfer = pool.transfer_ms(request.prompt) + between;
         let transferred = (slot + to_decode).max(link_free) + transfer;
-        let batch = usage.slots.min(pool.slots - 1) + 1;
+        let batch = decode.usage.slots.min(pool.slots - 1) + 1;
         let gap = pool.gap_ms(batch);
         let first = transferred + gap + to_decode;
         let output = request.max_output.0.saturating_sub(1);
@@ -185,7 +217,7 @@
         let zone_cost = zone_crossings.count() as f64 * self.spec.zone_price.0 as f64;
         Some(Plan {
             prefill,
-            decode,
+            decode: decode.index,
             owns_slot: capacity == Capacity::Now,
             prefill_end: now + ceil_millis(reported),
             transfer_end: now + ceil_millis(transferred),
@@ -200,35 +232,21 @@
         &self,
         now: Millis,
         request: &Request,
-        runner: &Runner,
-        usage: &Usage,
+        decode: &DecodeUse,
         reported_ms: f64,
     ) -> Option<Capacity> {
-        if self.fits(request, usage, &Usage::default()) {
+        if self.fits(request, &decode.usage, &Usage::default()) {
             return Some(Capacity::Now);
         }
         let until = now + ceil_millis(reported_ms + MAX_SLOT_WAIT_MS);
-        // The prediction for a long overdue attempt was wrong, so it may still run for a long time.
-        let mut ending: Vec<_> = runner
-            .reservations
-            .iter()
-            .filter(|reservation| reservation.phase == Phase::Decode && reservation.owns_slot)
-            .map(|reservation| {
-                (
-                    runner.predicted_end(now, reservation, &self.spec.pool),
-                    reservation,
-                )
-            })
-            .filter(|(end, _)| *end + MAX_OVERDUE > now && *end + END_PREDICTION_ERROR <= until)
-            .collect();
-        ending.sort_by_key(|(end, _)| *end);
+        let in_time = |end: Millis| end + END_PREDICTION_ERROR <= until;
         let mut freed = Usage::default();
-        for (end, reservation) in ending {
-            freed.slots += 1;
-            freed.pieces += reservation.pieces;
-            freed.waiting_slots += u32::from(reservation.request.class == Class::Waiting);
-            if self.fits(request, usage, &freed) {
-                return Some(Capacity::Later((end - now).0 as f64));
+        for (end, usage) in decode.ending.iter().take_while(|(end, _)| in_time(*end)) {
+            freed.slots += usage.slots;
+            freed.pieces += usage.pieces;
+            freed.waiting_slots += usage.waiting_slots;
+            if self.fits(request, &decode.usage, &freed) {
+                return Some(Capacity::Later((*end - now).0 as f64));
             }
         }
         None
@@ -257,6 +275,16 @@
     }
 }
 
+/// What the end of an attempt frees.
+fn freed_by(reservation: &Reservation) -> Usage {
+    Usage {
+        slots: 1,
+        pieces: reservation.pieces,
+        waiting_slots: u32::from(reservation.request.class == Class::Waiting),
+        ..Usage::default()
+    }
+}
+
 impl Plan {
     /// A plan of a baseline policy, which reserves a slot without regard to free capacity.
     pub(crate) fn baseline(
--- a/crates/place/src/runner.rs
+++ b/crates/place/src/runner.rs
@@ -294,12 +294,23 @@
         self.token_counter
     }
 
-    /// Predicted end of a reservation.
-    pub fn predicted_end(&self, now: Millis, reservation: &Reservation, pool: &PoolSpec) -> Millis {
+    /// Reservations with their predicted ends.
+    pub fn predicted_ends(
+        &self,
+        now: Millis,
+        pool: &PoolSpec,
+    ) -> impl Iterator<Item = (Millis, &Reservation)> {
+        let gap_ms = self.gap_ms(pool);
+        self.reservations
+            .iter()
+            .map(move |reservation| (self.predicted_end(now, reservation, gap_ms), reservation))
+    }
+
+    fn predicted_end(&self, now: Millis, reservation: &Reservation, gap_ms: f64) -> Millis {
         if reservation.phase != Phase::Decode {
             return reservation.predicted_end;
         }
-        let left_ms = (reservation.token_counter_range.1 - self.token_counter) * self.gap_ms(pool);
+        let left_ms = (reservation.token_counter_range.1 - self.token_counter) * gap_ms;
         let end = self.token_counter_at.0 as f64 + left_ms;
         // An overdue end stays in the past, where it does not count as free capacity.
         Millis(end.max(0.0) as u64).min(now + MAX_DECODE_TIME)
--- a/crates/place/src/shard.rs
+++ b/crates/place/src/shard.rs
@@ -204,9 +204,13 @@
     /// Starts or refuses the first queued request of a class that fits on a pair of runners. Stops
     /// at an aged request that does not fit. Returns whether a request left the queue.
     fn start_one(&mut self, now: Millis, class: Class, actions: &mut Vec<Action>) -> bool {
+        if self.queue(class).is_empty() {
+            return false;
+        }
         let ageing = class == Class::Waiting;
+        let uses = self.decode_uses(now);
         for index in self.queue(class).order(now, ageing, MAX_EXAMINED) {
-            let choice = self.plan(now, self.queue(class).get(index));
+            let choice = self.plan(now, self.queue(class).get(index), &uses);
             if choice == Choice::Busy {
                 // Smaller requests must not take the memory that an aged request waits for.
                 if ageing && self.queue(class).is_aged(index, now) {
