edge: return the error response of a second engine while the first one is silent

Callers of a model call got 504 at the deadline, or 502, although an engine had answered 400 at once: since the search for another engine includes the send, an answer other than a success was dropped. Now only server errors are, because the silent engine may still succeed.

Evidence: error_of_second_engine_is_returned printed left: (504, "deadline_passed"), right: (400, "too many tokens").

--- a/crates/edge/src/model/silence.rs
+++ b/crates/edge/src/model/silence.rs
@@ -68,7 +68,8 @@
     pub fn search_opened(&mut self) -> SearchFuture<'_, OpenedStream> {
         Box::pin(async move {
             let opened = self.open().await?;
-            if opened.answer.response.status().is_success() {
+            // The silent engine may still succeed where this one failed.
+            if !opened.answer.response.status().is_server_error() {
                 return Ok(opened);
             }
             opened.end_with_error();
