edge: send a call back to the server that was left when the next one refuses it late

Callers of idempotent calls got 502 although their server would have answered: it is left 200 ms after the send to another one, and if that one refused later, no server was left. Streams had a way back, calls had none. Now the call goes back to the server that was left once no other one can take it.

--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -37,6 +37,8 @@
     edge: &'a Arc<Edge>,
     req: &'a CallerRequest,
     tried: Vec<BackendId>,
+    /// Server that was left before the next one had accepted or refused the call.
+    left: Option<BackendId>,
     /// Number of servers that may have run the request.
     runs: u32,
     run_state: RunState,
@@ -101,6 +103,7 @@
         edge,
         req,
         tried: Vec::new(),
+        left: None,
         runs: 0,
         run_state: RunState::NotRun,
         retries: Retries::new(edge, &req.service),
@@ -113,6 +116,7 @@
             Some(sending) => *sending,
             None => match call.next() {
                 Ok(target) => call.begin(target),
+                Err(_) if call.may_return() => continue,
                 Err(failure) => return call.give_up(failure),
             },
         };
@@ -322,6 +326,7 @@
                     silence.search_failed(edge.now());
                 }
                 First::OverlapEnd => {
+                    self.left = Some(sending.server.id.clone());
                     let next = Box::new(next);
                     break (Waited::Moved(Err(timeout()), next), SearchOutcome::Left);
                 }
@@ -334,6 +339,15 @@
         waited
     }
 
+    /// Whether the call may go back to the server that was left.
+    fn may_return(&mut self) -> bool {
+        let Some(left) = self.left.take() else {
+            return false;
+        };
+        self.tried.retain(|id| *id != left);
+        true
+    }
+
     /// Gives up a call that its server may run, because another one has answered.
     fn cancel(&mut self, sending: Sending<'a>) {
         drop(sending);
