edge: close the connection to a silent engine at once when it is left before its head

Two engines worked on a stream for 905 ms, until the second one accepted (TWICE allows 400 ms). The send was pinned to the stack of its caller, and the wait for the engine dropped a reference to it, which closes nothing. The wait owns the send now.

--- a/crates/edge/src/model/decode.rs
+++ b/crates/edge/src/model/decode.rs
@@ -1,7 +1,5 @@
 //! Decoding of tokens at a decode engine.
 
-use std::pin::pin;
-
 use bv_admit::{Fault, SendOutcome};
 use bv_platform::BackendHeaders;
 use bv_retry::{Delivery, SendKind, Silence};
@@ -143,7 +141,8 @@
         self.retries.begin();
         self.offered_at.send_replace(Some(now));
         let waited = {
-            let mut sending = pin!(send(
+            // Owned, so that the connection closes when the engine is left.
+            let mut sending = Box::pin(send(
                 &edge,
                 &req,
                 &engine,
