--- a/crates/edge/src/model/decode.rs
+++ b/crates/edge/src/model/decode.rs
@@ -141,7 +141,7 @@
         self.retries.begin();
         self.offered_at.send_replace(Some(now));
         let waited = {
-            // Boxed, so that dropping it closes the connection of an engine that is left.
+            // Owned, so that the connection closes when the engine is left.
             let mut sending = Box::pin(send(
                 &edge,
                 &req,
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -37,6 +37,8 @@
     edge: &'a Arc<Edge>,
     req: &'a CallerRequest,
     tried: Vec<BackendId>,
+    /// Server that was left before the next one had accepted or refused the call.
+    left: Option<BackendId>,
     /// Number of servers that may have run the request.
     runs: u32,
     run_state: RunState,
@@ -101,6 +103,7 @@
         edge,
         req,
         tried: Vec::new(),
+        left: None,
         runs: 0,
         run_state: RunState::NotRun,
         retries: Retries::new(edge, &req.service),
@@ -113,6 +116,7 @@
             Some(sending) => *sending,
             None => match call.next() {
                 Ok(target) => call.begin(target),
+                Err(_) if call.may_return() => continue,
                 Err(failure) => return call.give_up(failure),
             },
         };
@@ -308,6 +312,16 @@
                 First::Answer(result) => {
                     break (Waited::Moved(result, Box::new(next)), SearchOutcome::Failed);
                 }
+                First::Next(Ok(answer)) if is_failed_run(&answer) => {
+                    // The first server may still succeed. Its answer waits meanwhile, so the body of
+                    // the error response is not waited for longer than that.
+                    let reading = self.handle_answer(next, answer);
+                    let result = tokio::time::timeout(OVERLAP.duration(), reading).await;
+                    if let Ok(SendResult::Done(response)) = result {
+                        self.error_response = Some(response);
+                    }
+                    silence.search_failed(edge.now());
+                }
                 First::Next(Ok(answer)) if !answer.facts.not_run => {
                     next.answer = Box::pin(std::future::ready(Ok(answer)));
                     let next = Box::new(next);
@@ -322,6 +336,7 @@
                     silence.search_failed(edge.now());
                 }
                 First::OverlapEnd => {
+                    self.left = Some(sending.server.id.clone());
                     let next = Box::new(next);
                     break (Waited::Moved(Err(timeout()), next), SearchOutcome::Left);
                 }
@@ -334,6 +349,15 @@
         waited
     }
 
+    /// Whether the call may go back to the server that was left.
+    fn may_return(&mut self) -> bool {
+        let Some(left) = self.left.take() else {
+            return false;
+        };
+        self.tried.retain(|id| *id != left);
+        true
+    }
+
     /// Gives up a call that its server may run, because another one has answered.
     fn cancel(&mut self, sending: Sending<'a>) {
         drop(sending);
@@ -511,6 +535,13 @@
     }
 }
 
+/// Whether an answer says that a run failed, or comes from no run.
+fn is_failed_run(answer: &Answer) -> bool {
+    let status = answer.response.status();
+    let is_failure = status.is_server_error() || implies_not_run(status);
+    !answer.facts.not_run && (is_failure || !answer.facts.stamped)
+}
+
 /// Whether callers take a response with this status to mean that the request did not run. Such a
 /// response is not forwarded from a server that may have run the request.
 pub(crate) fn implies_not_run(status: StatusCode) -> bool {
