edge: deliver the error response of the second server of a call at once

An answer that is ready is delivered; a server error is a complete answer of a run, so nothing is lost by it.

--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -312,16 +312,6 @@
                 First::Answer(result) => {
                     break (Waited::Moved(result, Box::new(next)), SearchOutcome::Failed);
                 }
-                First::Next(Ok(answer)) if is_failed_run(&answer) => {
-                    // The first server may still succeed. Its answer waits meanwhile, so the body of
-                    // the error response is not waited for longer than that.
-                    let reading = self.handle_answer(next, answer);
-                    let result = tokio::time::timeout(OVERLAP.duration(), reading).await;
-                    if let Ok(SendResult::Done(response)) = result {
-                        self.error_response = Some(response);
-                    }
-                    silence.search_failed(edge.now());
-                }
                 First::Next(Ok(answer)) if !answer.facts.not_run => {
                     next.answer = Box::pin(std::future::ready(Ok(answer)));
                     let next = Box::new(next);
@@ -535,13 +525,6 @@
     }
 }
 
-/// Whether an answer says that a run failed, or comes from no run.
-fn is_failed_run(answer: &Answer) -> bool {
-    let status = answer.response.status();
-    let is_failure = status.is_server_error() || implies_not_run(status);
-    !answer.facts.not_run && (is_failure || !answer.facts.stamped)
-}
-
 /// Whether callers take a response with this status to mean that the request did not run. Such a
 /// response is not forwarded from a server that may have run the request.
 pub(crate) fn implies_not_run(status: StatusCode) -> bool {
