edge: callers' connections follow the limits in force

What callers saw: a kept connection was closed after the idle timeout of the moment at which it was accepted, also after a change had raised the limit, so a request sent within four fifths of the limit in force met a closed connection. A connection that was idle beyond a lowered limit was closed although its caller could not know of the change yet. A head that had begun was dropped without an answer: after the idle timeout in place of header_timeout_ms, and at once when idle connections close in a graceful stop.

Cause: hyper's header_read_timeout is fixed at accept and covers idle time and head together; its graceful_shutdown treats a connection with part of a head as idle.

Change: the connection's task runs its own timer, per wait (idle, head, answer). The head timeout in force is read at each wait, the idle timeout is the longest one in force since config_apply_ms before the connection became idle (IdleTimeouts). A raised limit acts at once on idle connections. A slow head is answered 408. Before an idle connection is closed, the socket is checked for bytes that have arrived; if there are any, the request is served. In a graceful stop a connection with part of a head closes after its answer.

The read buffer, which bounds max_header_bytes, is still that of the accept, or of the last idle end.

--- /dev/null
+++ b/crates/edge/src/connection.rs
@@ -0,0 +1,228 @@
+//! A caller's connection.
+
+use std::convert::Infallible;
+use std::io;
+use std::mem::MaybeUninit;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bv_drain::GracePhase;
+use bv_types::Refusal;
+use bytes::Bytes;
+use http::Request;
+use http_body_util::BodyExt;
+use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::{SockRef, TcpKeepalive};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tracing::debug;
+
+use crate::answer::{Body, Failure};
+use crate::counters;
+use crate::edge::{ConnectionCountGuard, Edge};
+use crate::guard::{GuardedStream, HeadGuard, Wait};
+use crate::serve::serve;
+
+/// Smallest read buffer that the HTTP library accepts.
+const MIN_HEAD_BUFFER_BYTES: usize = 8 << 10;
+/// Time that data for a caller may stay unacknowledged.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(10);
+/// Idle time after which keepalive probes are sent to a caller.
+const KEEPALIVE_TIME: Duration = Duration::from_secs(5);
+/// Time limit for writing a refusal to a caller that sent no complete head.
+const REFUSAL_WRITE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Why the HTTP library no longer serves a connection.
+enum End {
+    Closed(hyper::Result<()>),
+    /// No request has begun within the idle timeout, or before the host stops.
+    Idle,
+    /// The head of a request is not complete in time.
+    SlowHead,
+}
+
+/// Serves a caller's connection until it ends.
+pub(crate) async fn connection(
+    edge: Arc<Edge>,
+    mut stream: TcpStream,
+    peer: SocketAddr,
+    mut drain_rx: watch::Receiver<GracePhase>,
+) {
+    let _count_guard = ConnectionCountGuard::new(&edge);
+    if let Err(err) = set_options(&stream) {
+        debug!(peer = %peer, error = %err, "caller: socket options not set");
+    }
+    let guard = HeadGuard::new();
+    loop {
+        let service_guard = guard.clone();
+        let service_edge = edge.clone();
+        let service = service_fn(move |req: Request<Incoming>| {
+            let guard = service_guard.clone();
+            let serving = serve(service_edge.clone(), guard.take_verdict(), req);
+            async move {
+                let response = serving.await;
+                Ok::<_, Infallible>(response.map(|body| GuardedBody { body, guard }))
+            }
+        });
+        let limits = edge.state().in_force.table().map(|table| table.limits());
+        let max_head = limits.unwrap_or_default().max_head.0 as usize;
+        let io = TokioIo::new(GuardedStream::new(stream, guard.clone()));
+        let mut connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(None)
+            .max_buf_size((max_head * 2).max(MIN_HEAD_BUFFER_BYTES))
+            .serve_connection(io, service);
+        let end = run(&edge, &guard, &mut connection, &mut drain_rx).await;
+        let parts = connection.into_parts();
+        stream = parts.io.into_inner().into_inner();
+        match end {
+            // A request that arrives at this moment is still served.
+            End::Idle if parts.read_buf.is_empty() && has_unread_bytes(&stream) => {}
+            End::Idle => return,
+            End::SlowHead => return refuse_slow_head(&mut stream).await,
+            End::Closed(Ok(())) => return,
+            End::Closed(Err(err)) => {
+                debug!(peer = %peer, error = %err, "caller: connection ended");
+                return;
+            }
+        }
+    }
+}
+
+/// Runs the connection until it ends or has to be ended. Limits are those in force during each wait.
+async fn run<C: Served>(
+    edge: &Edge,
+    guard: &HeadGuard,
+    connection: &mut C,
+    drain_rx: &mut watch::Receiver<GracePhase>,
+) -> End {
+    let mut wait = guard.wait();
+    let mut since = edge.now();
+    let mut is_draining = false;
+    let mut is_shut_down = false;
+    loop {
+        if guard.wait() != wait {
+            wait = guard.wait();
+            since = edge.now();
+        }
+        let (end_at, end) = match wait {
+            Wait::Answer => (None, End::Idle),
+            Wait::Request(_) => (Some(edge.state().idle_timeouts.close_at(since)), End::Idle),
+            Wait::Head(_) => (Some(since + edge.head_timeout()), End::SlowHead),
+        };
+        if end_at.is_some_and(|at| at <= edge.now()) {
+            return end;
+        }
+        // Before the head is complete, the library would close the connection without an answer.
+        if is_draining && wait == Wait::Answer && !is_shut_down {
+            is_shut_down = true;
+            connection.shut_down();
+        }
+        let timer = async {
+            match end_at {
+                Some(at) => tokio::time::sleep((at - edge.now()).duration()).await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            biased;
+            result = &mut *connection => return End::Closed(result),
+            () = guard.wait_changed() => {}
+            changed = drain_rx.changed(), if !is_draining => {
+                is_draining = changed.is_ok();
+            }
+            () = timer => {}
+        }
+        if is_draining && matches!(guard.wait(), Wait::Request(_)) {
+            return End::Idle;
+        }
+    }
+}
+
+/// A connection that the HTTP library serves.
+trait Served: Future<Output = hyper::Result<()>> + Unpin {
+    /// Closes the connection after the answer in progress.
+    fn shut_down(&mut self);
+}
+
+impl<S, B> Served for http1::Connection<TokioIo<GuardedStream<TcpStream>>, S>
+where
+    S: hyper::service::HttpService<Incoming, ResBody = B> + Unpin,
+    S::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    B: HttpBody + Unpin + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    Self: Future<Output = hyper::Result<()>> + Unpin,
+{
+    fn shut_down(&mut self) {
+        Pin::new(self).graceful_shutdown();
+    }
+}
+
+fn set_options(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    socket.set_tcp_keepalive(&TcpKeepalive::new().with_time(KEEPALIVE_TIME))?;
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))
+}
+
+fn has_unread_bytes(stream: &TcpStream) -> bool {
+    let mut buf = [MaybeUninit::uninit()];
+    SockRef::from(stream)
+        .peek(&mut buf)
+        .is_ok_and(|bytes| bytes > 0)
+}
+
+/// Answers a request whose head is not complete in time.
+async fn refuse_slow_head(stream: &mut TcpStream) {
+    let failure = Failure::refused(Refusal::ReadTimeout);
+    counters::refused(failure.code());
+    let (status, code) = (failure.status(), failure.code());
+    let text = format!(
+        "HTTP/1.1 {status}\r\nconnection: close\r\ncontent-length: {}\r\n\r\n{code}",
+        code.len()
+    );
+    // The caller may be gone, or may not read.
+    let writing = stream.write_all(text.as_bytes());
+    let _ = tokio::time::timeout(REFUSAL_WRITE_TIMEOUT, writing).await;
+}
+
+/// A response body. When it is dropped, the guard starts to check the next request of the
+/// connection.
+struct GuardedBody {
+    body: Body,
+    guard: HeadGuard,
+}
+
+impl Drop for GuardedBody {
+    fn drop(&mut self) {
+        self.guard.expect_head();
+    }
+}
+
+impl HttpBody for GuardedBody {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        let frame = std::pin::pin!(self.body.frame());
+        std::future::Future::poll(frame, cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -9,6 +9,7 @@
 use bv_platform::{PlatformSettings, StoreClient, Table};
 use bv_retry::{BudgetLimits, HostBudgets};
 use bv_roster::{AgeBounds, HostEntry, store_intervals};
+use bv_route::IdleTimeouts;
 use bv_types::{BackendId, Clock, Millis, Tokens};
 use tokio::sync::{Notify, watch};
 
@@ -65,7 +66,9 @@
         let promise = settings.config_apply_timeout.min(settings.drain_timeout);
         let bounds = AgeBounds::new(promise);
         let retry_budgets = HostBudgets::new(clock.now(), settings.is_first_start);
-        let state = Mutex::new(State::new(fastrand::u64(..), bounds, retry_budgets));
+        let idle_timeouts = IdleTimeouts::new(settings.config_apply_timeout);
+        let state = State::new(fastrand::u64(..), bounds, retry_budgets, idle_timeouts);
+        let state = Mutex::new(state);
         let answer_bytes = settings.memory_mb * ANSWER_MEMORY_SHARE * 1e6;
         Edge {
             answer_memory: Arc::new(AnswerMemory::new(answer_bytes as usize)),
@@ -152,6 +155,12 @@
         let _ = rx.wait_for(|current| *current == reads).await;
     }
 
+    /// Time limit for receiving a request's head.
+    pub fn head_timeout(&self) -> Millis {
+        let limits = self.state().in_force.table().map(|table| table.limits());
+        limits.unwrap_or_default().head_timeout
+    }
+
     pub fn budget_limits(&self) -> BudgetLimits {
         BudgetLimits {
             ratio: self.settings.retry_ratio,
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -307,7 +307,7 @@
             Ok(reading) => {
                 let age = edge.now() - reading.confirmed_at;
                 let log = AnswerLog::new(Origin::Store, &reading.answer, age);
-                let taken = edge.state().take_config(reading.answer);
+                let taken = edge.state().take_config(edge.now(), reading.answer);
                 let taken = match taken {
                     Ok(taken) => taken,
                     Err(reason) => {
--- a/crates/edge/src/guard.rs
+++ b/crates/edge/src/guard.rs
@@ -6,10 +6,11 @@
 
 use std::io;
 use std::pin::Pin;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::sync::Notify;
 
 /// Bytes kept of each header line; the header names that are checked are shorter.
 const KEPT_LINE_BYTES: usize = 24;
@@ -57,20 +58,81 @@
     }
 }
 
+/// What a connection waits for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Wait {
+    /// The first byte of the request with this number.
+    Request(u64),
+    /// The rest of the head of the request with this number.
+    Head(u64),
+    /// A request is in progress, or its answer is not written completely.
+    Answer,
+}
+
+#[derive(Debug)]
+struct Progress {
+    phase: Phase,
+    /// Number of requests whose answer has ended.
+    answered: u64,
+    /// Whether all bytes of the last answer were written to the connection.
+    is_flushed: bool,
+}
+
 /// Check state of one connection, shared by its reader and its service.
 #[derive(Debug, Clone)]
-pub(crate) struct HeadGuard(Arc<Mutex<Phase>>);
+pub(crate) struct HeadGuard {
+    progress: Arc<Mutex<Progress>>,
+    wait_changed: Arc<Notify>,
+}
 
 impl HeadGuard {
     pub fn new() -> Self {
-        HeadGuard(Arc::new(Mutex::new(Phase::head())))
+        let progress = Progress {
+            phase: Phase::head(),
+            answered: 0,
+            is_flushed: true,
+        };
+        HeadGuard {
+            progress: Arc::new(Mutex::new(progress)),
+            wait_changed: Arc::default(),
+        }
+    }
+
+    fn progress(&self) -> MutexGuard<'_, Progress> {
+        self.progress.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// What the connection waits for.
+    pub fn wait(&self) -> Wait {
+        let progress = self.progress();
+        match &progress.phase {
+            Phase::Head {
+                line_bytes: 0,
+                has_request_line: false,
+                ..
+            } if progress.is_flushed => Wait::Request(progress.answered),
+            Phase::Head { .. } if progress.is_flushed => Wait::Head(progress.answered),
+            Phase::Head { .. } | Phase::HeadComplete(_) | Phase::AwaitingAnswer => Wait::Answer,
+        }
+    }
+
+    /// Returns after [`HeadGuard::wait`] has changed.
+    pub async fn wait_changed(&self) {
+        self.wait_changed.notified().await;
+    }
+
+    /// Records that the library has written all its bytes.
+    fn set_flushed(&self) {
+        if !std::mem::replace(&mut self.progress().is_flushed, true) {
+            self.wait_changed.notify_one();
+        }
     }
 
     /// Takes the verdict on the request that was just read. `None` if its head arrived before the
     /// answer to the previous request was complete.
     pub fn take_verdict(&self) -> Option<Verdict> {
-        let mut phase = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        match std::mem::replace(&mut *phase, Phase::AwaitingAnswer) {
+        let phase = &mut self.progress().phase;
+        match std::mem::replace(phase, Phase::AwaitingAnswer) {
             Phase::HeadComplete(verdict) => Some(verdict),
             Phase::Head { .. } | Phase::AwaitingAnswer => None,
         }
@@ -78,14 +140,27 @@
 
     /// Starts checking the next head, after a request was answered.
     pub fn expect_head(&self) {
-        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = Phase::head();
+        let mut progress = self.progress();
+        progress.phase = Phase::head();
+        progress.answered += 1;
+        // The library still holds the end of the answer.
+        progress.is_flushed = false;
     }
 
     /// Checks bytes that were read from the connection.
     pub fn check(&self, bytes: &[u8]) {
-        let mut phase = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let before = self.wait();
+        self.progress().phase.check(bytes);
+        if self.wait() != before {
+            self.wait_changed.notify_one();
+        }
+    }
+}
+
+impl Phase {
+    fn check(&mut self, bytes: &[u8]) {
         for byte in bytes {
-            let done = match &mut *phase {
+            let done = match self {
                 Phase::Head {
                     verdict,
                     line,
@@ -123,7 +198,7 @@
                 Phase::HeadComplete(_) | Phase::AwaitingAnswer => return,
             };
             if let Some(verdict) = done {
-                *phase = Phase::HeadComplete(verdict);
+                *self = Phase::HeadComplete(verdict);
                 return;
             }
         }
@@ -150,6 +225,10 @@
     pub fn new(stream: S, guard: HeadGuard) -> Self {
         GuardedStream { stream, guard }
     }
+
+    pub fn into_inner(self) -> S {
+        self.stream
+    }
 }
 
 impl<S: AsyncRead + Unpin> AsyncRead for GuardedStream<S> {
@@ -177,7 +256,12 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+        // The library flushes only after it has written all its bytes.
+        let result = Pin::new(&mut self.stream).poll_flush(cx);
+        if let Poll::Ready(Ok(())) = &result {
+            self.guard.set_flushed();
+        }
+        result
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -8,6 +8,7 @@
 mod announced;
 mod answer;
 mod answer_log;
+mod connection;
 mod counters;
 mod crash_rows;
 mod crashes;
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -388,7 +388,7 @@
     // A host that has just started has no copy of a table.
     let config = match reply.config_version {
         0 => Ok(Taken::default()),
-        _ => state.take_config(config),
+        _ => state.take_config(now, config),
     };
     let servers = match reply.servers_version {
         0 => Ok(Taken::default()),
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -8,7 +8,7 @@
     AgeBounds, Answer, HostEntry, Registration, Rejected, Roster, RowEffect, SourceChoice,
     StoreClock, TableCopy,
 };
-use bv_route::{ApplyResult, InForce};
+use bv_route::{ApplyResult, IdleTimeouts, InForce};
 use bv_types::{BackendId, Millis, Version};
 use tracing::info;
 
@@ -94,6 +94,8 @@
 #[derive(Debug)]
 pub(crate) struct State {
     pub in_force: InForce,
+    /// Idle timeouts of callers' connections.
+    pub idle_timeouts: IdleTimeouts,
     pub roster: Roster,
     pub fleet: Fleet,
     /// What servers announced in their answers.
@@ -117,9 +119,15 @@
 }
 
 impl State {
-    pub fn new(seed: u64, bounds: AgeBounds, retry_budgets: HostBudgets) -> Self {
+    pub fn new(
+        seed: u64,
+        bounds: AgeBounds,
+        retry_budgets: HostBudgets,
+        idle_timeouts: IdleTimeouts,
+    ) -> Self {
         State {
             in_force: InForce::default(),
+            idle_timeouts,
             roster: Roster::default(),
             fleet: Fleet::new(seed),
             announced: Announcements::new(seed),
@@ -225,7 +233,7 @@
     }
 
     /// Takes an answer about the configuration.
-    pub fn take_config(&mut self, answer: Answer) -> Result<Taken, Rejected> {
+    pub fn take_config(&mut self, now: Millis, answer: Answer) -> Result<Taken, Rejected> {
         let rows = self.known.config.take(answer)?;
         let mut taken = Taken {
             changed: rows.len(),
@@ -234,7 +242,14 @@
         let row = rows.iter().find(|row| row.key == Table::CONFIG_KEY);
         if let Some(body) = row.and_then(|row| row.value.as_ref()) {
             match decode_config(body) {
-                Ok(table) => taken.config = Some(self.in_force.apply_if_newer(table)),
+                Ok(table) => {
+                    let idle_timeout = table.limits().idle_timeout;
+                    let result = self.in_force.apply_if_newer(table);
+                    if result == ApplyResult::Applied {
+                        self.idle_timeouts.set(now, idle_timeout);
+                    }
+                    taken.config = Some(result);
+                }
                 Err(err) => taken.unreadable.push(err),
             }
         }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -22,10 +22,12 @@
 //! assert!(table.find("lot.example", "/other").is_none());
 //! ```
 
+mod idle_timeouts;
 mod in_force;
 mod route;
 mod table;
 
+pub use idle_timeouts::IdleTimeouts;
 pub use in_force::{ApplyResult, InForce};
 pub use route::{EngineFacts, Kind, Limits, Route, Service, Target};
 pub use table::RouteTable;
