edge: callers receive a refusal that comes before their body was read

What callers saw: a request refused on its head alone (404, 413, 503, 408) was reset while the caller still sent its body, and the caller lost the refusal.

Cause: the library closes the connection after an answer to a request with an unread body. A close with unread bytes, or bytes that arrive after it, resets the connection.

Change: after such an answer, the write side is shut down and what the caller still sends is read and dropped, until the caller closes, is silent for 2 s, or the longest time for reading a body has passed. The same holds after a damaged or slow head. The refusal carries Connection: close also where it is a 503. The connection counts as open for that time.

--- a/crates/edge/src/answer.rs
+++ b/crates/edge/src/answer.rs
@@ -18,6 +18,10 @@
 /// Retry-After when it is not known when capacity becomes free.
 pub(crate) const DEFAULT_RETRY_AFTER: Millis = Millis(500);
 
+/// Marks a response to a request whose body may not have been read.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct UnreadBody;
+
 /// Why a request gets no answer from a backend server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Failure {
--- a/crates/edge/src/connection.rs
+++ b/crates/edge/src/connection.rs
@@ -3,14 +3,14 @@
 use std::convert::Infallible;
 use std::io;
 use std::mem::MaybeUninit;
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr};
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bv_drain::GracePhase;
-use bv_types::Refusal;
+use bv_types::{Millis, Refusal};
 use bytes::Bytes;
 use http::Request;
 use http_body_util::BodyExt;
@@ -19,16 +19,16 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use socket2::{SockRef, TcpKeepalive};
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tracing::debug;
 
-use crate::answer::{Body, Failure};
+use crate::answer::{Body, Failure, UnreadBody};
 use crate::counters;
 use crate::edge::{ConnectionCountGuard, Edge};
 use crate::guard::{GuardedStream, HeadGuard, Wait};
-use crate::serve::serve;
+use crate::serve::{BODY_TIMEOUT, serve};
 
 /// Smallest read buffer that the HTTP library accepts.
 const MIN_HEAD_BUFFER_BYTES: usize = 8 << 10;
@@ -36,6 +36,8 @@
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(10);
 /// Idle time after which keepalive probes are sent to a caller.
 const KEEPALIVE_TIME: Duration = Duration::from_secs(5);
+/// Longest silence of a caller that is still sending a request that was refused.
+const LINGER_SILENCE: Millis = Millis(2_000);
 /// Time limit for writing a refusal to a caller that sent no complete head.
 const REFUSAL_WRITE_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -68,6 +70,9 @@
             let serving = serve(service_edge.clone(), guard.take_verdict(), req);
             async move {
                 let response = serving.await;
+                if response.extensions().get::<UnreadBody>().is_some() {
+                    guard.set_unread_body();
+                }
                 Ok::<_, Infallible>(response.map(|body| GuardedBody { body, guard }))
             }
         });
@@ -86,11 +91,15 @@
             // A request that arrives at this moment is still served.
             End::Idle if parts.read_buf.is_empty() && has_unread_bytes(&stream) => {}
             End::Idle => return,
-            End::SlowHead => return refuse_slow_head(&mut stream).await,
+            End::SlowHead => {
+                refuse_slow_head(&mut stream).await;
+                return linger(&mut stream).await;
+            }
+            End::Closed(Ok(())) if guard.has_unread_body() => return linger(&mut stream).await,
             End::Closed(Ok(())) => return,
             End::Closed(Err(err)) => {
                 debug!(peer = %peer, error = %err, "caller: connection ended");
-                return;
+                return linger(&mut stream).await;
             }
         }
     }
@@ -193,6 +202,24 @@
     let _ = tokio::time::timeout(REFUSAL_WRITE_TIMEOUT, writing).await;
 }
 
+/// Reads what a caller still sends before its connection is closed. Closing with unread bytes resets
+/// the connection, and the caller may lose the answer.
+async fn linger(stream: &mut TcpStream) {
+    if SockRef::from(&*stream).shutdown(Shutdown::Write).is_err() {
+        return;
+    }
+    let mut buf = [0; 4 << 10];
+    let reading = async {
+        loop {
+            let read = tokio::time::timeout(LINGER_SILENCE.duration(), stream.read(&mut buf));
+            if !matches!(read.await, Ok(Ok(1..))) {
+                return;
+            }
+        }
+    };
+    let _ = tokio::time::timeout(BODY_TIMEOUT.duration(), reading).await;
+}
+
 /// A response body. When it is dropped, the guard starts to check the next request of the
 /// connection.
 struct GuardedBody {
--- a/crates/edge/src/guard.rs
+++ b/crates/edge/src/guard.rs
@@ -76,6 +76,8 @@
     answered: u64,
     /// Whether all bytes of the last answer were written to the connection.
     is_flushed: bool,
+    /// Whether a request was refused although its body may not have been read.
+    has_unread_body: bool,
 }
 
 /// Check state of one connection, shared by its reader and its service.
@@ -91,6 +93,7 @@
             phase: Phase::head(),
             answered: 0,
             is_flushed: true,
+            has_unread_body: false,
         };
         HeadGuard {
             progress: Arc::new(Mutex::new(progress)),
@@ -121,6 +124,16 @@
         self.wait_changed.notified().await;
     }
 
+    /// Records that a request was refused although its body may not have been read.
+    pub fn set_unread_body(&self) {
+        self.progress().has_unread_body = true;
+    }
+
+    /// Whether a request was refused although its body may not have been read.
+    pub fn has_unread_body(&self) -> bool {
+        self.progress().has_unread_body
+    }
+
     /// Records that the library has written all its bytes.
     fn set_flushed(&self) {
         if !std::mem::replace(&mut self.progress().is_flushed, true) {
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -13,7 +13,7 @@
 use hyper::body::{Body as _, Incoming};
 use smol_str::SmolStr;
 
-use crate::answer::{Body, Failure, close};
+use crate::answer::{Body, Failure, UnreadBody, close};
 use crate::counters;
 use crate::edge::{Edge, RequestCountGuard};
 use crate::guard::Verdict;
@@ -23,7 +23,7 @@
 use crate::request::CallerRequest;
 
 /// Longest time for reading the body of a request, unless its deadline is shorter.
-const BODY_TIMEOUT: Millis = Millis(10_000);
+pub(crate) const BODY_TIMEOUT: Millis = Millis(10_000);
 /// Time that the answer of a call for changes may take beyond the longest wait of the call.
 const CALL_SLACK: Millis = Millis(900);
 
@@ -35,12 +35,19 @@
 ) -> Response<Body> {
     let count_guard = RequestCountGuard::new(&edge);
     let arrived = edge.now();
+    let has_body = !req.body().is_end_stream();
     let mut response = match accept(&edge, verdict, req, arrived).await {
         Ok(req) => run_until_end(&edge, req, count_guard).await,
         Err(refused) => {
             edge.logs.refused(edge.now(), &refused);
             counters::refused(refused.failure.code());
-            refused.failure.response()
+            let mut response = refused.failure.response();
+            if has_body {
+                // The library closes a connection with an unread body.
+                close(&mut response);
+                response.extensions_mut().insert(UnreadBody);
+            }
+            response
         }
     };
     if edge.is_stopping() {
