edge: the accept queue holds a burst of new connections

What callers saw: some of 200 connections that were opened at the same time were established only after 1.0 s, beyond the second that callers allow for a new connection ("no connection").

Cause: the listeners had the library's default backlog of 128. When the accept queue is full the kernel drops the SYN, and the caller's kernel sends it again after a second.

Change: a backlog of 4,096 on all listeners, which the kernel caps at its own limit.

--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -1,5 +1,6 @@
 //! Start and main loop of the process.
 
+use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -7,7 +8,7 @@
 use bv_drain::GracePhase;
 use bv_platform::{DecodeError, PlatformSettings, SETTINGS_VARIABLE, read_settings};
 use miette::Diagnostic;
-use tokio::net::{TcpListener, UdpSocket};
+use tokio::net::{TcpListener, TcpSocket, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 use tracing::{info, warn};
@@ -18,6 +19,9 @@
 
 /// Port of the metrics endpoint; must match `deploy/system.toml`.
 const METRICS_PORT: u16 = 9464;
+/// Connections that may wait to be accepted; the kernel caps it. The default of 128 drops the SYN packets
+/// of a burst, which are sent again only after a second.
+const ACCEPT_QUEUE: u32 = 4_096;
 /// Log lines that are buffered for a slow reader; further ones are dropped.
 const QUEUED_LINES: usize = 4_000;
 
@@ -104,9 +108,9 @@
         version = env!("CARGO_PKG_VERSION"),
         "start"
     );
-    let callers = bind("callers", settings.caller_addr).await?;
-    let ready = bind("readiness", settings.ready_addr).await?;
-    let peers = bind("peers", peer_addr).await?;
+    let callers = bind("callers", settings.caller_addr)?;
+    let ready = bind("readiness", settings.ready_addr)?;
+    let peers = bind("peers", peer_addr)?;
     let datagrams = UdpSocket::bind(peer_addr)
         .await
         .map_err(|source| EdgeError::Listen {
@@ -115,7 +119,7 @@
             source,
         })?;
     let datagrams = Arc::new(datagrams);
-    let metrics_listener = bind("metrics", metrics_addr(ip)).await?;
+    let metrics_listener = bind("metrics", metrics_addr(ip))?;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut hangup = signal(SignalKind::hangup())?;
     let edge = Arc::new(Edge::new(settings));
@@ -158,8 +162,16 @@
     SocketAddr::new(ip, METRICS_PORT)
 }
 
-async fn bind(what: &'static str, addr: SocketAddr) -> Result<TcpListener, EdgeError> {
-    TcpListener::bind(addr)
-        .await
-        .map_err(|source| EdgeError::Listen { what, addr, source })
+fn bind(what: &'static str, addr: SocketAddr) -> Result<TcpListener, EdgeError> {
+    listen_on(addr).map_err(|source| EdgeError::Listen { what, addr, source })
+}
+
+fn listen_on(addr: SocketAddr) -> io::Result<TcpListener> {
+    let socket = match addr {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.bind(addr)?;
+    socket.listen(ACCEPT_QUEUE)
 }
