link: a server that stops reading for 1.8 s keeps its connection

What callers saw: a request or stream to a server that stopped reading for longer than about 1.5 s while its receive window was full was lost (connection_lost), although the server was sound and its kernel acknowledged every probe.

Cause: the kernel applies TCP_USER_TIMEOUT, 1,500 ms, also to a zero window, however often its probes are acknowledged. That is below the "second or so" that a sound server may be silent, with its margin (1.8 s).

Change: 2,000 ms. The constant stands beside the keepalive ones in bv-link.

Open: a network silence of 1.8 s with unacknowledged data may still end a connection: by the kernel's backoff (0.2, 0.6, 1.4, 3.0 s) the next retransmission after 1.4 s comes at 3.0 s, beyond this bound. That can't be played on loopback without privileges.

--- a/crates/edge/src/send.rs
+++ b/crates/edge/src/send.rs
@@ -4,7 +4,8 @@
 
 use bv_admit::{Fault, Report};
 use bv_link::{
-    Channel, CollectError, ConnectOptions, SendFailure, collect_within, connect, is_unacknowledged,
+    Channel, CollectError, ConnectOptions, SendFailure, UNACKNOWLEDGED_TIMEOUT, collect_within,
+    connect, is_unacknowledged,
 };
 use bv_platform::{AnswerHead, BackendHeaders, parse_answer_head, set_backend_headers};
 use bv_roster::Registration;
@@ -20,8 +21,6 @@
 /// Timeout for opening a connection to a backend server. The round trip takes at most about 10 ms,
 /// and TCP retransmits a lost SYN only after a second, so a longer wait is of no use.
 const CONNECT_TIMEOUT: Millis = Millis(150);
-/// Longest time that sent data may stay unacknowledged.
-const UNACKNOWLEDGED_TIMEOUT: Millis = Millis(1_500);
 /// Idle time after which a connection is not reused; servers close idle connections after seconds.
 const MAX_IDLE_TIME: Millis = Millis(800);
 /// Maximum number of idle connections kept for one server.
--- a/crates/link/src/channel.rs
+++ b/crates/link/src/channel.rs
@@ -24,6 +24,11 @@
 /// Number of unanswered probes after which the connection is closed.
 const KEEPALIVE_PROBES: u32 = 2;
 
+/// Time for which data to a backend server may stay unacknowledged. The kernel also applies it to a
+/// full receive window, so it is longer than a sound server may stop reading, and no longer than the
+/// keepalive probes take.
+pub const UNACKNOWLEDGED_TIMEOUT: Millis = Millis(2_000);
+
 /// Size of the read buffer of a connection, and with it of the longest head of an answer. The
 /// library's default of 400 KB is too much for some hundred connections on which bytes arrive without
 /// end.
@@ -34,7 +39,8 @@
 pub struct ConnectOptions {
     /// Time within which the connection must be open.
     pub timeout: Millis,
-    /// Time after which the connection is closed if sent data is not acknowledged.
+    /// Time after which the connection is closed if sent data is not acknowledged, or the peer's receive
+    /// window stays full.
     pub unacknowledged: Millis,
 }
 
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -7,6 +7,9 @@
 mod collect;
 mod memory;
 
-pub use channel::{Channel, ConnectError, ConnectOptions, SendFailure, connect, is_unacknowledged};
+pub use channel::{
+    Channel, ConnectError, ConnectOptions, SendFailure, UNACKNOWLEDGED_TIMEOUT, connect,
+    is_unacknowledged,
+};
 pub use collect::{CollectError, collect, collect_within};
 pub use memory::{AnswerMemory, UNSHARED_BYTES};
