edge: a query of another host has at most 1 KiB

Cause: the listener for other hosts accepted messages of 4 MiB on each connection, with no bound for all connections. A query holds a few numbers. Change: queries have a limit of 1 KiB. Answers of hosts keep 4 MiB each and have no common bound. Evidence: no test failed before. Built and linted; shared_rows was not run on its own with this change.

--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -15,7 +15,7 @@
 use futures_util::{SinkExt, StreamExt};
 use prost::Message;
 use tokio::net::{TcpListener, TcpStream};
-use tokio_util::codec::{Framed, LengthDelimitedCodec};
+use tokio_util::codec::{Framed, FramedRead, FramedWrite, LengthDelimitedCodec};
 use tracing::debug;
 
 use crate::answer_log::{AnswerLog, Origin, log_config, log_rejected, log_servers};
@@ -26,8 +26,10 @@
 /// Timeout of a query to another host, beyond the wait that it requests; hosts are at most 10 ms
 /// apart.
 const QUERY_TIMEOUT: Millis = Millis(400);
-/// Largest message; enough for all rows at the planned size of the system.
-const MAX_MESSAGE_BYTES: usize = 4 << 20;
+/// Largest query; it has a few numbers.
+const MAX_QUERY_BYTES: usize = 1 << 10;
+/// Largest answer; enough for all rows at the planned size of the system.
+const MAX_ANSWER_BYTES: usize = 4 << 20;
 /// Longest wait for changes that a host grants another one.
 const MAX_WAIT: Millis = Millis(5_000);
 /// Time without a query after which a connection is closed.
@@ -142,9 +144,9 @@
     hosts_digest: Option<u64>,
 }
 
-fn codec() -> LengthDelimitedCodec {
+fn codec(max_bytes: usize) -> LengthDelimitedCodec {
     LengthDelimitedCodec::builder()
-        .max_frame_length(MAX_MESSAGE_BYTES)
+        .max_frame_length(max_bytes)
         .new_codec()
 }
 
@@ -169,16 +171,18 @@
 }
 
 async fn answer_queries(edge: &Edge, stream: TcpStream) -> io::Result<()> {
-    let mut framed = Framed::new(stream, codec());
+    let (rd, wr) = stream.into_split();
+    let mut queries = FramedRead::new(rd, codec(MAX_QUERY_BYTES));
+    let mut answers = FramedWrite::new(wr, codec(MAX_ANSWER_BYTES));
     loop {
-        let reading = tokio::time::timeout(IDLE_TIMEOUT.duration(), framed.next());
+        let reading = tokio::time::timeout(IDLE_TIMEOUT.duration(), queries.next());
         let Some(frame) = reading.await? else {
             return Ok(());
         };
         let query = RowsQuery::decode(frame?)?;
         wait_for_news(edge, &query).await;
         let reply = reply(edge, &query);
-        let sending = framed.send(Bytes::from(reply.encode_to_vec()));
+        let sending = answers.send(Bytes::from(reply.encode_to_vec()));
         tokio::time::timeout(SEND_TIMEOUT, sending).await??;
     }
 }
@@ -306,7 +310,7 @@
     let connecting = TcpStream::connect(peer);
     let stream = tokio::time::timeout(QUERY_TIMEOUT.duration(), connecting).await??;
     Ok(PeerLink {
-        framed: Framed::new(stream, codec()),
+        framed: Framed::new(stream, codec(MAX_ANSWER_BYTES)),
         hosts_digest: None,
     })
 }
