edge, link: one bound for all bodies from outside

Cause: bodies of callers, answers to reservations and answers of the store had a limit each and none together; answers up to 64 KiB were not counted, and once the memory was used up, the answer that needed more was refused, not the largest one. Class: what comes from outside is held without a common bound. Change: InboundMemory has a part of memory_mb for callers (0.40), servers (0.15) and the store (0.10); none can use that of another. Bytes are counted from the first one, with the read buffers of the connection; a stated length is taken before the body is read. When a part is used up, its largest unfinished body is given up. An answer to a reservation has at most 4 KiB. A caller without room is refused 503 no_memory with Retry-After, and its body is read and discarded (10 s, max_body_bytes, 0.05 of the memory).

--- a/crates/edge/src/answer.rs
+++ b/crates/edge/src/answer.rs
@@ -83,15 +83,20 @@
     pub fn response(self) -> Response<Body> {
         let mut response = Response::new(full(Bytes::from_static(self.code().as_bytes())));
         *response.status_mut() = self.status();
-        if let Failure::NotRun { retry_after, .. } = self {
+        if let Failure::NotRun {
+            reason,
+            retry_after,
+        } = self
+        {
             if self.status() == StatusCode::SERVICE_UNAVAILABLE {
                 let seconds = retry_after.max(MIN_RETRY_AFTER).0 as f64 / 1_000.0;
                 if let Ok(value) = HeaderValue::from_str(&format!("{seconds:.3}")) {
                     response.headers_mut().insert(header::RETRY_AFTER, value);
                 }
-            } else {
-                // A request may be refused before it was read completely. Its rest is never read,
-                // so the connection cannot be reused.
+            }
+            // These requests may be refused before they were read completely. Their rest belongs to no
+            // request, so the connection cannot be reused.
+            if self.status() != StatusCode::SERVICE_UNAVAILABLE || reason == Refusal::NoMemory {
                 close(&mut response);
             }
         }
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -5,20 +5,28 @@
 
 use bv_admit::{SendId, SendOutcome, Work};
 use bv_drain::{GracePeriod, LateRequest};
-use bv_link::AnswerMemory;
+use bv_link::{InboundLimits, InboundMemory};
 use bv_platform::{PlatformSettings, StoreClient, Table};
 use bv_retry::{BudgetLimits, HostBudgets};
 use bv_roster::{AgeBounds, HostEntry, store_intervals};
 use bv_types::{BackendId, Clock, Millis, Tokens};
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, Semaphore, watch};
 
 use crate::logs::LogBudget;
 use crate::send::ConnectionPool;
 use crate::state::State;
 
-/// Share of the process's memory that long answers may use together. A buffer may be twice as large
-/// as the bytes in it.
-const ANSWER_MEMORY_SHARE: f64 = 0.15;
+/// Share of the process's memory for the bodies of callers' requests. The four shares
+/// together are the bound of all bodies; the rest is for the state, connections and their read buffers.
+const CALLER_MEMORY_SHARE: f64 = 0.40;
+/// Share of the process's memory for answers of backend servers.
+const SERVER_MEMORY_SHARE: f64 = 0.15;
+/// Share of the process's memory for answers of the store.
+const STORE_MEMORY_SHARE: f64 = 0.10;
+/// Share of the process's memory for the read buffers of connections whose bodies are discarded.
+const DISCARD_MEMORY_SHARE: f64 = 0.05;
+/// Read buffers of a connection whose body is discarded.
+const DISCARD_BYTES: usize = 64 << 10;
 
 /// Shortest wait of a call to the store for changes.
 const MIN_CHANGE_WAIT: Millis = Millis(100);
@@ -33,8 +41,10 @@
     pub store: StoreClient,
     pub pool: ConnectionPool,
     pub logs: LogBudget,
-    /// Memory for the long answers that are read at the same time.
-    pub answer_memory: Arc<AnswerMemory>,
+    /// Memory for the bodies that are held at the same time.
+    pub memory: Arc<InboundMemory>,
+    /// Number of refused bodies that may be read to their end at the same time.
+    pub discards: Arc<Semaphore>,
     /// Notified when a request ends or another host's load changes.
     pub capacity_changed: Notify,
     /// Notified when a model call leaves the queue of this host.
@@ -61,14 +71,17 @@
 impl Edge {
     pub fn new(settings: PlatformSettings) -> Self {
         let clock = Clock::system();
-        let store = StoreClient::new(settings.store_addr);
+        let memory = Arc::new(InboundMemory::new(inbound_limits(settings.memory_mb)));
+        let discard_bytes = (settings.memory_mb * DISCARD_MEMORY_SHARE * 1e6) as usize;
+        let max_discards = discard_bytes / DISCARD_BYTES;
+        let store = StoreClient::new(settings.store_addr, memory.clone());
         let promise = settings.config_apply_timeout.min(settings.drain_timeout);
         let bounds = AgeBounds::new(promise);
         let retry_budgets = HostBudgets::new(clock.now(), settings.is_first_start);
         let state = Mutex::new(State::new(fastrand::u64(..), bounds, retry_budgets));
-        let answer_bytes = settings.memory_mb * ANSWER_MEMORY_SHARE * 1e6;
         Edge {
-            answer_memory: Arc::new(AnswerMemory::new(answer_bytes as usize)),
+            memory,
+            discards: Arc::new(Semaphore::new(max_discards)),
             logs: LogBudget::new(clock.now()),
             started_at: clock.now(),
             settings,
@@ -211,6 +224,15 @@
     }
 }
 
+fn inbound_limits(memory_mb: f64) -> InboundLimits {
+    let bytes = |share: f64| (memory_mb * share * 1e6) as usize;
+    InboundLimits {
+        callers: bytes(CALLER_MEMORY_SHARE),
+        servers: bytes(SERVER_MEMORY_SHARE),
+        store: bytes(STORE_MEMORY_SHARE),
+    }
+}
+
 /// Counts a request in progress until dropped.
 #[derive(Debug)]
 pub(crate) struct RequestCountGuard(Arc<Edge>);
--- a/crates/edge/src/model/reservation.rs
+++ b/crates/edge/src/model/reservation.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 
 use bv_admit::{Instance, SendOutcome};
-use bv_link::collect;
+use bv_link::{CollectError, Sender, collect};
 use bv_platform::{
     parse_answer_head, parse_reservation_answer, release_request, reservation_request,
 };
@@ -22,13 +22,15 @@
 use super::decode::DecodeTarget;
 use crate::counters;
 use crate::edge::{Edge, TrackedSend};
-use crate::send::{Connection, MAX_ANSWER_BYTES, SendError, open};
+use crate::send::{Connection, SendError, give_up, open};
 
 /// Timeout of a reservation request; engines answer it at once and are at most 10 ms away.
 const RESERVE_TIMEOUT: Millis = Millis(400);
 /// Time for which capacity stays reserved beyond the predicted first event; prompts of other hosts
 /// may be prefilled before this one.
 const RESERVATION_SLACK: Millis = Millis(700);
+/// Largest answer to a reservation request; it is the name of the reservation.
+const MAX_RESERVATION_BYTES: usize = 4 << 10;
 /// Timeout of the call that releases an unused reservation.
 const RELEASE_TIMEOUT: Millis = Millis(400);
 
@@ -200,10 +202,16 @@
             reservation_request(&engine.id, tokens, duration).map_err(|err| unsent(&err))?;
         set_host_header(&mut req, engine.address).map_err(|err| unsent(&err))?;
         let answer = channel.send(req).await.map_err(|err| unsent(&err))?;
-        let (parts, body) = answer.into_parts();
-        let body = collect(body, MAX_ANSWER_BYTES)
-            .await
-            .map_err(|err| unsent(&err))?;
+        let (parts, mut body) = answer.into_parts();
+        let memory = &self.edge.memory;
+        let reading = collect(&mut body, MAX_RESERVATION_BYTES, memory, Sender::Server);
+        let body = reading.await.map_err(|err| match err {
+            CollectError::Broken(_) => unsent(&err),
+            CollectError::TooLong { .. } | CollectError::NoMemory { .. } => {
+                give_up(&err);
+                unsent(&err)
+            }
+        })?;
         let facts = parse_answer_head(parts.status, &parts.headers);
         let reply = match parts.status {
             _ if facts.misdirected => ReserveReply::Misdirected,
--- a/crates/edge/src/send.rs
+++ b/crates/edge/src/send.rs
@@ -4,7 +4,7 @@
 
 use bv_admit::{Fault, Report};
 use bv_link::{
-    Channel, CollectError, ConnectOptions, SendFailure, collect_within, connect, is_unacknowledged,
+    Channel, CollectError, ConnectOptions, SendFailure, Sender, collect, connect, is_unacknowledged,
 };
 use bv_platform::{AnswerHead, BackendHeaders, parse_answer_head, set_backend_headers};
 use bv_roster::Registration;
@@ -27,7 +27,7 @@
 /// Maximum number of idle connections kept for one server.
 const MAX_IDLE_PER_SERVER: usize = 4;
 /// Largest answer body that is buffered.
-pub(crate) const MAX_ANSWER_BYTES: usize = 8 << 20;
+const MAX_ANSWER_BYTES: usize = 8 << 20;
 
 const EVENT_STREAM: &[u8] = b"text/event-stream";
 
@@ -240,6 +240,15 @@
     headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
 }
 
+/// Counts an answer that is too long for its limit or for the memory.
+pub(crate) fn give_up(err: &CollectError) -> SendError {
+    counters::answer_given_up(match err {
+        CollectError::NoMemory { .. } => "no_memory",
+        _ => "too_long",
+    });
+    SendError::TooLong(err.to_string())
+}
+
 /// Reads the body of an answer, and keeps its connection if it can be reused.
 pub(crate) async fn read_answer(
     edge: &Arc<Edge>,
@@ -252,8 +261,8 @@
         response,
         facts,
     } = answer;
-    let (parts, body) = response.into_parts();
-    let reading = collect_within(body, MAX_ANSWER_BYTES, &edge.answer_memory);
+    let (parts, mut body) = response.into_parts();
+    let reading = collect(&mut body, MAX_ANSWER_BYTES, &edge.memory, Sender::Server);
     let body = match tokio::time::timeout(timeout.duration(), reading).await {
         Ok(Ok(body)) => body,
         Ok(Err(CollectError::Broken(err))) => {
@@ -261,11 +270,7 @@
             return Err(connection_lost(&err, text));
         }
         Ok(Err(err)) => {
-            counters::answer_given_up(match err {
-                CollectError::NoMemory { .. } => "no_memory",
-                _ => "too_long",
-            });
-            return Err(SendError::TooLong(err.to_string()));
+            return Err(give_up(&err));
         }
         Err(_) => return Err(SendError::Timeout(timeout)),
     };
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -5,6 +5,7 @@
 
 use bv_blame::Content;
 use bv_drain::LateRequest;
+use bv_link::{CollectError, Sender, collect, discard};
 use bv_platform::{Table, parse_caller_headers, strip_request};
 use bv_roster::store_intervals;
 use bv_types::{Millis, Refusal, Version};
@@ -81,7 +82,7 @@
     if !verdict.is_some_and(Verdict::has_unambiguous_end) {
         return Err(Refusal::BadRequest.into());
     }
-    let (parts, body) = req.into_parts();
+    let (parts, mut body) = req.into_parts();
     let facts = parse_caller_headers(&parts.headers).ok_or(Refusal::BadRequest)?;
     let (table, age) = {
         let state = edge.state();
@@ -144,9 +145,16 @@
     }
     let deadline = arrived + time_limit;
     let limit = table.limits().max_body.0 as usize;
-    let body = read_body(body, limit, time_limit.min(BODY_TIMEOUT))
-        .await
-        .map_err(|reason| refuse(reason, age))?;
+    let body = match read_body(edge, &mut body, limit, time_limit.min(BODY_TIMEOUT)).await {
+        Ok(body) => body,
+        Err(reason) => {
+            // A caller that awaits `100 Continue` sends no body after a refusal.
+            if reason == Refusal::NoMemory && !parts.headers.contains_key(header::EXPECT) {
+                discard_rest(edge, body, limit);
+            }
+            return Err(refuse(reason, age));
+        }
+    };
     let mut headers = parts.headers;
     strip_request(&mut headers);
     let uri = origin_form(parts.uri);
@@ -181,19 +189,37 @@
     }
 }
 
-async fn read_body(body: Incoming, limit: usize, timeout: Millis) -> Result<Bytes, Refusal> {
+async fn read_body(
+    edge: &Edge,
+    body: &mut Incoming,
+    limit: usize,
+    timeout: Millis,
+) -> Result<Bytes, Refusal> {
     if body.is_end_stream() {
         return Ok(Bytes::new());
     }
-    let reading = bv_link::collect(body, limit);
+    let reading = collect(body, limit, &edge.memory, Sender::Caller);
     match tokio::time::timeout(Duration::from_millis(timeout.0), reading).await {
         Ok(Ok(body)) => Ok(body),
-        Ok(Err(bv_link::CollectError::TooLong { .. })) => Err(Refusal::BodyTooLarge),
-        Ok(Err(_)) => Err(Refusal::BadRequest),
+        Ok(Err(CollectError::TooLong { .. })) => Err(Refusal::BodyTooLarge),
+        Ok(Err(CollectError::NoMemory { .. })) => Err(Refusal::NoMemory),
+        Ok(Err(CollectError::Broken(_))) => Err(Refusal::BadRequest),
         Err(_) => Err(Refusal::ReadTimeout),
     }
 }
 
+/// Reads the rest of a refused body in the background, so that its caller receives the refusal.
+fn discard_rest(edge: &Edge, body: Incoming, limit: usize) {
+    let Ok(permit) = edge.discards.clone().try_acquire_owned() else {
+        return;
+    };
+    tokio::spawn(async move {
+        let _permit = permit;
+        // After the timeout the connection is closed.
+        let _ = tokio::time::timeout(BODY_TIMEOUT.duration(), discard(body, limit)).await;
+    });
+}
+
 /// Serves an accepted request, or answers without its server if the process ends before.
 async fn run_until_end(
     edge: &Arc<Edge>,
--- a/crates/link/src/collect.rs
+++ b/crates/link/src/collect.rs
@@ -6,7 +6,10 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 
-use crate::memory::{AnswerMemory, Share, SharedAnswer, UNSHARED_BYTES};
+use crate::memory::{InboundMemory, Sender, Share, SharedBody, bytes_while_read};
+
+/// Smallest buffer of a body without a stated length.
+const MIN_BUFFER_BYTES: usize = 4 << 10;
 
 /// The body could not be read completely.
 #[derive(Debug, thiserror::Error)]
@@ -20,49 +23,44 @@
         /// Maximum number of bytes.
         limit: usize,
     },
-    /// All answers in progress together are longer than allowed.
-    #[error("read body: no memory left for more than {read} bytes beside the other answers")]
+    /// All bodies in progress together are longer than allowed.
+    #[error("read body: no memory left for more than {read} bytes beside the other bodies")]
     NoMemory {
         /// Bytes that were read.
         read: usize,
     },
 }
 
-/// Reads a body of at most `limit` bytes.
-///
-/// # Errors
-/// Fails if the body is cut off or too long.
-pub async fn collect(body: Incoming, limit: usize) -> Result<Bytes, CollectError> {
-    Ok(read(body, limit, |_| true).await?.freeze())
-}
-
 /// Reads a body of at most `limit` bytes, for which it takes a share of `memory`. The share is given
-/// back when the body is dropped.
+/// back when the body is dropped. If the body has a stated length, memory for all of it is taken
+/// before the first byte is read.
 ///
 /// # Errors
 /// Fails if the body is cut off or too long, or the memory does not suffice.
-pub async fn collect_within(
-    body: Incoming,
+pub async fn collect(
+    body: &mut Incoming,
     limit: usize,
-    memory: &Arc<AnswerMemory>,
+    memory: &Arc<InboundMemory>,
+    sender: Sender,
 ) -> Result<Bytes, CollectError> {
-    let mut share = Share::new(memory);
-    let buf = read(body, limit, |len| share.grow_to(len)).await?;
-    Ok(Bytes::from_owner(SharedAnswer { buf, _share: share }))
-}
-
-async fn read(
-    mut body: Incoming,
-    limit: usize,
-    mut may_hold: impl FnMut(usize) -> bool,
-) -> Result<BytesMut, CollectError> {
     let expected = body.size_hint().lower() as usize;
     if expected > limit {
         return Err(CollectError::TooLong { limit });
     }
-    // A server may announce more than it sends, so memory is taken only as the bytes arrive.
-    let mut buf = BytesMut::with_capacity(expected.min(UNSHARED_BYTES));
-    while let Some(frame) = body.frame().await {
+    let share = Share::new(memory, sender);
+    if !share.resize(bytes_while_read(expected)) {
+        return Err(CollectError::NoMemory { read: 0 });
+    }
+    let mut buf = BytesMut::with_capacity(expected);
+    loop {
+        let frame = tokio::select! {
+            biased;
+            () = share.given_up() => return Err(CollectError::NoMemory { read: buf.len() }),
+            frame = body.frame() => frame,
+        };
+        let Some(frame) = frame else {
+            break;
+        };
         let Ok(data) = frame?.into_data() else {
             continue;
         };
@@ -70,10 +68,32 @@
         if len > limit {
             return Err(CollectError::TooLong { limit });
         }
-        if !may_hold(len) {
-            return Err(CollectError::NoMemory { read: buf.len() });
+        if len > buf.capacity() {
+            let capacity =
+                (buf.capacity() * 2).clamp(MIN_BUFFER_BYTES, limit.max(MIN_BUFFER_BYTES));
+            let capacity = capacity.max(len);
+            if !share.resize(bytes_while_read(capacity)) {
+                return Err(CollectError::NoMemory { read: buf.len() });
+            }
+            buf.reserve(capacity - buf.len());
         }
         buf.extend_from_slice(&data);
     }
-    Ok(buf)
+    if !share.finish() {
+        return Err(CollectError::NoMemory { read: buf.len() });
+    }
+    share.resize(buf.capacity());
+    Ok(Bytes::from_owner(SharedBody { buf, _share: share }))
+}
+
+/// Reads and drops the rest of a body, up to `limit` bytes. Closing a connection with unread bytes
+/// resets it, and the peer may lose the answer.
+pub async fn discard(mut body: Incoming, limit: usize) {
+    let mut read = 0;
+    while read <= limit {
+        let Some(Ok(frame)) = body.frame().await else {
+            return;
+        };
+        read += frame.data_ref().map_or(0, Bytes::len);
+    }
 }
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -8,5 +8,5 @@
 mod memory;
 
 pub use channel::{Channel, ConnectError, ConnectOptions, SendFailure, connect, is_unacknowledged};
-pub use collect::{CollectError, collect, collect_within};
-pub use memory::{AnswerMemory, UNSHARED_BYTES};
+pub use collect::{CollectError, collect, discard};
+pub use memory::{InboundLimits, InboundMemory, Sender, Share, bytes_while_read};
--- a/crates/types/src/reason.rs
+++ b/crates/types/src/reason.rs
@@ -50,6 +50,8 @@
         HeadTooLarge = "head_too_large",
         /// The body of the request is too large.
         BodyTooLarge = "body_too_large",
+        /// The entry host has no memory for the body of the request beside the others.
+        NoMemory = "no_memory",
         /// The request was not received in time.
         ReadTimeout = "read_timeout",
         /// The JSON body is nested too deeply.
