edge: long incomplete events take their share of the memory

Cause: a stream may hold an incomplete event of 64 KiB, which no common bound counted: 64 MB for 1,000 streams. Change: an incomplete event of more than 4 KiB takes a share of the servers' part. It belongs to an answer in progress, so it is not given up for a smaller one; if no share is left, its stream ends as with an event that is too long.

--- a/crates/edge/src/events.rs
+++ b/crates/edge/src/events.rs
@@ -1,10 +1,16 @@
 //! Splitting of an event stream into whole events.
 
+use std::sync::Arc;
+
+use bv_link::{InboundMemory, Sender, Share, bytes_while_read};
 use bytes::{Bytes, BytesMut};
 
 /// Largest event, and most bytes without a numbered event; more of them end the stream with an error.
 const MAX_EVENT_BYTES: usize = 64 << 10;
 
+/// Bytes of an incomplete event that need no share of the memory; usual events are shorter.
+const UNSHARED_BYTES: usize = 4 << 10;
+
 /// Complete events taken from the front of a stream.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Events {
@@ -54,14 +60,29 @@
 }
 
 /// Buffers the part of a stream that is not a complete event yet.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct EventReader {
     buf: BytesMut,
+    memory: Arc<InboundMemory>,
+    /// Share of a long incomplete event. The event belongs to an answer in progress, so it is not given
+    /// up for a smaller one.
+    share: Option<Share>,
+    has_no_memory: bool,
     /// Bytes taken since the last event with an id.
     unnumbered_bytes: usize,
 }
 
 impl EventReader {
+    pub fn new(memory: &Arc<InboundMemory>) -> Self {
+        EventReader {
+            buf: BytesMut::new(),
+            memory: memory.clone(),
+            share: None,
+            has_no_memory: false,
+            unnumbered_bytes: 0,
+        }
+    }
+
     /// Appends bytes of the stream.
     pub fn push(&mut self, bytes: &[u8]) {
         self.buf.extend_from_slice(bytes);
@@ -69,6 +90,25 @@
 
     /// Takes all complete events.
     pub fn take(&mut self) -> Option<Events> {
+        let events = self.take_complete();
+        self.update_share();
+        events
+    }
+
+    fn update_share(&mut self) {
+        if self.buf.len() <= UNSHARED_BYTES {
+            self.share = None;
+            return;
+        }
+        let share = self.share.get_or_insert_with(|| {
+            let share = Share::new(&self.memory, Sender::Server);
+            share.finish();
+            share
+        });
+        self.has_no_memory |= !share.resize(bytes_while_read(self.buf.capacity()));
+    }
+
+    fn take_complete(&mut self) -> Option<Events> {
         let end = last_event_end(&self.buf)?;
         let events = Events::parse(self.buf.split_to(end).freeze());
         self.unnumbered_bytes = match events.ids.is_empty() {
@@ -84,14 +124,18 @@
     }
 
     /// Whether the incomplete event, or the comments and events without an id since the last numbered
-    /// one, exceed the allowed size.
+    /// one, exceed the allowed size or the memory.
     pub fn is_overlong(&self) -> bool {
-        self.buf.len() > MAX_EVENT_BYTES || self.unnumbered_bytes > MAX_EVENT_BYTES
+        self.has_no_memory
+            || self.buf.len() > MAX_EVENT_BYTES
+            || self.unnumbered_bytes > MAX_EVENT_BYTES
     }
 
     /// Discards an incomplete event.
     pub fn clear(&mut self) {
         self.buf.clear();
+        self.share = None;
+        self.has_no_memory = false;
         self.unnumbered_bytes = 0;
     }
 }
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -71,7 +71,7 @@
     let relay = Relay {
         edge: edge.clone(),
         call,
-        reader: EventReader::default(),
+        reader: EventReader::new(&edge.memory),
         order: EventOrder::begin(has_marked_end),
         is_resumable,
         tx,
