--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -5,7 +5,7 @@
 
 use bv_admit::{SendId, SendOutcome, Work};
 use bv_drain::{GracePeriod, LateRequest};
-use bv_link::AnswerMemory;
+use bv_link::{InboundLimits, InboundMemory};
 use bv_platform::{PlatformSettings, StoreClient, Table};
 use bv_retry::{BudgetLimits, HostBudgets};
 use bv_roster::{AgeBounds, HostEntry, store_intervals};
@@ -17,9 +17,13 @@
 use crate::send::ConnectionPool;
 use crate::state::State;
 
-/// Share of the process's memory that long answers may use together. A buffer may be twice as large
-/// as the bytes in it.
-const ANSWER_MEMORY_SHARE: f64 = 0.15;
+/// Share of the process's memory for the bodies of callers' requests. The four shares
+/// together are the bound of all bodies; the rest is for the state, connections and their read buffers.
+const CALLER_MEMORY_SHARE: f64 = 0.50;
+/// Share of the process's memory for answers of backend servers.
+const SERVER_MEMORY_SHARE: f64 = 0.15;
+/// Share of the process's memory for answers of the store.
+const STORE_MEMORY_SHARE: f64 = 0.10;
 
 /// Shortest wait of a call to the store for changes.
 const MIN_CHANGE_WAIT: Millis = Millis(100);
@@ -34,8 +38,8 @@
     pub store: StoreClient,
     pub pool: ConnectionPool,
     pub logs: LogBudget,
-    /// Memory for the long answers that are read at the same time.
-    pub answer_memory: Arc<AnswerMemory>,
+    /// Memory for the bodies that are held at the same time.
+    pub memory: Arc<InboundMemory>,
     /// Notified when a request ends or another host's load changes.
     pub capacity_changed: Notify,
     /// Notified when a model call leaves the queue of this host.
@@ -62,16 +66,16 @@
 impl Edge {
     pub fn new(settings: PlatformSettings) -> Self {
         let clock = Clock::system();
-        let store = StoreClient::new(settings.store_addr);
+        let memory = Arc::new(InboundMemory::new(inbound_limits(settings.memory_mb)));
+        let store = StoreClient::new(settings.store_addr, memory.clone());
         let promise = settings.config_apply_timeout.min(settings.drain_timeout);
         let bounds = AgeBounds::new(promise);
         let retry_budgets = HostBudgets::new(clock.now(), settings.is_first_start);
         let idle_timeouts = IdleTimeouts::new(settings.config_apply_timeout);
         let state = State::new(fastrand::u64(..), bounds, retry_budgets, idle_timeouts);
         let state = Mutex::new(state);
-        let answer_bytes = settings.memory_mb * ANSWER_MEMORY_SHARE * 1e6;
         Edge {
-            answer_memory: Arc::new(AnswerMemory::new(answer_bytes as usize)),
+            memory,
             logs: LogBudget::new(clock.now()),
             started_at: clock.now(),
             settings,
@@ -220,6 +224,15 @@
     }
 }
 
+fn inbound_limits(memory_mb: f64) -> InboundLimits {
+    let bytes = |share: f64| (memory_mb * share * 1e6) as usize;
+    InboundLimits {
+        callers: bytes(CALLER_MEMORY_SHARE),
+        servers: bytes(SERVER_MEMORY_SHARE),
+        store: bytes(STORE_MEMORY_SHARE),
+    }
+}
+
 /// Counts a request in progress until dropped.
 #[derive(Debug)]
 pub(crate) struct RequestCountGuard(Arc<Edge>);
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -5,6 +5,7 @@
 
 use bv_blame::Content;
 use bv_drain::LateRequest;
+use bv_link::{CollectError, Sender, collect};
 use bv_platform::{Table, parse_caller_headers, strip_request};
 use bv_roster::store_intervals;
 use bv_types::{Millis, Refusal, Version};
@@ -88,7 +89,7 @@
     if !verdict.is_some_and(Verdict::has_unambiguous_end) {
         return Err(Refusal::BadRequest.into());
     }
-    let (parts, body) = req.into_parts();
+    let (parts, mut body) = req.into_parts();
     let facts = parse_caller_headers(&parts.headers).ok_or(Refusal::BadRequest)?;
     let (table, age) = {
         let state = edge.state();
@@ -151,7 +152,7 @@
     }
     let deadline = arrived + time_limit;
     let limit = table.limits().max_body.0 as usize;
-    let body = read_body(body, limit, time_limit.min(BODY_TIMEOUT))
+    let body = read_body(edge, &mut body, limit, time_limit.min(BODY_TIMEOUT))
         .await
         .map_err(|reason| refuse(reason, age))?;
     let mut headers = parts.headers;
@@ -188,15 +189,21 @@
     }
 }
 
-async fn read_body(body: Incoming, limit: usize, timeout: Millis) -> Result<Bytes, Refusal> {
+async fn read_body(
+    edge: &Edge,
+    body: &mut Incoming,
+    limit: usize,
+    timeout: Millis,
+) -> Result<Bytes, Refusal> {
     if body.is_end_stream() {
         return Ok(Bytes::new());
     }
-    let reading = bv_link::collect(body, limit);
+    let reading = collect(body, limit, &edge.memory, Sender::Caller);
     match tokio::time::timeout(Duration::from_millis(timeout.0), reading).await {
         Ok(Ok(body)) => Ok(body),
-        Ok(Err(bv_link::CollectError::TooLong { .. })) => Err(Refusal::BodyTooLarge),
-        Ok(Err(_)) => Err(Refusal::BadRequest),
+        Ok(Err(CollectError::TooLong { .. })) => Err(Refusal::BodyTooLarge),
+        Ok(Err(CollectError::NoMemory { .. })) => Err(Refusal::NoMemory),
+        Ok(Err(CollectError::Broken(_))) => Err(Refusal::BadRequest),
         Err(_) => Err(Refusal::ReadTimeout),
     }
 }
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -11,5 +11,5 @@
     Channel, ConnectError, ConnectOptions, SendFailure, UNACKNOWLEDGED_TIMEOUT, connect,
     is_unacknowledged,
 };
-pub use collect::{CollectError, collect, collect_within};
-pub use memory::{AnswerMemory, UNSHARED_BYTES};
+pub use collect::{CollectError, collect};
+pub use memory::{InboundLimits, InboundMemory, Sender, Share, bytes_while_read};
