--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -287,8 +287,9 @@
         match decode_server(&row.key, body) {
             Ok(entry) => Ok(self.roster.put(now, entry)),
             Err(err) => {
-                // A server whose row cannot be read must not be used.
-                self.remove_server(now, &row.key);
+                if let Ok(id) = BackendId::try_from(row.key.as_str()) {
+                    self.roster.hide(now, &id);
+                }
                 Err(err)
             }
         }
--- a/crates/roster/src/roster.rs
+++ b/crates/roster/src/roster.rs
@@ -28,8 +28,10 @@
 #[derive(Debug, Clone)]
 struct KnownServer {
     registration: Registration,
-    /// Time from which the server counts as removed, while its row is missing.
+    /// Time from which the server counts as removed, while its row is missing or hidden.
     removed_at: Option<Millis>,
+    /// Whether an invalid row of another writer stands in place of the server's row.
+    is_hidden: bool,
 }
 
 impl KnownServer {
@@ -70,14 +72,12 @@
             Ok(at) => at,
             Err(at) => {
                 let usable = registration.state == ServerState::Ready;
-                let removed_at = None;
-                self.servers.insert(
-                    at,
-                    KnownServer {
-                        registration,
-                        removed_at,
-                    },
-                );
+                let known = KnownServer {
+                    registration,
+                    removed_at: None,
+                    is_hidden: false,
+                };
+                self.servers.insert(at, known);
                 return match usable {
                     true => RowEffect::Joined,
                     false => RowEffect::Left,
@@ -89,10 +89,12 @@
         if same_process && registration.sequence < known.registration.sequence {
             return RowEffect::Stale;
         }
-        // A server that registers again sends a newer report; the same report is an outdated read.
+        // A server that registers again sends a newer report; the same report is an outdated read. A
+        // server whose row was hidden may write the same report again.
         if same_process
             && registration.sequence == known.registration.sequence
             && known.removed_at.is_some()
+            && !known.is_hidden
         {
             return RowEffect::Stale;
         }
@@ -105,6 +107,7 @@
         let was_usable = known.is_usable(now);
         known.registration = registration;
         known.removed_at = None;
+        known.is_hidden = false;
         match (was_usable, known.is_usable(now)) {
             (false, true) => RowEffect::Joined,
             (true, false) => RowEffect::Left,
@@ -119,6 +122,11 @@
         };
         let known = &mut self.servers[at];
         let was_usable = known.is_usable(now);
+        if known.is_hidden {
+            // The row that is missing was not the server's own.
+            known.is_hidden = false;
+            return RowEffect::Unchanged;
+        }
         if now < self.grace_until && known.registration.state == ServerState::Ready {
             known.removed_at = Some(known.removed_at.unwrap_or(self.grace_until));
             return RowEffect::Lapsed;
@@ -130,6 +138,22 @@
         }
     }
 
+    /// Records that an invalid row stands in place of the server's row. The server is not used until
+    /// it writes its own row again.
+    pub fn hide(&mut self, now: Millis, id: &BackendId) -> RowEffect {
+        let Ok(at) = self.find(id) else {
+            return RowEffect::Unchanged;
+        };
+        let known = &mut self.servers[at];
+        let was_usable = known.is_usable(now);
+        known.is_hidden |= known.removed_at.is_none();
+        known.removed_at = Some(known.removed_at.unwrap_or(now).min(now));
+        match was_usable {
+            true => RowEffect::Left,
+            false => RowEffect::Unchanged,
+        }
+    }
+
     /// Applies all rows of the store; known servers that are not in `registrations` count as
     /// missing.
     pub fn replace(&mut self, now: Millis, registrations: Vec<Registration>) {
--- a/crates/roster/tests/late_rows.rs
+++ b/crates/roster/tests/late_rows.rs
@@ -140,3 +140,49 @@
         assert_eq!(is_usable(&roster, 0, "a"), expected, "seed {seed}");
     }
 }
+
+#[test]
+fn hidden_server_comes_back_with_its_own_row() {
+    let mut roster = Roster::default();
+    let ready = registration("a", ServerState::Ready, 1, 4);
+    roster.put(Millis(0), ready.clone());
+    assert_eq!(roster.hide(Millis(1), &id("a")), RowEffect::Left);
+    assert_eq!(roster.hide(Millis(2), &id("a")), RowEffect::Unchanged);
+    assert!(!is_usable(&roster, 2, "a"));
+    let late = registration("a", ServerState::Ready, 1, 3);
+    assert_eq!(roster.put(Millis(3), late), RowEffect::Stale);
+    assert_eq!(roster.put(Millis(4), ready.clone()), RowEffect::Joined);
+    // The removal of the other writer's row is followed by a newer report of the server.
+    roster.hide(Millis(5), &id("a"));
+    roster.remove(Millis(6), &id("a"));
+    assert_eq!(roster.put(Millis(7), ready), RowEffect::Stale);
+    let newer = registration("a", ServerState::Ready, 1, 5);
+    assert_eq!(roster.put(Millis(8), newer), RowEffect::Joined);
+}
+
+#[test]
+fn hidden_server_is_not_used_after_an_outage() {
+    let mut roster = Roster::default();
+    roster.put(Millis(0), registration("a", ServerState::Ready, 1, 4));
+    roster.store_recovered(Millis(10));
+    assert_eq!(roster.hide(Millis(11), &id("a")), RowEffect::Left);
+    assert_eq!(roster.remove(Millis(12), &id("a")), RowEffect::Unchanged);
+    assert!(!is_usable(&roster, 12, "a"));
+}
+
+#[test]
+fn hiding_does_not_undo_leaving_or_removal() {
+    let mut roster = Roster::default();
+    roster.put(Millis(0), registration("a", ServerState::Leaving, 1, 4));
+    roster.hide(Millis(1), &id("a"));
+    for sequence in 4..7 {
+        let late = registration("a", ServerState::Ready, 1, sequence);
+        assert_eq!(roster.put(Millis(2), late), RowEffect::Stale);
+    }
+    let ready = registration("b", ServerState::Ready, 1, 4);
+    roster.put(Millis(0), ready.clone());
+    roster.remove(Millis(1), &id("b"));
+    roster.hide(Millis(2), &id("b"));
+    assert_eq!(roster.put(Millis(3), ready), RowEffect::Stale);
+    assert!(!is_usable(&roster, 3, "a") && !is_usable(&roster, 3, "b"));
+}
