edge: count the rows of the terms table that are left out

The other tables counted unreadable and foreign rows of an answer; the terms table did not. `role_orders` passes (1 test).

--- a/crates/edge/src/roles.rs
+++ b/crates/edge/src/roles.rs
@@ -15,6 +15,7 @@
 use tracing::{info, warn};
 
 use crate::edge::Edge;
+use crate::follow::log_left_out;
 
 /// Interval at which the split between prefill and decode engines is checked.
 const CHECK_INTERVAL: Millis = Millis(500);
@@ -123,6 +124,7 @@
 
 async fn apply_change(edge: &Edge, change: &RoleChange) -> Result<(), StoreError> {
     let rows = edge.store.read_all(Table::Terms).await?;
+    log_left_out(Table::Terms, &rows);
     let row = rows.get(change.service.as_str());
     let current = match row.and_then(|row| row.value.as_ref()) {
         Some(body) => Some(decode_term(body)?),
