listen: a stopping host answers the connections in its accept queue

What callers saw: the connection is reset, though a whole request was sent, when a host closes its callers' listener.

Cause: the kernel resets the connections that wait in the accept queue of a listener when it is closed. The product's host emptied the queue by the event loop's readiness, which lags behind the queue; the platform's host dropped the listener as it was, at the end of the grace period or, once idle, by its exit. Same class in both.

The platform's host exits after its listener is closed.

--- a/crates/edge/src/connection.rs
+++ b/crates/edge/src/connection.rs
@@ -53,11 +53,11 @@
 /// Serves a caller's connection until it ends.
 pub(crate) async fn connection(
     edge: Arc<Edge>,
+    _count_guard: ConnectionCountGuard,
     mut stream: TcpStream,
     peer: SocketAddr,
     mut drain_rx: watch::Receiver<GracePhase>,
 ) {
-    let _count_guard = ConnectionCountGuard::new(&edge);
     if let Err(err) = set_options(&stream) {
         debug!(peer = %peer, error = %err, "caller: socket options not set");
     }
@@ -123,6 +123,7 @@
         }
         let (end_at, end) = match wait {
             Wait::Answer => (None, End::Idle),
+            Wait::Request(_) if is_draining => return End::Idle,
             Wait::Request(_) => (Some(edge.state().idle_timeouts.close_at(since)), End::Idle),
             Wait::Head(_) => (Some(since + edge.head_timeout()), End::SlowHead),
         };
@@ -149,9 +150,6 @@
             }
             () = timer => {}
         }
-        if is_draining && matches!(guard.wait(), Wait::Request(_)) {
-            return End::Idle;
-        }
     }
 }
 
--- a/crates/edge/src/listen.rs
+++ b/crates/edge/src/listen.rs
@@ -16,7 +16,7 @@
 use tracing::warn;
 
 use crate::connection::connection;
-use crate::edge::Edge;
+use crate::edge::{ConnectionCountGuard, Edge};
 use crate::retries;
 
 /// Share of the file descriptors that callers' connections may use; each request needs up to two
@@ -33,25 +33,39 @@
     mut drain_rx: watch::Receiver<GracePhase>,
 ) {
     let max = (edge.settings.max_file_descriptors as f64 * CALLER_FILES_SHARE) as usize;
+    let connection_rx = drain_rx.clone();
+    let take = |stream, peer| {
+        // The connection is dropped before a request is read, so no request is lost.
+        if edge.connections() >= max {
+            return crate::counters::refused("too_many_connections");
+        }
+        let mut drain_rx = connection_rx.clone();
+        drain_rx.borrow_and_update();
+        let count_guard = ConnectionCountGuard::new(&edge);
+        tokio::spawn(connection(
+            edge.clone(),
+            count_guard,
+            stream,
+            peer,
+            drain_rx,
+        ));
+    };
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = drain_rx.wait_for(|phase| *phase >= GracePhase::StopAccepting) => return,
+            _ = drain_rx.wait_for(|phase| *phase >= GracePhase::StopAccepting) => break,
         };
         match accepted {
-            // The connection is dropped before a request is read, so no request is lost.
-            Ok(_) if edge.connections() >= max => crate::counters::refused("too_many_connections"),
-            Ok((stream, peer)) => {
-                let mut drain_rx = drain_rx.clone();
-                drain_rx.borrow_and_update();
-                tokio::spawn(connection(edge.clone(), stream, peer, drain_rx));
-            }
+            Ok((stream, peer)) => take(stream, peer),
             Err(err) => {
                 warn!(error = %err, "listener: accepting a caller's connection failed");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
     }
+    if let Err(err) = bv_listen::close(listener, take).await {
+        warn!(error = %err, "listener: connections were reset with the callers' listener");
+    }
 }
 
 /// Answers the load balancer's readiness check.
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -137,14 +137,14 @@
     tokio::spawn(peers::listen(edge.clone(), peers));
     tokio::spawn(listen::readiness(edge.clone(), ready));
     tokio::spawn(listen::metrics(edge.clone(), metrics_listener, metrics));
-    tokio::spawn(listen::callers(edge.clone(), callers, drain_rx));
+    let accepting = tokio::spawn(listen::callers(edge.clone(), callers, drain_rx));
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
             _ = hangup.recv() => reload(&path, &edge),
         }
     }
-    stop::drain(&edge, &drain_tx).await;
+    stop::drain(&edge, &drain_tx, &accepting).await;
     Ok(())
 }
 
--- a/crates/edge/src/stop.rs
+++ b/crates/edge/src/stop.rs
@@ -5,6 +5,7 @@
 use bv_drain::GracePhase;
 use bv_types::Millis;
 use tokio::sync::watch;
+use tokio::task::JoinHandle;
 use tracing::info;
 
 use crate::edge::Edge;
@@ -13,8 +14,12 @@
 const POLL_INTERVAL: Millis = Millis(50);
 
 /// Waits until all requests are answered or the grace period ends, and closes callers' connections
-/// in steps.
-pub(crate) async fn drain(edge: &Arc<Edge>, drain_tx: &watch::Sender<GracePhase>) {
+/// in steps. `accepting` ends once the callers' listener is closed.
+pub(crate) async fn drain(
+    edge: &Arc<Edge>,
+    drain_tx: &watch::Sender<GracePhase>,
+    accepting: &JoinHandle<()>,
+) {
     let grace = edge.stop();
     info!(
         in_progress = edge.in_progress(),
@@ -23,7 +28,12 @@
     );
     loop {
         tokio::time::sleep(POLL_INTERVAL.duration()).await;
-        let phase = grace.phase(edge.now());
+        let is_idle = edge.in_progress() == 0 && edge.connections() == 0;
+        let phase = match grace.phase(edge.now()) {
+            // An exit with an open listener resets the connections that arrive.
+            GracePhase::CloseIdle if is_idle => GracePhase::StopAccepting,
+            phase => phase,
+        };
         // Connections with a request in progress close after its answer.
         if phase > *drain_tx.borrow() {
             drain_tx.send_replace(phase);
@@ -31,8 +41,7 @@
         if phase == GracePhase::AnswerAll {
             edge.end_calls();
         }
-        let is_idle = edge.in_progress() == 0 && edge.connections() == 0;
-        if (is_idle && phase >= GracePhase::CloseIdle) || phase == GracePhase::Exit {
+        if (is_idle && accepting.is_finished()) || phase == GracePhase::Exit {
             break;
         }
     }
--- a/crates/server/src/callers.rs
+++ b/crates/server/src/callers.rs
@@ -10,7 +10,6 @@
 use axum::body::Body;
 use axum::routing::post;
 use bv_types::Refusal;
-use futures_util::FutureExt;
 use hyper::Version;
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderValue};
@@ -74,24 +73,18 @@
             Err(_) => refuse(stream),
         }
     }
-    accept_waiting(&listener, |stream, addr| {
+    let closed = bv_listen::close(listener, |stream, addr| {
         if let Ok(permit) = permits.clone().try_acquire_owned() {
             spawn_connection(&host, &router, &graceful, stream, addr, permit);
         }
     });
-    drop(listener);
+    if let Err(err) = closed.await {
+        warn!(%err, "callers: connections were reset with the listener");
+    }
     tokio::time::sleep(FIRST_BYTES_WAIT).await;
     graceful.shutdown().await;
 }
 
-/// Accepts the connections that wait in the kernel's backlog, since closing the listener resets
-/// them.
-fn accept_waiting(listener: &TcpListener, mut take: impl FnMut(TcpStream, SocketAddr)) {
-    while let Some(Ok((stream, addr))) = listener.accept().now_or_never() {
-        take(stream, addr);
-    }
-}
-
 fn spawn_connection(
     host: &Arc<Host>,
     router: &Router,
