edge, server: a stop leaves new connections a second for their first request

What callers saw: a connection that was opened just before a host closed its idle connections ended without an answer to the first request, which was on its way.

Cause: a stop treated a connection that has carried no request like one that is idle between two; the product's host waited 250 ms for first bytes, less than a round trip and the pauses of a slow link.

Change: connections without a request stay open for 1 s (FIRST_REQUEST_TIMEOUT), also after the stop closes idle ones.

--- a/crates/edge/src/connection.rs
+++ b/crates/edge/src/connection.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use bv_drain::GracePhase;
+use bv_listen::FIRST_REQUEST_TIMEOUT;
 use bv_types::{Millis, Refusal};
 use bytes::Bytes;
 use http::Request;
@@ -123,6 +124,7 @@
         }
         let (end_at, end) = match wait {
             Wait::Answer => (None, End::Idle),
+            Wait::Request(0) if is_draining => (Some(since + FIRST_REQUEST_TIMEOUT), End::Idle),
             Wait::Request(_) if is_draining => return End::Idle,
             Wait::Request(_) => (Some(edge.state().idle_timeouts.close_at(since)), End::Idle),
             Wait::Head(_) => (Some(since + edge.head_timeout()), End::SlowHead),
--- a/crates/server/src/callers.rs
+++ b/crates/server/src/callers.rs
@@ -9,6 +9,7 @@
 use axum::Router;
 use axum::body::Body;
 use axum::routing::post;
+use bv_listen::FIRST_REQUEST_TIMEOUT;
 use bv_types::Refusal;
 use hyper::Version;
 use hyper::body::Incoming;
@@ -37,9 +38,6 @@
 const USER_TIMEOUT: Duration = Duration::from_secs(10);
 /// Pause after a failed accept, such as when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-/// Wait between the last accept and the graceful shutdown, which closes connections that have
-/// received nothing yet, even if a request is in transit.
-const FIRST_BYTES_WAIT: Duration = Duration::from_millis(250);
 const BUSY_ANSWER: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\n\
     x-burdockvale-outcome: not-run\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
 
@@ -81,7 +79,8 @@
     if let Err(err) = closed.await {
         warn!(%err, "callers: connections were reset with the listener");
     }
-    tokio::time::sleep(FIRST_BYTES_WAIT).await;
+    // The shutdown closes connections that have received nothing yet.
+    tokio::time::sleep(FIRST_REQUEST_TIMEOUT.duration()).await;
     graceful.shutdown().await;
 }
 
