edge: the largest limit of heads does not end connections

What callers saw: with a max_header_bytes above half of the largest integer, a build with overflow checks ended each connection without an answer; a release build wrapped around and gave heads the smallest buffer, so large ones were refused.

Cause: the read buffer is twice the limit, computed without regard to overflow.

Change: saturating multiplication.

Measured (debug build): largest_head_limit fails before (the connection's task panics) and passes 3 of 3 times.

--- a/crates/edge/src/connection.rs
+++ b/crates/edge/src/connection.rs
@@ -83,7 +83,7 @@
         let mut connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(None)
-            .max_buf_size((max_head * 2).max(MIN_HEAD_BUFFER_BYTES))
+            .max_buf_size(max_head.saturating_mul(2).max(MIN_HEAD_BUFFER_BYTES))
             .serve_connection(io, service);
         let end = run(&edge, &guard, &mut connection, &mut drain_rx).await;
         let parts = connection.into_parts();
