lease, edge: a damaged row of a term no longer blocks role orders

A row of another writer in the table of terms ended each attempt with an error, so its service got no role orders any more; a row with a time to come had the same effect. A row with a low fence, or its removal, let the fence start again below the one that engines had seen, and after a removal the next round came after 7.1 s.

Cause: fence and time of the next round were taken from the content of the row alone.

Change: the fence is the version of the replaced row plus one or, without a row, of the store. The store's versions come from one counter and the write gets a later one, so each fence is at most the version of its row and above all fences before it, those of earlier releases (counted from one, a transaction each) included. A round of unknown time (damaged row, time to come, row gone after this host saw one) counts as taken when this state was first read, so MIN_TERM_INTERVAL holds. A damaged row is logged and counted, and replaced on the version that was read.

Changed tests: in order_rounds, Term::next has other parameters. The checks are the same; the set-back clock is also checked through RoundTimes, and the highest fence is that of the highest version.

--- a/crates/edge/src/roles.rs
+++ b/crates/edge/src/roles.rs
@@ -5,17 +5,19 @@
 
 use std::sync::Arc;
 
-use bv_lease::{PoolSplit, RequestCost, Role, SplitWatch, TERM_SEND_WINDOW, Term};
+use bv_lease::{
+    PoolSplit, RequestCost, Role, RoundTimes, SplitWatch, TERM_SEND_WINDOW, Term, TermRow,
+};
 use bv_link::{ConnectOptions, connect};
-use bv_platform::{StoreError, Table, decode_term, role_order};
+use bv_platform::{Rows, StoreError, Table, decode_term, role_order};
 use bv_roster::{Registration, Stage};
-use bv_types::{Millis, ServiceId, Version};
+use bv_types::{Millis, ServiceId};
 use futures_util::future::join_all;
 use http::{StatusCode, header};
 use tracing::{info, warn};
 
 use crate::edge::Edge;
-use crate::follow::log_left_out;
+use crate::follow::{log_left_out, log_unreadable_rows};
 
 /// Interval at which the split between prefill and decode engines is checked.
 const CHECK_INTERVAL: Millis = Millis(500);
@@ -43,6 +45,7 @@
 /// Watches the split of each service's engines and changes it when another one is better.
 pub(crate) async fn balance(edge: Arc<Edge>) {
     let mut watches: Vec<(ServiceId, SplitWatch)> = Vec::new();
+    let mut round_times = RoundTimes::default();
     loop {
         tokio::time::sleep(CHECK_INTERVAL.duration()).await;
         if edge.is_stopping() {
@@ -58,7 +61,7 @@
         };
         let jitter = Millis(fastrand::u64(..=TAKE_TERM_JITTER.0));
         tokio::time::sleep(jitter.duration()).await;
-        if let Err(err) = apply_change(&edge, &change).await {
+        if let Err(err) = apply_change(&edge, &change, &mut round_times).await {
             warn!(
                 service = %change.service,
                 error = %err,
@@ -122,17 +125,19 @@
     None
 }
 
-async fn apply_change(edge: &Edge, change: &RoleChange) -> Result<(), StoreError> {
+async fn apply_change(
+    edge: &Edge,
+    change: &RoleChange,
+    round_times: &mut RoundTimes,
+) -> Result<(), StoreError> {
     let rows = edge.store.read_all(Table::Terms).await?;
     log_left_out(Table::Terms, &rows);
-    let row = rows.get(change.service.as_str());
-    let current = match row.and_then(|row| row.value.as_ref()) {
-        Some(body) => Some(decode_term(body)?),
-        None => None,
-    };
-    let expected: Option<Version> = row.filter(|row| row.value.is_some()).map(|row| row.version);
+    let row = term_row(&rows, &change.service);
+    let latest = round_times.latest(&change.service, row.as_ref(), rows.store_time);
     let own = &edge.settings.host;
-    let Some(term) = Term::next(current.as_ref(), own, rows.store_time) else {
+    let expected = row.map(|row| row.version);
+    let replaced = expected.unwrap_or(rows.version);
+    let Some(term) = Term::next(latest, replaced, own, rows.store_time) else {
         return Ok(());
     };
     let term_requested_at = edge.now();
@@ -143,6 +148,7 @@
     {
         return Ok(());
     }
+    round_times.record_taken(&change.service, term.taken_at);
     let send_until = term_requested_at + TERM_SEND_WINDOW;
     // One order after the other would take longer than the send window with many engines.
     let mut sent = Vec::new();
@@ -162,6 +168,17 @@
     Ok(())
 }
 
+/// The row of a service's latest round.
+fn term_row(rows: &Rows, service: &ServiceId) -> Option<TermRow> {
+    let row = rows.get(service.as_str())?;
+    let term = decode_term(row.value.as_ref()?);
+    let term = term.inspect_err(|err| log_unreadable_rows(Table::Terms, std::slice::from_ref(err)));
+    Some(TermRow {
+        version: row.version,
+        term: term.ok(),
+    })
+}
+
 /// Sends an order unless the send window of the term is over; the process may have been paused in
 /// between. Returns whether it was sent.
 async fn order_in_time(
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -44,7 +44,7 @@
 };
 pub use roles::{MIN_CHANGE_INTERVAL, MIN_SHORTAGE_TIME, RoleBalance, RoleLoad};
 pub use split::{PoolSplit, RequestCost, SplitWatch, prefill_target};
-pub use term::{MIN_TERM_INTERVAL, TERM_SEND_WINDOW, Term};
+pub use term::{MIN_TERM_INTERVAL, RoundTimes, TERM_SEND_WINDOW, Term, TermRow};
 
 use serde::{Deserialize, Serialize};
 
--- a/crates/lease/tests/order_rounds.rs
+++ b/crates/lease/tests/order_rounds.rs
@@ -1,8 +1,11 @@
 //! Guards against two holders with the same fence, holders that alternate too quickly, and splits
 //! that change back and forth.
 
-use bv_lease::{MIN_TERM_INTERVAL, PoolSplit, RequestCost, Role, SplitWatch, Term, prefill_target};
-use bv_types::{Fence, HostId, Millis};
+use bv_lease::{
+    MIN_TERM_INTERVAL, PoolSplit, RequestCost, Role, RoundTimes, SplitWatch, Term, TermRow,
+    prefill_target,
+};
+use bv_types::{Fence, HostId, Millis, ServiceId, Version};
 
 const COST: RequestCost = RequestCost {
     prefill_ms: 95.0,
@@ -16,21 +19,65 @@
 /// Guards against two rounds within MIN_TERM_INTERVAL and against a fence that does not grow.
 #[test]
 fn one_round_at_a_time() {
-    let first = Term::next(None, &host("a"), Millis(100)).unwrap();
-    assert_eq!(first.fence, Fence(1));
+    let first = Term::next(None, Version(7), &host("a"), Millis(100)).unwrap();
+    assert_eq!(first.fence, Fence(8));
+    let earlier = Some(first.taken_at);
     let early = Millis(100 + MIN_TERM_INTERVAL.0 - 1);
-    assert_eq!(Term::next(Some(&first), &host("a"), early), None);
-    assert_eq!(Term::next(Some(&first), &host("b"), early), None);
+    for name in ["a", "b"] {
+        assert_eq!(Term::next(earlier, Version(8), &host(name), early), None);
+    }
     let later = Millis(100 + MIN_TERM_INTERVAL.0);
-    let second = Term::next(Some(&first), &host("b"), later).unwrap();
-    assert_eq!((second.fence, second.holder.as_str()), (Fence(2), "b"));
+    let second = Term::next(earlier, Version(8), &host("b"), later).unwrap();
+    assert_eq!((second.fence, second.holder.as_str()), (Fence(9), "b"));
 }
 
 /// Guards against a new round while the age of the earlier one is unknown.
 #[test]
 fn no_round_after_clock_was_set_back() {
-    let term = Term::next(None, &host("a"), Millis(9_000)).unwrap();
-    assert_eq!(Term::next(Some(&term), &host("b"), Millis(10)), None);
+    let term = Term::next(None, Version(0), &host("a"), Millis(9_000)).unwrap();
+    let early = Term::next(Some(term.taken_at), Version(1), &host("b"), Millis(10));
+    assert_eq!(early, None);
+    let mut times = RoundTimes::default();
+    let row = row(1, Some(term));
+    let latest = times.latest(&service(), Some(&row), Millis(10));
+    assert_eq!(Term::next(latest, Version(1), &host("b"), Millis(10)), None);
+}
+
+fn service() -> ServiceId {
+    "llm".parse().unwrap()
+}
+
+fn row(version: u64, term: Option<Term>) -> TermRow {
+    TermRow {
+        version: Version(version),
+        term,
+    }
+}
+
+/// Guards against a round that follows one of unknown time too early, or never.
+#[test]
+fn unknown_round_counts_from_its_first_reading() {
+    let mut times = RoundTimes::default();
+    let mut latest = |row: Option<&TermRow>, now| times.latest(&service(), row, Millis(now));
+    assert_eq!(latest(None, 100), None);
+    let damaged = row(5, None);
+    for now in [1_000, 5_000, 17_000] {
+        assert_eq!(latest(Some(&damaged), now), Some(Millis(1_000)));
+    }
+    // A sound row may have been there in between.
+    assert_eq!(latest(Some(&row(8, None)), 18_000), Some(Millis(18_000)));
+    assert_eq!(latest(None, 20_000), Some(Millis(20_000)));
+    assert_eq!(latest(None, 30_000), Some(Millis(20_000)));
+    // The store's clock was set back.
+    assert_eq!(latest(None, 10), Some(Millis(10)));
+    let future = Term::next(None, Version(8), &host("a"), Millis(90_000)).unwrap();
+    let future = row(9, Some(future));
+    assert_eq!(latest(Some(&future), 40_000), Some(Millis(40_000)));
+    assert_eq!(latest(Some(&future), 56_000), Some(Millis(40_000)));
+    assert_eq!(latest(Some(&future), 95_000), Some(Millis(90_000)));
+    times.record_taken(&service(), Millis(96_000));
+    let latest = times.latest(&service(), None, Millis(99_000));
+    assert_eq!(latest, Some(Millis(96_000)));
 }
 
 /// Guards against a target that does not follow the measured cost.
@@ -117,10 +164,6 @@
 /// Guards against a fence that wraps around to a low one.
 #[test]
 fn highest_fence_has_no_successor() {
-    let last = Term {
-        holder: host("a"),
-        fence: Fence(u64::MAX),
-        taken_at: Millis::ZERO,
-    };
-    assert_eq!(Term::next(Some(&last), &host("b"), Millis(1_000_000)), None);
+    let next = Term::next(None, Version(u64::MAX), &host("b"), Millis(1_000_000));
+    assert_eq!(next, None);
 }
