edge: rows of gone hosts no longer lengthen the intervals of host rows

Rows of hosts that are gone for good stay in the table of hosts. They were not taken for live hosts, but counted for the interval at which rows are written and for their lifetime: with 24 of them, a single host rewrote its row as rarely as one of 24, and a dead host counted as live for 75 s in place of 25 s.

Change: only rows of the last 75 s, the longest lifetime, count for both.

The 75 s of a dead host are read, not shown.

Open: the rows are never removed, so each read of the table returns all of them (500 a call).

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -10,7 +10,7 @@
 use crate::answer_log::{AnswerLog, Origin, log_config, log_rejected, log_servers};
 use crate::counters;
 use crate::edge::Edge;
-use crate::hosts::Hosts;
+use crate::hosts::{Hosts, recent_count};
 
 /// Time for which other hosts may have a newer version before the call that waits for changes is
 /// made again: its connection may be dead.
@@ -461,7 +461,7 @@
     let before = edge.store.read_all(Table::Hosts).await?;
     // The first rounds only look for other hosts; the row is written again after half of the usual
     // interval.
-    let fresh_until = store_intervals::row_interval(before.rows.len()).0 / 2;
+    let fresh_until = store_intervals::row_interval(recent_count(&before)).0 / 2;
     let written = before
         .get(own.id.as_str())
         .and_then(|row| row.value.as_ref());
--- a/crates/edge/src/hosts.rs
+++ b/crates/edge/src/hosts.rs
@@ -5,6 +5,7 @@
 use bv_platform::{HostRow, Rows};
 use bv_roster::{HostEntry, store_intervals};
 use bv_types::{Fingerprint, HostId, ZoneId};
+use bytes::Bytes;
 
 /// Live hosts, without this one.
 #[derive(Debug, Clone, Default)]
@@ -18,7 +19,7 @@
 impl Hosts {
     /// Reads the rows of all hosts; unreadable rows are ignored.
     pub fn read(own: &HostEntry, rows: &Rows) -> Self {
-        let count = rows.rows.len();
+        let count = recent_count(rows);
         let live = rows.rows.iter().filter_map(|row| {
             let host = HostRow::decode(row.value.as_ref()?).ok()?;
             let entry = HostEntry {
@@ -78,6 +79,18 @@
     }
 }
 
+/// Number of rows that were written recently. Rows of hosts that are gone for good stay in the table.
+pub(crate) fn recent_count(rows: &Rows) -> usize {
+    let is_recent = |body: &Bytes| {
+        // The lifetime of rows is longest with many hosts.
+        HostRow::decode(body).is_ok_and(|host| {
+            store_intervals::is_row_live(usize::MAX, host.written_at, rows.store_time)
+        })
+    };
+    let bodies = rows.rows.iter().filter_map(|row| row.value.as_ref());
+    bodies.filter(|body| is_recent(body)).count()
+}
+
 fn digest(own: &HostEntry, others: &[HostEntry]) -> u64 {
     let mut lines: Vec<String> = others
         .iter()
