--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -3,14 +3,15 @@
 use std::sync::Arc;
 
 use bv_platform::{DecodeError, HostRow, Rows, StoreError, Table};
-use bv_roster::{Answer, Extent, FeedAnswer, Rejected, TableAnswer, store_intervals};
+use bv_roster::{Answer, Extent, FeedAnswer, TableAnswer, store_intervals};
 use bv_types::{Millis, Version};
 use tracing::{debug, info, warn};
 
-use crate::answer_log::{AnswerLog, Origin, log_config, log_rejected, log_servers};
+use crate::answer_log::{AnswerLog, Origin, log_config, log_servers};
 use crate::counters;
 use crate::edge::Edge;
 use crate::hosts::{Hosts, recent_count};
+use crate::store_health::StoreHealth;
 
 /// Time for which other hosts may have a newer version before the call that waits for changes is
 /// made again: its connection may be dead.
@@ -27,105 +28,12 @@
 const PEER_QUERY_DELAY: Millis = Millis(500);
 /// Time between two queries to other hosts.
 const PEER_QUERY_INTERVAL: Millis = Millis(300);
-/// Minimum time without an answer of the store that counts as an outage. Rows may have expired
-/// during it, so their servers get a grace period when the store answers again.
-const OUTAGE_THRESHOLD: Millis = Millis(1_500);
 /// Interval at which a host that does not read the store checks whether its own row is due.
 const ROW_CHECK_INTERVAL: Millis = Millis(2_000);
 /// First intervals between two exchanges of host rows; short, so that hosts that start together
 /// find each other within the first seconds.
 const FIRST_HOST_INTERVALS: [Millis; 3] = [Millis(1_200), Millis(2_800), Millis(4_000)];
 
-/// Health of the store calls for one table.
-#[derive(Debug)]
-struct StoreHealth {
-    table: Table,
-    failing_since: Option<Millis>,
-    /// Failed calls since the last answer.
-    failures: u32,
-    last_answer: Millis,
-}
-
-impl StoreHealth {
-    fn new(table: Table, now: Millis) -> Self {
-        StoreHealth {
-            table,
-            failing_since: None,
-            failures: 0,
-            last_answer: now,
-        }
-    }
-
-    fn name(&self) -> &'static str {
-        table_name(self.table)
-    }
-
-    /// Waits until this host reads the store itself. Returns true if it did not before; the time
-    /// without calls is no outage then.
-    async fn wait_for_turn(&mut self, edge: &Edge) -> bool {
-        if edge.reads_store() {
-            return false;
-        }
-        edge.state().set_store_failing(self.name(), false);
-        edge.wait_for_reads_store(true).await;
-        *self = StoreHealth::new(self.table, edge.now());
-        true
-    }
-
-    /// Whether an answer now ends an outage.
-    fn is_outage(&self, now: Millis) -> bool {
-        self.failing_since.is_some() && now - self.last_answer >= OUTAGE_THRESHOLD
-    }
-
-    /// Records an answer.
-    fn record_answer(&mut self, edge: &Edge, now: Millis) {
-        edge.state().set_store_failing(self.name(), false);
-        counters::store_call(self.name(), true);
-        self.failures = 0;
-        if let Some(since) = self.failing_since.take() {
-            let down_ms = (now - since).0;
-            info!(table = self.name(), down_ms, "store: answers again");
-        }
-        self.last_answer = now;
-    }
-
-    /// Records an answer that does not continue the rows already known, and pauses.
-    async fn record_rejected_and_pause(
-        &mut self,
-        edge: &Edge,
-        answer: &AnswerLog,
-        reason: Rejected,
-    ) {
-        counters::store_call(self.name(), false);
-        log_rejected(answer, self.table, reason);
-        self.pause_after_failure(edge).await;
-    }
-
-    /// Records a failed call, and pauses.
-    async fn record_failure_and_pause(&mut self, edge: &Edge, err: &StoreError) {
-        let now = edge.now();
-        record_failing(edge, self.table);
-        counters::store_call(self.name(), false);
-        if self.failing_since.is_none() {
-            self.failing_since = Some(now);
-            warn!(table = self.name(), error = %err, "store: call failed");
-        }
-        self.pause_after_failure(edge).await;
-    }
-
-    /// Pauses; a random extra of up to the same time keeps hosts from calling at once.
-    async fn pause_after_failure(&mut self, edge: &Edge) {
-        self.failures = self.failures.saturating_add(1);
-        let is_reader = edge.state().sources.is_reader();
-        let pause = store_intervals::failure_pause(is_reader, self.failures);
-        let pause = Millis(pause.0 + fastrand::u64(..=pause.0));
-        tokio::select! {
-            () = tokio::time::sleep(pause.duration()) => {}
-            () = edge.wait_for_reads_store(false) => {}
-        }
-    }
-}
-
 /// What a call for the rows of a table brought.
 struct Reading {
     answer: Answer,
@@ -217,7 +125,7 @@
 }
 
 /// Records that a call for a table failed, and reports it to the other hosts if it was not failing.
-fn record_failing(edge: &Edge, table: Table) {
+pub(crate) fn record_failing(edge: &Edge, table: Table) {
     let now = edge.now();
     let mut state = edge.state();
     state.set_store_failing(table_name(table), true);
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -33,6 +33,7 @@
 mod silence;
 mod state;
 mod stop;
+mod store_health;
 mod subscribe;
 mod usage;
 
