types: names of services may hold dots

What callers saw: nothing would be in force of a configuration in which a service has a dotted name, such as plain.v2; the host ignored the whole of it. The platform states no syntax for these names.

Cause: names of services were checked like ids that the product forms itself.

Change: a service id may hold dots, but not begin with one, so that it names no directory in a URL. Other ids stay: attempts join theirs by dots.

--- a/crates/types/src/id.rs
+++ b/crates/types/src/id.rs
@@ -12,20 +12,52 @@
 /// Valid ids are ASCII, so bytes and characters are the same.
 const MAX_ID_LEN_BYTES: usize = 64;
 
-fn check_id(kind: &'static str, text: &str) -> Result<SmolStr, ParseError> {
-    let allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_');
-    if text.is_empty() || text.len() > MAX_ID_LEN_BYTES || !text.chars().all(allowed) {
+/// Punctuation that ids may hold.
+#[derive(Clone, Copy)]
+enum Punctuation {
+    /// Hyphens and underscores.
+    Plain,
+    /// Dots as well, but not first.
+    Dotted,
+}
+
+impl Punctuation {
+    fn allows(self, c: char) -> bool {
+        matches!(c, '-' | '_') || (c == '.' && matches!(self, Punctuation::Dotted))
+    }
+
+    fn expected(self) -> &'static str {
+        match self {
+            Punctuation::Plain => "1 to 64 letters, digits, '-' or '_'",
+            Punctuation::Dotted => {
+                "1 to 64 letters, digits, '-', '_' or '.', not beginning with '.'"
+            }
+        }
+    }
+}
+
+fn check_id(
+    kind: &'static str,
+    punctuation: Punctuation,
+    text: &str,
+) -> Result<SmolStr, ParseError> {
+    let allowed = |c: char| c.is_ascii_alphanumeric() || punctuation.allows(c);
+    let is_valid = !text.is_empty()
+        && text.len() <= MAX_ID_LEN_BYTES
+        && !text.starts_with('.')
+        && text.chars().all(allowed);
+    if !is_valid {
         return Err(ParseError {
             kind,
             value: text.chars().take(MAX_ID_LEN_BYTES).collect(),
-            expected: "1 to 64 letters, digits, '-' or '_'",
+            expected: punctuation.expected(),
         });
     }
     Ok(SmolStr::new(text))
 }
 
 macro_rules! text_id {
-    ($($(#[$doc:meta])* $name:ident = $kind:literal;)*) => {$(
+    ($($(#[$doc:meta])* $name:ident = $kind:literal, $punctuation:ident;)*) => {$(
         $(#[$doc])*
         #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
         #[serde(try_from = "SmolStr", into = "SmolStr")]
@@ -41,14 +73,14 @@
         impl TryFrom<&str> for $name {
             type Error = ParseError;
             fn try_from(text: &str) -> Result<Self, ParseError> {
-                check_id($kind, text).map(Self)
+                check_id($kind, Punctuation::$punctuation, text).map(Self)
             }
         }
 
         impl TryFrom<SmolStr> for $name {
             type Error = ParseError;
             fn try_from(text: SmolStr) -> Result<Self, ParseError> {
-                check_id($kind, &text).map(Self)
+                check_id($kind, Punctuation::$punctuation, &text).map(Self)
             }
         }
 
@@ -75,21 +107,21 @@
 
 text_id! {
     /// An entry host.
-    HostId = "entry host id";
+    HostId = "entry host id", Plain;
     /// A backend server: a runner or a server of a plain service.
-    BackendId = "backend server id";
+    BackendId = "backend server id", Plain;
     /// An availability zone.
-    ZoneId = "availability zone id";
+    ZoneId = "availability zone id", Plain;
     /// A model.
-    ModelId = "model id";
+    ModelId = "model id", Plain;
     /// A pool of runners.
-    PoolId = "pool id";
+    PoolId = "pool id", Plain;
     /// A plain service.
-    ServiceId = "service id";
+    ServiceId = "service id", Dotted;
     /// A route of a plain service.
-    RouteId = "route id";
+    RouteId = "route id", Plain;
     /// A team of callers.
-    TeamId = "team id";
+    TeamId = "team id", Plain;
 }
 
 /// Start time of a process in milliseconds since the Unix epoch. It distinguishes the process from
