server: use late answers of a shard's owner

Cause: a call to the owner of the shard was dropped at its time limit, 150 and 350 ms for a reservation and 250 ms for the report of a finished prefill, and the next call began anew. An owner that takes longer for each answer is never heard, although it has granted: the request is placed without it on slots that it does not know to be used, or the prefill is evicted and the next attempt reserves again.

Change: the earlier call stays open while the next one is sent, and the first answer to any of them counts. The limit of 500 ms after which an owner is skipped is unchanged. A call that is still open after a grant or refusal is awaited in the background; if the attempt has no grant then, what the owner granted to that call is returned. The repeated call for a queued request no longer asks the owner to hold it open for longer than the host waits.

--- a/crates/server/src/placement/mod.rs
+++ b/crates/server/src/placement/mod.rs
@@ -83,6 +83,13 @@
             .any(|(known, until)| known == owner && now < *until)
     }
 
+    /// Whether a request of this host holds a grant of the shard for this attempt.
+    fn is_open(&self, attempt: &AttemptId, shard: &SmolStr) -> bool {
+        let open = lock(&self.open_grants);
+        open.iter()
+            .any(|grant| grant.attempt == *attempt && grant.reserve.shard == *shard)
+    }
+
     fn record_load(&self, shard: &SmolStr, percent: u32) {
         let mut loads = lock(&self.loads);
         match loads.binary_search_by(|(key, _)| key.cmp(shard)) {
--- a/crates/server/src/placement/request.rs
+++ b/crates/server/src/placement/request.rs
@@ -6,14 +6,15 @@
 use bv_place::{Class, score};
 use bv_types::{AttemptId, BackendId, Fingerprint, HostId, Millis, Refusal, RetryReason, Tokens};
 use bv_wire::frame::Body;
-use bv_wire::{PrefillDone, Reserve};
+use bv_wire::{Grant, PrefillDone, Reserve};
 use smol_str::SmolStr;
+use tokio::task::JoinSet;
 use tracing::debug;
 
 use super::grants::{GrantGuard, OpenGrant, send_withdrawal};
 use super::shards::class_of;
 use super::{GrantOwner, refusal_of, shards};
-use crate::peers::PeerCause;
+use crate::peers::PeerError;
 use crate::{Host, counters};
 
 /// Time within which an owner must answer, if only that the request is queued.
@@ -62,6 +63,9 @@
     Unreachable,
 }
 
+/// A call to an owner, its time and its result.
+type ReserveAnswer = (Reserve, Millis, Result<Body, PeerError>);
+
 /// Requests runners until the request is granted or refused.
 ///
 /// # Errors
@@ -134,65 +138,131 @@
         shard,
         attempt: Some(request.attempt.clone()),
     };
+    let mut calls = JoinSet::new();
     let mut wait = FIRST_CALL_WAIT;
     let mut timeout = FIRST_CALL_TIMEOUT;
-    let mut is_second_call = false;
     loop {
-        let now = host.clock.now();
-        let reserve = reserve_message(host, model, request, shard, now, wait);
-        let call = Body::Reserve(reserve.clone());
-        match host.peers.call(owner, call, timeout).await {
-            Ok(Body::Grant(grant)) => {
-                host.placement.record_load(shard, grant.load_percent);
-                let (Ok(prefill), Ok(decode)) = (grant.prefill.parse(), grant.decode.parse())
-                else {
-                    return OwnerAnswer::Denied(Refusal::NoBackend);
-                };
-                withdraw.attempt = None;
-                let grant = OpenGrant {
-                    attempt: request.attempt.clone(),
-                    owner: GrantOwner::Host(owner.clone()),
-                    prefill,
-                    decode,
-                    prefill_time: Millis(grant.prefill_ms),
-                    first_token: Millis(grant.first_token_ms),
-                    slot_ready: grant.slot_ready,
-                    decoding: false,
-                    copied_to: None,
-                    is_registering: false,
-                    reserve,
-                    granted_at: now,
-                };
-                let guard = GrantGuard::new(host, grant.clone());
-                return OwnerAnswer::Granted(Box::new((guard, grant)));
-            }
-            Ok(Body::Deny(deny)) => {
-                withdraw.attempt = None;
-                host.placement.record_load(shard, deny.load_percent);
-                return OwnerAnswer::Denied(refusal_of(&deny.reason));
-            }
-            Ok(Body::Queued(_)) => {
-                wait = QUEUED_WAIT;
-                timeout = QUEUED_WAIT + QUEUED_MARGIN;
-                is_second_call = false;
-            }
-            Ok(_) => return OwnerAnswer::Unreachable,
-            Err(err) if matches!(err.cause, PeerCause::Timeout(_)) && !is_second_call => {
-                debug!(
-                    %err,
-                    "place: the owner of the shard did not answer in time; calling it again"
-                );
-                timeout = SECOND_CALL_TIMEOUT;
-                is_second_call = true;
+        let start_call = |calls: &mut JoinSet<ReserveAnswer>, wait, timeout| {
+            let sent_at = host.clock.now();
+            let reserve = reserve_message(host, model, request, shard, sent_at, wait);
+            let (host, owner) = (host.clone(), owner.clone());
+            calls.spawn(async move {
+                let call = Body::Reserve(reserve.clone());
+                let answer = host.peers.call(&owner, call, timeout).await;
+                (reserve, sent_at, answer)
+            });
+        };
+        start_call(&mut calls, wait, timeout + SECOND_CALL_TIMEOUT);
+        let second_call_at = tokio::time::Instant::now() + timeout.duration();
+        let mut is_second_call = false;
+        let mut is_queued = false;
+        loop {
+            let answer = tokio::select! {
+                answer = calls.join_next() => answer,
+                () = tokio::time::sleep_until(second_call_at), if !is_second_call => {
+                    debug!(
+                        %owner,
+                        "place: the owner of the shard did not answer in time; calling it again"
+                    );
+                    // The first call stays open: the owner may answer each call late.
+                    start_call(&mut calls, FIRST_CALL_WAIT, SECOND_CALL_TIMEOUT);
+                    is_second_call = true;
+                    continue;
+                }
+            };
+            let Some(answer) = answer else {
+                break;
+            };
+            let Ok((reserve, sent_at, answer)) = answer else {
+                continue;
+            };
+            match answer {
+                Ok(Body::Grant(grant)) => {
+                    host.placement.record_load(shard, grant.load_percent);
+                    let opened =
+                        open_grant(host, owner, &request.attempt, &grant, reserve, sent_at);
+                    let Some(opened) = opened else {
+                        return OwnerAnswer::Denied(Refusal::NoBackend);
+                    };
+                    withdraw.attempt = None;
+                    return_second_grant(host, calls, &request.attempt, shard, owner);
+                    return OwnerAnswer::Granted(Box::new(opened));
+                }
+                Ok(Body::Deny(deny)) => {
+                    withdraw.attempt = None;
+                    host.placement.record_load(shard, deny.load_percent);
+                    return_second_grant(host, calls, &request.attempt, shard, owner);
+                    return OwnerAnswer::Denied(refusal_of(&deny.reason));
+                }
+                // Also the answer to a call that a later one has replaced.
+                Ok(Body::Queued(_)) => is_queued = true,
+                Ok(_) => return OwnerAnswer::Unreachable,
+                Err(err) if calls.is_empty() && !is_queued => {
+                    debug!(%err, "place: call to the owner of the shard failed; skipping the owner");
+                    host.placement
+                        .mark_unresponsive(owner, host.clock.now() + UNRESPONSIVE_TIME);
+                    return OwnerAnswer::Unreachable;
+                }
+                Err(err) => debug!(%err, "place: call to the owner of the shard failed"),
             }
-            Err(err) => {
-                debug!(%err, "place: call to the owner of the shard failed; skipping the owner");
-                host.placement
-                    .mark_unresponsive(owner, host.clock.now() + UNRESPONSIVE_TIME);
-                return OwnerAnswer::Unreachable;
+            if calls.is_empty() {
+                break;
             }
         }
+        if !is_queued {
+            return OwnerAnswer::Unreachable;
+        }
+        wait = QUEUED_WAIT;
+        timeout = QUEUED_WAIT + QUEUED_MARGIN;
+    }
+}
+
+/// Records a grant of an owner; `None` if its runners have no valid ids.
+fn open_grant(
+    host: &Arc<Host>,
+    owner: &HostId,
+    attempt: &AttemptId,
+    grant: &Grant,
+    reserve: Reserve,
+    sent_at: Millis,
+) -> Option<(GrantGuard, OpenGrant)> {
+    let grant = OpenGrant {
+        attempt: attempt.clone(),
+        owner: GrantOwner::Host(owner.clone()),
+        prefill: grant.prefill.parse().ok()?,
+        decode: grant.decode.parse().ok()?,
+        prefill_time: Millis(grant.prefill_ms),
+        first_token: Millis(grant.first_token_ms),
+        slot_ready: grant.slot_ready,
+        decoding: false,
+        copied_to: None,
+        is_registering: false,
+        reserve,
+        granted_at: sent_at,
+    };
+    Some((GrantGuard::new(host, grant.clone()), grant))
+}
+
+/// Waits for the other call for an attempt that was answered, and then ends what the owner granted
+/// to that call after it had refused the attempt or the grant had been released.
+fn return_second_grant(
+    host: &Arc<Host>,
+    mut calls: JoinSet<ReserveAnswer>,
+    attempt: &AttemptId,
+    shard: &SmolStr,
+    owner: &HostId,
+) {
+    if calls.is_empty() {
+        return;
     }
+    let (host, attempt) = (host.clone(), attempt.clone());
+    let (shard, owner) = (shard.clone(), owner.clone());
+    tokio::spawn(async move {
+        while calls.join_next().await.is_some() {}
+        if !host.placement.is_open(&attempt, &shard) {
+            send_withdrawal(&host, owner, shard, attempt);
+        }
+    });
 }
 
 /// Withdraws a request from an owner when dropped, because the caller disconnected or the owner
@@ -308,6 +378,8 @@
     limit: Millis,
 ) -> Result<(), RetryReason> {
     let end = host.clock.now() + limit;
+    let mut calls = JoinSet::new();
+    let mut is_call_due = true;
     loop {
         let GrantOwner::Host(owner) = guard.owner() else {
             return Ok(());
@@ -316,21 +388,36 @@
         if left == Millis::ZERO {
             return Err(RetryReason::PrefillEvicted);
         }
-        let wait = left.min(SLOT_WAIT);
-        let call = prefill_done_message(grant, wait);
+        if is_call_due {
+            let call = prefill_done_message(grant, left.min(SLOT_WAIT));
+            let host = host.clone();
+            calls.spawn(async move { host.peers.call(&owner, call, left).await });
+        }
         let timeout = left.min(SLOT_WAIT + FIRST_CALL_TIMEOUT);
-        match host.peers.call(&owner, call, timeout).await {
-            Ok(Body::Queued(_)) => {}
-            Ok(_) => return Ok(()),
+        match tokio::time::timeout(timeout.duration(), calls.join_next()).await {
+            // Also the answer to a call that a later one has replaced.
+            Ok(Some(Ok(Ok(Body::Queued(_))))) => is_call_due = calls.is_empty(),
+            Ok(Some(Ok(Ok(_)))) => return Ok(()),
             // Reporting twice is harmless, so the call is repeated. The grant moves to another
             // owner if this one is dead.
-            Err(err) => {
+            Ok(Some(Ok(Err(err)))) => {
                 debug!(
                     %err,
                     "place: reporting a finished prefill to the owner of the shard failed"
                 );
                 counters::retried(RetryReason::OwnerUnreachable);
                 tokio::time::sleep(SLOT_RETRY_INTERVAL.duration()).await;
+                is_call_due = true;
+            }
+            Ok(Some(Err(_)) | None) => is_call_due = true,
+            // The earlier calls stay open: the owner may answer each call late.
+            Err(_) => {
+                debug!(
+                    "place: the owner of the shard did not answer the report of a finished \
+                     prefill in time; reporting again"
+                );
+                counters::retried(RetryReason::OwnerUnreachable);
+                is_call_due = true;
             }
         }
     }
