edge, retry: a stream is moved from a silent server only with a retry for the way back

Cause: a stream was moved with the last retry of the budget.

Change: a search for a stream that has begun takes one retry more than the sends of the move need, or finds nothing (RequestSends::keep_return). It is used for the way back, or given back. Without it the silent server keeps the stream for 1.8 s more, 3 s of silence in all, but at most half of the time to the deadline; then it is taken for gone, and the stream is moved without a way back. A stream whose head was delivered counts as begun for the budget before its first event, as Purpose::Resume states.

--- a/crates/edge/src/model/decode.rs
+++ b/crates/edge/src/model/decode.rs
@@ -135,6 +135,10 @@
         };
         let patience = predicted + STALL_TIMEOUT;
         let silence = Silence::new(now, patience, self.req.deadline);
+        let silence = match self.has_begun {
+            true => silence.with_return(),
+            false => silence,
+        };
         let (edge, req) = (self.edge.clone(), self.req.clone());
         let mut is_silent = false;
         let run = WatchedRun::begin(&edge, &req, &engine);
--- a/crates/edge/src/model/mod.rs
+++ b/crates/edge/src/model/mod.rs
@@ -189,12 +189,12 @@
                 if let Some(failure) = self.edge.blocked(&self.req) {
                     return Err(self.blocked_failure(failure));
                 }
-                match self.first_at {
-                    Some(_) => self.retries.set_purpose(Purpose::Resume),
+                match self.has_begun {
+                    true => self.retries.set_purpose(Purpose::Resume),
                     // A prefill in flight may go on, and its decode needs a retry that was taken.
-                    None if self.retries.is_in_flight() => {}
+                    false if self.retries.is_in_flight() => {}
                     // Other requests may use the retries while this one waits.
-                    None => self.retries.release(),
+                    false => self.retries.release(),
                 }
                 // Without a retry the call ends at once instead of waiting for capacity.
                 if !self.retries.may_run(&self.req, RetryKind::Decode) {
--- a/crates/edge/src/model/silence.rs
+++ b/crates/edge/src/model/silence.rs
@@ -83,6 +83,8 @@
     /// An engine to which the request was sent may run it, so a reply of the silent one is not used
     /// until the other one has refused. The silent one is left when the other one accepts, or after
     /// [`OVERLAP`]: then `reply` is dropped and `leave` called, which closes the connection.
+    /// While the silence needs a way back, the search holds a retry for it, or finds nothing.
+    ///
     /// `failed` tells whether the engine ended the request by its reply.
     #[expect(clippy::too_many_arguments)]
     pub async fn wait_for<T, N>(
@@ -101,6 +103,8 @@
         let mut has_searched = false;
         let offered_at = self.offered_at.subscribe();
         self.offered_at.send_replace(None);
+        // A search for an engine that continues a stream may itself wait for a silent one.
+        let keeps_return = self.retries.keeps_return();
         let (waited, outcome) = loop {
             let mut replying = poll_fn(|cx| match reply.as_mut().as_pin_mut() {
                 Some(reply) if offered_at.borrow().is_none() => reply.poll(cx),
@@ -128,6 +132,8 @@
             }
             has_searched = true;
             self.exclude(engine);
+            let needs_return = silence.needs_return(edge.now());
+            self.retries.keep_return(keeps_return || needs_return);
             let runs_before = self.runs;
             let deadline = tokio::time::Instant::now() + req.remaining(edge.now()).duration();
             let mut searching = search(self);
@@ -159,6 +165,7 @@
                         Ok(Err(_)) if self.may_run_again() => {
                             // The engine that was left may still take the request again.
                             self.tried.retain(|id| id != engine);
+                            self.retries.keep_return(keeps_return);
                             tokio::time::timeout_at(deadline, search(self)).await
                         }
                         found => found,
@@ -175,6 +182,10 @@
             }
         };
         if has_searched {
+            self.retries.keep_return(keeps_return);
+            if silence.has_return() {
+                self.retries.release();
+            }
             let length = silence.length(edge.now());
             record_search(&edge, &req, engine, length, outcome);
         }
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -271,7 +271,7 @@
     async fn forward(&mut self, source: &mut Source) -> SourceEnd {
         loop {
             let began = self.edge.now();
-            let silence = Silence::new(began, STALL_TIMEOUT, self.call.req.deadline);
+            let silence = Silence::new(began, STALL_TIMEOUT, self.call.req.deadline).with_return();
             let may_move = self.may_resume();
             let waiting = self.call.wait_for(
                 &source.server,
--- a/crates/edge/src/retries.rs
+++ b/crates/edge/src/retries.rs
@@ -94,27 +94,39 @@
         is_taken
     }
 
-    /// Whether the next run is paid or the budget allows a retry; logs a denial.
+    /// Whether the next run is paid or the budget allows its retries; logs a denial.
     pub fn may_run(&self, req: &CallerRequest, kind: RetryKind) -> bool {
-        if self.sends.missing_for_run() == 0 {
+        let missing = self.sends.missing_for_run();
+        if missing == 0 {
             return true;
         }
         let edge = &self.edge;
         let now = edge.now();
         let limits = edge.budget_limits();
         let mut state = edge.state();
-        let is_allowed = state
-            .retry_budgets
-            .allows(now, &self.service, limits, self.purpose);
+        let is_allowed =
+            state
+                .retry_budgets
+                .allows(now, &self.service, limits, self.purpose, missing);
         let balance = state.retry_budgets.balance(now, &self.service, limits);
         drop(state);
         if !is_allowed {
-            counters::retry_budget("denied", kind.code(), 1);
-            edge.logs.retry_denied(now, req, kind, 1, balance);
+            counters::retry_budget("denied", kind.code(), missing);
+            edge.logs.retry_denied(now, req, kind, missing, balance);
         }
         is_allowed
     }
 
+    /// Sets whether a retry is kept for the return to a server that was left.
+    pub fn keep_return(&mut self, keeps: bool) {
+        self.sends.keep_return(keeps);
+    }
+
+    /// Whether a retry is kept for the return to a server that was left.
+    pub fn keeps_return(&self) -> bool {
+        self.sends.keeps_return()
+    }
+
     /// Whether a send is in flight.
     pub fn is_in_flight(&self) -> bool {
         self.sends.is_in_flight()
--- a/crates/retry/src/host.rs
+++ b/crates/retry/src/host.rs
@@ -92,16 +92,18 @@
         self.budget(service).settle(now, limits, settlement);
     }
 
-    /// Whether this host's share of the budget allows a retry for a service.
+    /// Whether this host's share of the budget allows `count` retries for a service.
     pub fn allows(
         &mut self,
         now: Millis,
         service: &ServiceId,
         limits: BudgetLimits,
         purpose: Purpose,
+        count: u32,
     ) -> bool {
         let (limits, hosts) = self.own_share(now, limits);
-        self.budget(service).allows(now, limits, hosts, purpose, 1)
+        self.budget(service)
+            .allows(now, limits, hosts, purpose, count)
     }
 
     /// Balance of this host's share of a service's budget.
--- a/crates/retry/src/lib.rs
+++ b/crates/retry/src/lib.rs
@@ -35,4 +35,4 @@
 pub use host::{Balance, HostBudgets};
 pub use sends::{Delivery, RequestSends, SendKind, Settlement};
 pub use shared::{BudgetLimits, Purpose, SharedBudget};
-pub use silence::{OVERLAP, Silence, SilenceStep};
+pub use silence::{OVERLAP, RETURN_PERIOD, Silence, SilenceStep};
--- a/crates/retry/src/sends.rs
+++ b/crates/retry/src/sends.rs
@@ -46,6 +46,8 @@
     taken: u32,
     /// Retries among them whose sends have arrived.
     settled: u32,
+    /// Whether one more run is kept paid, to return to a server that was left.
+    keeps_return: bool,
 }
 
 impl RequestSends {
@@ -64,6 +66,7 @@
     }
 
     fn missing(&self, sends: u32) -> u32 {
+        let sends = sends + u32::from(self.keeps_return);
         retries_among(self.most_arrivals() + sends).saturating_sub(self.taken)
     }
 
@@ -72,6 +75,17 @@
         self.arrivals + self.in_flight
     }
 
+    /// Sets whether one more run than asked for is to be paid, and whether its retry is kept by
+    /// [`RequestSends::release`].
+    pub fn keep_return(&mut self, keeps: bool) {
+        self.keeps_return = keeps;
+    }
+
+    /// Whether one more run is kept paid.
+    pub fn keeps_return(&self) -> bool {
+        self.keeps_return
+    }
+
     /// Records retries that were taken from the budget for the next sends.
     pub fn hold(&mut self, retries: u32) {
         self.taken += retries;
@@ -98,9 +112,10 @@
         self.settle()
     }
 
-    /// Gives back the retries that neither arrived sends nor those in flight need.
+    /// Gives back the retries that neither arrived sends, nor those in flight, nor a kept return
+    /// need.
     pub fn release(&mut self) -> Settlement {
-        let needed = retries_among(self.most_arrivals());
+        let needed = retries_among(self.most_arrivals() + u32::from(self.keeps_return));
         let returned = self.taken.saturating_sub(needed);
         self.taken -= returned;
         Settlement {
@@ -112,6 +127,7 @@
     /// Ends the request at any point. Sends in flight count as arrived.
     pub fn abandon(&mut self) -> Settlement {
         self.arrivals += std::mem::take(&mut self.in_flight);
+        self.keeps_return = false;
         let Settlement { returned, .. } = self.release();
         let Settlement { arrived, .. } = self.settle();
         Settlement { arrived, returned }
--- a/crates/retry/src/silence.rs
+++ b/crates/retry/src/silence.rs
@@ -10,6 +10,11 @@
 /// host whose processor time is limited may act 100 ms late.
 pub const OVERLAP: Millis = Millis(200);
 
+/// Time after the first search during which a stream that has begun moves only with a retry for the
+/// way back. With a patience of 1.2 s the server has then been silent for 3 s; a sound one pauses
+/// for a shorter time.
+pub const RETURN_PERIOD: Millis = Millis(1_800);
+
 /// What to do about a silent server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SilenceStep {
@@ -31,6 +36,8 @@
     began: Millis,
     search_at: Millis,
     deadline: Millis,
+    /// Until when a move needs a way back; `None` if it never does.
+    return_until: Option<Millis>,
 }
 
 impl Silence {
@@ -40,9 +47,30 @@
             began: now,
             search_at: now + patience,
             deadline,
+            return_until: None,
+        }
+    }
+
+    /// Makes moves need a way back for [`RETURN_PERIOD`] after the patience, but for no longer than
+    /// half of the time that is left then: the rest is for a move without one.
+    pub fn with_return(self) -> Self {
+        let half = Millis((self.deadline - self.search_at).0 / 2);
+        Silence {
+            return_until: Some(self.search_at + half.min(RETURN_PERIOD)),
+            ..self
         }
     }
 
+    /// Whether a move that starts now needs a way back, since the silent server may be sound.
+    pub fn needs_return(&self, now: Millis) -> bool {
+        self.return_until.is_some_and(|until| now < until)
+    }
+
+    /// Whether moves need a way back at first.
+    pub fn has_return(&self) -> bool {
+        self.return_until.is_some()
+    }
+
     /// How long the server has been silent.
     pub fn length(&self, now: Millis) -> Millis {
         now - self.began
--- a/crates/retry/tests/request_sends.rs
+++ b/crates/retry/tests/request_sends.rs
@@ -179,3 +179,42 @@
     assert_eq!(send(&mut sends, Run, Accepted), NOTHING);
     assert_eq!(sends.abandon(), ONE_ARRIVED);
 }
+
+/// Guards against a stream that is moved with its last retry, so that none is left for the way back.
+#[test]
+fn kept_return() {
+    let mut sends = started_call();
+    sends.keep_return(true);
+    assert_eq!((sends.missing_for_run(), sends.missing_for_split()), (2, 3));
+    sends.hold(2);
+    assert_eq!(send(&mut sends, Run, Refused), ONE_ARRIVED);
+    assert_eq!(sends.release(), NOTHING, "the return needs it");
+    assert_eq!(sends.missing_for_run(), 1);
+    sends.keep_return(false);
+    assert_eq!(sends.missing_for_run(), 0);
+    assert_eq!(send(&mut sends, Run, Accepted), ONE_ARRIVED);
+    assert_eq!(sends.abandon(), NOTHING);
+}
+
+/// Guards against a retry that is not given back when the way back was not needed.
+#[test]
+fn unused_return() {
+    let one_returned = Settlement {
+        arrived: 0,
+        returned: 1,
+    };
+    for ends in [false, true] {
+        let mut sends = started_call();
+        sends.keep_return(true);
+        sends.hold(2);
+        assert_eq!(send(&mut sends, Run, Accepted), ONE_ARRIVED);
+        let settlement = match ends {
+            true => sends.abandon(),
+            false => {
+                sends.keep_return(false);
+                sends.release()
+            }
+        };
+        assert_eq!(settlement, one_returned);
+    }
+}
--- a/crates/retry/tests/silent_server.rs
+++ b/crates/retry/tests/silent_server.rs
@@ -1,6 +1,6 @@
 //! Guards against requests that end because their server is silent.
 
-use bv_retry::{Silence, SilenceStep};
+use bv_retry::{RETURN_PERIOD, Silence, SilenceStep};
 use bv_types::Millis;
 
 fn silence() -> Silence {
@@ -56,3 +56,29 @@
     );
     assert_eq!(silence.step(Millis(600), true), SilenceStep::DeadlinePassed);
 }
+
+/// Guards against a stream that is moved without a way back while its server may be sound, or never.
+#[test]
+fn return_after_patience() {
+    let silence = silence().with_return();
+    let until = Millis(2_200) + RETURN_PERIOD;
+    assert_eq!(silence.step(Millis(2_200), true), SilenceStep::Search);
+    assert!(silence.needs_return(Millis(2_200)));
+    assert!(silence.needs_return(until - Millis(1)));
+    assert!(!silence.needs_return(until));
+    assert_eq!(silence.length(until), Millis(3_000));
+}
+
+#[test]
+fn return_before_deadline() {
+    let silence = Silence::new(Millis(0), Millis(1_200), Millis(2_000)).with_return();
+    assert!(silence.needs_return(Millis(1_599)));
+    assert!(!silence.needs_return(Millis(1_600)));
+    let silence = Silence::new(Millis(0), Millis(1_200), Millis(1_000)).with_return();
+    assert!(!silence.needs_return(Millis(1_200)));
+}
+
+#[test]
+fn no_return_by_default() {
+    assert!(!silence().needs_return(Millis(2_200)));
+}
