retry: the way back of a stream is paid with its prefill

What callers saw: a stream was cut if its next engine refused it late and exactly one retry was left besides those of the move, a prefill and a decode: the way back needs both.

Change: the search holds as many retries for the way back as for the move, and gives back none of them during it.

--- a/crates/edge/src/model/silence.rs
+++ b/crates/edge/src/model/silence.rs
@@ -83,7 +83,7 @@
     /// An engine to which the request was sent may run it, so a reply of the silent one is not used
     /// until the other one has refused. The silent one is left when the other one accepts, or after
     /// [`OVERLAP`]: then `reply` is dropped and `leave` called, which closes the connection.
-    /// While the silence needs a way back, the search holds a retry for it, or finds nothing.
+    /// While the silence needs a way back, the search holds the retries for it, or finds nothing.
     ///
     /// `failed` tells whether the engine ended the request by its reply.
     #[expect(clippy::too_many_arguments)]
--- a/crates/edge/src/retries.rs
+++ b/crates/edge/src/retries.rs
@@ -117,12 +117,12 @@
         is_allowed
     }
 
-    /// Sets whether a retry is kept for the return to a server that was left.
+    /// Sets whether retries are kept for the return to a server that was left.
     pub fn keep_return(&mut self, keeps: bool) {
         self.sends.keep_return(keeps);
     }
 
-    /// Whether a retry is kept for the return to a server that was left.
+    /// Whether retries are kept for the return to a server that was left.
     pub fn keeps_return(&self) -> bool {
         self.sends.keeps_return()
     }
--- a/crates/retry/src/sends.rs
+++ b/crates/retry/src/sends.rs
@@ -46,7 +46,7 @@
     taken: u32,
     /// Retries among them whose sends have arrived.
     settled: u32,
-    /// Whether one more run is kept paid, to return to a server that was left.
+    /// Whether the next sends are paid twice, to return to a server that was left.
     keeps_return: bool,
 }
 
@@ -66,7 +66,7 @@
     }
 
     fn missing(&self, sends: u32) -> u32 {
-        let sends = sends + u32::from(self.keeps_return);
+        let sends = sends * if self.keeps_return { 2 } else { 1 };
         retries_among(self.most_arrivals() + sends).saturating_sub(self.taken)
     }
 
@@ -75,13 +75,13 @@
         self.arrivals + self.in_flight
     }
 
-    /// Sets whether one more run than asked for is to be paid, and whether its retry is kept by
-    /// [`RequestSends::release`].
+    /// Sets whether the next sends have to be paid twice, because the request may return to a server
+    /// that was left; meanwhile, [`RequestSends::release`] gives nothing back.
     pub fn keep_return(&mut self, keeps: bool) {
         self.keeps_return = keeps;
     }
 
-    /// Whether one more run is kept paid.
+    /// Whether the next sends have to be paid twice.
     pub fn keeps_return(&self) -> bool {
         self.keeps_return
     }
@@ -112,10 +112,13 @@
         self.settle()
     }
 
-    /// Gives back the retries that neither arrived sends, nor those in flight, nor a kept return
-    /// need.
+    /// Gives back the retries that neither arrived sends nor those in flight need, unless they are
+    /// kept for a return.
     pub fn release(&mut self) -> Settlement {
-        let needed = retries_among(self.most_arrivals() + u32::from(self.keeps_return));
+        if self.keeps_return {
+            return Settlement::default();
+        }
+        let needed = retries_among(self.most_arrivals());
         let returned = self.taken.saturating_sub(needed);
         self.taken -= returned;
         Settlement {
--- a/crates/retry/tests/request_sends.rs
+++ b/crates/retry/tests/request_sends.rs
@@ -185,7 +185,7 @@
 fn kept_return() {
     let mut sends = started_call();
     sends.keep_return(true);
-    assert_eq!((sends.missing_for_run(), sends.missing_for_split()), (2, 3));
+    assert_eq!((sends.missing_for_run(), sends.missing_for_split()), (2, 4));
     sends.hold(2);
     assert_eq!(send(&mut sends, Run, Refused), ONE_ARRIVED);
     assert_eq!(sends.release(), NOTHING, "the return needs it");
@@ -196,6 +196,20 @@
     assert_eq!(sends.abandon(), NOTHING);
 }
 
+/// Guards against a way back whose prefill or decode is not paid.
+#[test]
+fn kept_return_with_prefill() {
+    let mut sends = started_call();
+    sends.keep_return(true);
+    sends.hold(4);
+    assert_eq!(send(&mut sends, Prefill, Accepted), ONE_ARRIVED);
+    assert_eq!(sends.missing_for_run(), 0);
+    assert_eq!(send(&mut sends, Run, Refused), ONE_ARRIVED);
+    assert_eq!(sends.release(), NOTHING);
+    sends.keep_return(false);
+    assert_eq!(sends.missing_for_split(), 0);
+}
+
 /// Guards against a retry that is not given back when the way back was not needed.
 #[test]
 fn unused_return() {
