edge: a call is moved from a silent server only with a retry for the way back

What callers saw: an idempotent call was lost because its server was silent for 700 ms, the next one refused it after it had been left, and no retry was left for the way back.

Not measured: the latency of calls to dead servers while the budget is nearly used up, which rises.

--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -257,7 +257,7 @@
     async fn answer_or_next(&mut self, sending: &mut Sending<'a>) -> Waited<'a> {
         let (edge, req) = (self.edge, self.req);
         let patience = self.objectives(ATTEMPT_TIMEOUT_OBJECTIVES);
-        let mut silence = Silence::new(sending.sent_at, patience, req.deadline);
+        let mut silence = Silence::new(sending.sent_at, patience, req.deadline).with_return();
         let timeout = || SendError::Timeout(edge.now() - sending.sent_at);
         let mut has_searched = false;
         let (waited, outcome) = loop {
@@ -285,6 +285,8 @@
                 edge.logs.search_began(edge.now(), req, server, length);
                 has_searched = true;
             }
+            let needs_return = silence.needs_return(edge.now());
+            self.retries.keep_return(needs_return);
             let opened = tokio::select! {
                 biased;
                 answer = &mut sending.answer => {
@@ -332,6 +334,8 @@
                 }
             }
         };
+        // A retry that is held pays for the way back to the server that was left.
+        self.retries.keep_return(false);
         if has_searched {
             let length = silence.length(edge.now());
             record_search(edge, req, &sending.server.id, length, outcome);
