--- a/crates/retry/src/sends.rs
+++ b/crates/retry/src/sends.rs
@@ -46,6 +46,8 @@
     taken: u32,
     /// Retries among them whose sends have arrived.
     settled: u32,
+    /// Whether the next sends are paid twice, to return to a server that was left.
+    keeps_return: bool,
 }
 
 impl RequestSends {
@@ -64,6 +66,7 @@
     }
 
     fn missing(&self, sends: u32) -> u32 {
+        let sends = sends * if self.keeps_return { 2 } else { 1 };
         retries_among(self.most_arrivals() + sends).saturating_sub(self.taken)
     }
 
@@ -72,6 +75,17 @@
         self.arrivals + self.in_flight
     }
 
+    /// Sets whether the next sends have to be paid twice, because the request may return to a server
+    /// that was left; meanwhile, [`RequestSends::release`] gives nothing back.
+    pub fn keep_return(&mut self, keeps: bool) {
+        self.keeps_return = keeps;
+    }
+
+    /// Whether the next sends have to be paid twice.
+    pub fn keeps_return(&self) -> bool {
+        self.keeps_return
+    }
+
     /// Records retries that were taken from the budget for the next sends.
     pub fn hold(&mut self, retries: u32) {
         self.taken += retries;
@@ -98,8 +112,12 @@
         self.settle()
     }
 
-    /// Gives back the retries that neither arrived sends nor those in flight need.
+    /// Gives back the retries that neither arrived sends nor those in flight need, unless they are
+    /// kept for a return.
     pub fn release(&mut self) -> Settlement {
+        if self.keeps_return {
+            return Settlement::default();
+        }
         let needed = retries_among(self.most_arrivals());
         let returned = self.taken.saturating_sub(needed);
         self.taken -= returned;
@@ -112,6 +130,7 @@
     /// Ends the request at any point. Sends in flight count as arrived.
     pub fn abandon(&mut self) -> Settlement {
         self.arrivals += std::mem::take(&mut self.in_flight);
+        self.keeps_return = false;
         let Settlement { returned, .. } = self.release();
         let Settlement { arrived, .. } = self.settle();
         Settlement { arrived, returned }
