link: bound the informational heads before an answer

A server that sends informational heads (1xx) without end was read until the timeout of the request, by each attempt: the HTTP library skips such heads without a bound. Beside load callers waited for up to 8 s, and the answer was a 504.

The connection now counts the informational heads that it reads before an answer, and their bytes (64 heads, 32 KB, the limit of a head). Beyond that the answer is given up at once (`answer_too_long`), with the peer in the error and the reason `informational_heads` in `burdockvale_answers_given_up_total`. Heads of 100, 102 and 103 before a sound answer still work.

--- a/crates/edge/src/send.rs
+++ b/crates/edge/src/send.rs
@@ -5,7 +5,7 @@
 use bv_admit::{Fault, Report};
 use bv_link::{
     Channel, CollectError, ConnectOptions, SendFailure, Sender, UNACKNOWLEDGED_TIMEOUT, collect,
-    connect, is_unacknowledged,
+    connect, is_endless_heads, is_unacknowledged,
 };
 use bv_platform::{AnswerHead, BackendHeaders, parse_answer_head, set_backend_headers};
 use bv_roster::Registration;
@@ -213,10 +213,19 @@
     edge.pool.close(&server.id);
     match err.unsent {
         true => SendError::Unsent(err.to_string()),
+        false if is_endless_heads(&err.source) => {
+            counters::answer_given_up("informational_heads");
+            SendError::TooLong(format!("{err}: {}", cause(&err.source)))
+        }
         false => connection_lost(&err.source, err.to_string()),
     }
 }
 
+/// The cause of an error, which the HTTP library leaves out of its messages.
+fn cause(err: &hyper::Error) -> String {
+    std::error::Error::source(err).map_or_else(String::new, ToString::to_string)
+}
+
 fn connection_lost(err: &hyper::Error, text: String) -> SendError {
     match is_unacknowledged(err) {
         true => SendError::Unacknowledged(text),
--- a/crates/link/src/channel.rs
+++ b/crates/link/src/channel.rs
@@ -15,6 +15,8 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use crate::heads::{AnswerExpected, BoundedHeads};
+
 /// Idle time after which keepalive probes are sent. With [`KEEPALIVE_INTERVAL`] a silent peer is
 /// detected within two seconds if [`ConnectOptions::unacknowledged`] is at most that long. The
 /// probes alone would take three seconds.
@@ -29,8 +31,8 @@
 /// keepalive probes take.
 pub const UNACKNOWLEDGED_TIMEOUT: Millis = Millis(2_000);
 
-/// Size of the read buffer of a connection, and with it of the longest head of an answer. The
-/// library's default of 400 KB is too much for some hundred connections on which bytes arrive without
+/// Size of the read buffer of a connection, and with it of the longest head of an answer and of all
+/// informational heads before it. The library's default of 400 KB is too much for some hundred connections on which bytes arrive without
 /// end.
 const MAX_READ_BUFFER_BYTES: usize = 32 << 10;
 
@@ -103,6 +105,7 @@
 pub struct Channel {
     peer: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
+    answer_expected: AnswerExpected,
     task: AbortHandle,
 }
 
@@ -123,6 +126,8 @@
         }
     };
     set_options(&stream, options).map_err(|source| ConnectError::Refused { peer, source })?;
+    let answer_expected = AnswerExpected::default();
+    let stream = BoundedHeads::new(stream, peer, MAX_READ_BUFFER_BYTES, answer_expected.clone());
     let handshake = http1::Builder::new()
         .max_buf_size(MAX_READ_BUFFER_BYTES)
         .handshake(TokioIo::new(stream));
@@ -136,6 +141,7 @@
     Ok(Channel {
         peer,
         sender,
+        answer_expected,
         task: task.abort_handle(),
     })
 }
@@ -186,6 +192,7 @@
     ) -> Result<Response<Incoming>, SendFailure> {
         self.ready().await?;
         let peer = self.peer;
+        self.answer_expected.set();
         self.sender.try_send_request(req).await.map_err(|mut err| {
             let unsent = err.take_message().is_some();
             SendFailure {
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod channel;
 mod collect;
+mod heads;
 mod memory;
 
 pub use channel::{
@@ -12,4 +13,5 @@
     is_unacknowledged,
 };
 pub use collect::{CollectError, collect};
+pub use heads::{EndlessHeads, is_endless_heads};
 pub use memory::{InboundLimits, InboundMemory, Sender, Share, bytes_while_read};
