edge: digest large bodies beside the thread that runs all tasks

A host ran the digest of a request, by which requests that crash engines are told apart, on the thread of all its tasks. While bodies of 4 MiB were digested, one after the other, the host served nobody: in the debug build 380 to 480 ms for each, beside load 1.2 to 2.0 s. Traced for KNOWN-RED 16 beside six busy processes: the body was read after 3.1 s, the next one was served after 5.0 s, the fifth after 9.9 s of its 10 s; connecting and the send of the body took 1 to 30 ms each. Release builds weren't measured.

Bodies above 64 KiB are now digested on at most four threads of their own.

`small_calls_beside`: small calls beside three large bodies took up to 413, 767 and 836 ms before (failed in 3 of 3 runs) and 12 to 37 ms after (passed in 8 of 8, five of them beside six busy processes, load average 42 to 47). `bodies_without_length` failed in 3 of 3 runs before beside six busy processes (load average 31 to 33: callers without an answer), and passes in 10 of 10 after (load average 33 to 56). `unsafe_requests` and `streams` pass in 3 of 3 each there.

--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -24,6 +24,9 @@
 const ACCEPT_QUEUE: u32 = 4_096;
 /// Log lines that are buffered for a slow reader; further ones are dropped.
 const QUEUED_LINES: usize = 4_000;
+/// Threads for digests of large bodies. They share the host's processor time with the thread that runs
+/// all tasks.
+const DIGEST_THREADS: usize = 4;
 
 /// The process cannot start or continue.
 #[derive(Debug, thiserror::Error, Diagnostic)]
@@ -91,6 +94,7 @@
         .flatten_event(true)
         .try_init();
     tokio::runtime::Builder::new_current_thread()
+        .max_blocking_threads(DIGEST_THREADS)
         .enable_all()
         .build()?
         .block_on(serve(path, settings))
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -10,7 +10,7 @@
 use bv_roster::store_intervals;
 use bv_types::{Millis, Refusal, Version};
 use bytes::Bytes;
-use http::{Request, Response, header};
+use http::{Method, Request, Response, header};
 use hyper::body::{Body as _, Incoming};
 use smol_str::SmolStr;
 
@@ -25,6 +25,8 @@
 
 /// Longest time for reading the body of a request, unless its deadline is shorter.
 pub(crate) const BODY_TIMEOUT: Millis = Millis(10_000);
+/// Largest body that is digested on the thread that runs all tasks.
+const MAX_INLINE_DIGEST_BYTES: usize = 64 << 10;
 /// Time that the answer of a call for changes may take beyond the longest wait of the call.
 const CALL_SLACK: Millis = Millis(900);
 
@@ -158,14 +160,7 @@
     let mut headers = parts.headers;
     strip_request(&mut headers);
     let uri = origin_form(parts.uri);
-    let content = Content::new(
-        facts.prompt_parts.iter().map(SmolStr::as_str),
-        [
-            parts.method.as_str().as_bytes(),
-            uri.to_string().as_bytes(),
-            &body,
-        ],
-    );
+    let content = digest(&facts.prompt_parts, &parts.method, &uri, &body).await;
     Ok(CallerRequest {
         method: parts.method,
         uri,
@@ -181,6 +176,37 @@
     })
 }
 
+/// Digests a request. All tasks run on one thread, so large bodies are digested on another one.
+async fn digest(
+    prompt_parts: &[SmolStr],
+    method: &Method,
+    uri: &http::Uri,
+    body: &Bytes,
+) -> Content {
+    if body.len() <= MAX_INLINE_DIGEST_BYTES {
+        return digest_inline(prompt_parts, method, uri, body);
+    }
+    let (parts, method, uri) = (prompt_parts.to_vec(), method.clone(), uri.clone());
+    let body = body.clone();
+    let digesting =
+        tokio::task::spawn_blocking(move || digest_inline(&parts, &method, &uri, &body));
+    match digesting.await {
+        Ok(content) => content,
+        Err(err) => std::panic::resume_unwind(err.into_panic()),
+    }
+}
+
+fn digest_inline(
+    prompt_parts: &[SmolStr],
+    method: &Method,
+    uri: &http::Uri,
+    body: &[u8],
+) -> Content {
+    let uri = uri.to_string();
+    let request = [method.as_str().as_bytes(), uri.as_bytes(), body];
+    Content::new(prompt_parts.iter().map(SmolStr::as_str), request)
+}
+
 /// Reduces a URI to path and query, as backend servers expect it.
 fn origin_form(uri: http::Uri) -> http::Uri {
     match uri.path_and_query() {
