edge: refuse the first request of a connection that has no room

While the limit of connections was reached, a new connection was closed at once, also if its caller had sent a whole request: the caller saw a reset or an end, which promises nothing.

What the caller still sends is dropped for up to a second. These connections are at most 0.05 of the file descriptors; further ones are closed as before. The counter stays.

--- a/crates/edge/src/connection.rs
+++ b/crates/edge/src/connection.rs
@@ -13,7 +13,7 @@
 use bv_listen::FIRST_REQUEST_TIMEOUT;
 use bv_types::{Millis, Refusal};
 use bytes::Bytes;
-use http::Request;
+use http::{Request, header};
 use http_body_util::BodyExt;
 use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
 use hyper::server::conn::http1;
@@ -39,6 +39,8 @@
 const KEEPALIVE_TIME: Duration = Duration::from_secs(5);
 /// Longest silence of a caller that is still sending a request that was refused.
 const LINGER_SILENCE: Millis = Millis(2_000);
+/// Longest time for reading what a caller sends on a connection that has no room.
+const REFUSED_LINGER_TIMEOUT: Millis = Millis(1_000);
 /// Time limit for writing a refusal to a caller that sent no complete head.
 const REFUSAL_WRITE_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -94,13 +96,15 @@
             End::Idle => return,
             End::SlowHead => {
                 refuse_slow_head(&mut stream).await;
-                return linger(&mut stream).await;
+                return linger(&mut stream, BODY_TIMEOUT).await;
+            }
+            End::Closed(Ok(())) if guard.has_unread_body() => {
+                return linger(&mut stream, BODY_TIMEOUT).await;
             }
-            End::Closed(Ok(())) if guard.has_unread_body() => return linger(&mut stream).await,
             End::Closed(Ok(())) => return,
             End::Closed(Err(err)) => {
                 debug!(peer = %peer, error = %err, "caller: connection ended");
-                return linger(&mut stream).await;
+                return linger(&mut stream, BODY_TIMEOUT).await;
             }
         }
     }
@@ -188,13 +192,35 @@
         .is_ok_and(|bytes| bytes > 0)
 }
 
+/// Answers the first request of a connection that has no room, then closes it. The request is not
+/// read, so it does not run.
+pub(crate) async fn refuse_connection(mut stream: TcpStream, failure: Failure) {
+    // Callers do not expect an answer before they have sent a request.
+    let mut buf = [0];
+    let peeking = tokio::time::timeout(FIRST_REQUEST_TIMEOUT.duration(), stream.peek(&mut buf));
+    if matches!(peeking.await, Ok(Ok(1..))) {
+        write_refusal(&mut stream, failure).await;
+        linger(&mut stream, REFUSED_LINGER_TIMEOUT).await;
+    }
+}
+
 /// Answers a request whose head is not complete in time.
 async fn refuse_slow_head(stream: &mut TcpStream) {
     let failure = Failure::refused(Refusal::ReadTimeout);
     counters::refused(failure.code());
+    write_refusal(stream, failure).await;
+}
+
+/// Writes a refusal to a connection that the HTTP library does not serve.
+async fn write_refusal(stream: &mut TcpStream, failure: Failure) {
+    let response = failure.response();
     let (status, code) = (failure.status(), failure.code());
+    let retry_after = response.headers().get(header::RETRY_AFTER);
+    let retry_after = retry_after
+        .and_then(|value| value.to_str().ok())
+        .map_or_else(String::new, |value| format!("retry-after: {value}\r\n"));
     let text = format!(
-        "HTTP/1.1 {status}\r\nconnection: close\r\ncontent-length: {}\r\n\r\n{code}",
+        "HTTP/1.1 {status}\r\nconnection: close\r\n{retry_after}content-length: {}\r\n\r\n{code}",
         code.len()
     );
     // The caller may be gone, or may not read.
@@ -204,7 +230,7 @@
 
 /// Reads what a caller still sends before its connection is closed. Closing with unread bytes resets
 /// the connection, and the caller may lose the answer.
-async fn linger(stream: &mut TcpStream) {
+async fn linger(stream: &mut TcpStream, timeout: Millis) {
     if SockRef::from(&*stream).shutdown(Shutdown::Write).is_err() {
         return;
     }
@@ -217,7 +243,7 @@
             }
         }
     };
-    let _ = tokio::time::timeout(BODY_TIMEOUT.duration(), reading).await;
+    let _ = tokio::time::timeout(timeout.duration(), reading).await;
 }
 
 /// A response body. When it is dropped, the guard starts to check the next request of the
--- a/crates/edge/src/listen.rs
+++ b/crates/edge/src/listen.rs
@@ -9,19 +9,25 @@
 use axum::routing::get;
 use bv_drain::GracePhase;
 use bv_platform::READY_PATH;
+use bv_types::Refusal;
 use http::{Response, StatusCode};
 use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::net::TcpListener;
-use tokio::sync::watch;
+use tokio::sync::{Semaphore, watch};
 use tracing::warn;
 
-use crate::connection::connection;
+use crate::answer::Failure;
+use crate::connection::{connection, refuse_connection};
+use crate::counters;
 use crate::edge::{ConnectionCountGuard, Edge};
 use crate::retries;
 
 /// Share of the file descriptors that callers' connections may use; each request needs up to two
 /// more.
 const CALLER_FILES_SHARE: f64 = 0.4;
+/// Share of the file descriptors for connections beyond that, whose first request is refused. Further
+/// ones are closed without an answer.
+const REFUSED_FILES_SHARE: f64 = 0.05;
 /// Pause after a failed accept, so that a lack of descriptors does not become a busy loop.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -32,12 +38,21 @@
     listener: TcpListener,
     mut drain_rx: watch::Receiver<GracePhase>,
 ) {
-    let max = (edge.settings.max_file_descriptors as f64 * CALLER_FILES_SHARE) as usize;
+    let max_files = edge.settings.max_file_descriptors as f64;
+    let max = (max_files * CALLER_FILES_SHARE) as usize;
+    let refused = Arc::new(Semaphore::new((max_files * REFUSED_FILES_SHARE) as usize));
     let connection_rx = drain_rx.clone();
     let take = |stream, peer| {
-        // The connection is dropped before a request is read, so no request is lost.
         if edge.connections() >= max {
-            return crate::counters::refused("too_many_connections");
+            let failure = Failure::refused(Refusal::TooManyConnections);
+            counters::refused(failure.code());
+            if let Ok(permit) = refused.clone().try_acquire_owned() {
+                tokio::spawn(async move {
+                    refuse_connection(stream, failure).await;
+                    drop(permit);
+                });
+            }
+            return;
         }
         let mut drain_rx = connection_rx.clone();
         drain_rx.borrow_and_update();
