edge: a call whose move failed holds no retry for the way back

What callers saw: nothing yet; other requests of the service are denied retries that nobody uses.

Cause: an idempotent call takes two retries for a move from a silent server. When the next server refused the call, or could not be reached, the silent one kept the call, and the call kept the retries until it ended, up to its deadline.

Change: they are given back when a search finds nothing, and the next search takes them again.

Measured (debug build, load average about 15): refused_move_holds_no_retry fails 3 of 3 times before (2 retries used instead of 1) and passes 3 of 3 with the change; refused_moves, call_outcomes, silent_servers and retry_windows pass once.

--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -297,6 +297,7 @@
             };
             let Some(target) = opened else {
                 silence.search_failed(edge.now());
+                self.release_return();
                 continue;
             };
             let mut next = self.begin(target);
@@ -326,6 +327,7 @@
                         Err(err) => self.handle_failure(next, err),
                     };
                     silence.search_failed(edge.now());
+                    self.release_return();
                 }
                 First::OverlapEnd => {
                     self.left = Some(sending.server.id.clone());
@@ -343,6 +345,13 @@
         waited
     }
 
+    /// Gives back the retries of a move that failed. The silent server keeps the call, so other
+    /// requests may use them until the next search.
+    fn release_return(&mut self) {
+        self.retries.keep_return(false);
+        self.retries.release();
+    }
+
     /// Whether the call may go back to the server that was left.
     fn may_return(&mut self) -> bool {
         let Some(left) = self.left.take() else {
