listen: a closing listener waits for free file descriptors

What callers saw: a host that stopped while its file descriptors were used up reset the connections in its accept queue, also those with whole requests.

Cause: the last accepts ended at any error, not only when the queue was empty, and the error was not reported.

--- a/crates/listen/src/close.rs
+++ b/crates/listen/src/close.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bv_types::Millis;
 use socket2::{SockFilter, SockRef};
@@ -11,6 +11,8 @@
 
 /// Time for handshakes in progress to complete before the listener is closed.
 pub const HANDSHAKE_TIMEOUT: Millis = Millis(200);
+/// Further time for connections in the queue while accepting them fails.
+const RETRY_TIMEOUT: Millis = Millis(1_000);
 /// Pause after a failed accept, such as when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -28,10 +30,12 @@
 ///
 /// Closing a listener resets the connections in its accept queue, also those whose request has been
 /// sent. A filter therefore keeps new ones out first: their callers send the SYN again after a
-/// second and are then refused. Takes [`HANDSHAKE_TIMEOUT`].
+/// second and are then refused. Takes [`HANDSHAKE_TIMEOUT`], and up to a second more while connections
+/// cannot be accepted.
 ///
 /// # Errors
-/// The listener cannot be taken out of the runtime's event loop; connections in its queue are reset.
+/// The listener cannot be taken out of the runtime's event loop, or connections cannot be accepted, as
+/// when file descriptors run out; those in its queue are reset.
 pub async fn close(
     listener: TcpListener,
     mut take: impl FnMut(TcpStream, SocketAddr),
@@ -51,9 +55,16 @@
     let _ = tokio::time::timeout(HANDSHAKE_TIMEOUT.duration(), accepting).await;
     // The event loop may not have reported the last connections.
     let listener = listener.into_std()?;
-    while let Ok((stream, peer)) = listener.accept() {
-        stream.set_nonblocking(true)?;
-        take(TcpStream::from_std(stream)?, peer);
+    let give_up_at = Instant::now() + RETRY_TIMEOUT.duration();
+    loop {
+        match listener.accept() {
+            Ok((stream, peer)) => {
+                stream.set_nonblocking(true)?;
+                take(TcpStream::from_std(stream)?, peer);
+            }
+            Err(err) if err.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+            Err(err) if Instant::now() >= give_up_at => return Err(err),
+            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+        }
     }
-    Ok(())
 }
