edge: a request whose body still arrives is answered before the process ends

What callers saw: a call whose head a stopping host had accepted, and whose body arrived slowly, ended without an answer when the process exited.

Cause: the calls that are left are answered 200 ms before the exit, but only those that were passed to their services. The body of a request may take 10 s, longer than the grace period.

Change: requests whose body is read or digested at that time are refused with 503 as not run.

Measured (debug build, load average 5 to 16): body_at_the_end fails 3 of 3 times before, without an answer, and passes 4 of 4 with the change. late_requests, kept_connections, new_connections, strict_requests, host_lifecycle and caller_bodies pass once.

--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -39,7 +39,12 @@
     let count_guard = RequestCountGuard::new(&edge);
     let arrived = edge.now();
     let has_body = !req.body().is_end_stream();
-    let mut response = match accept(&edge, verdict, req, arrived).await {
+    let accepted = tokio::select! {
+        biased;
+        accepted = accept(&edge, verdict, req, arrived) => accepted,
+        () = edge.wait_for_end() => Err(RefusedRequest::shutting_down()),
+    };
+    let mut response = match accepted {
         Ok(req) => run_until_end(&edge, req, count_guard).await,
         Err(refused) => {
             edge.logs.refused(edge.now(), &refused);
@@ -70,6 +75,19 @@
     pub config_age: Option<Millis>,
 }
 
+impl RefusedRequest {
+    /// The process ends; another host can serve the request at once.
+    fn shutting_down() -> Self {
+        RefusedRequest {
+            failure: Failure::NotRun {
+                reason: Refusal::ShuttingDown,
+                retry_after: Millis::ZERO,
+            },
+            ..Refusal::ShuttingDown.into()
+        }
+    }
+}
+
 impl From<Refusal> for RefusedRequest {
     fn from(reason: Refusal) -> Self {
         RefusedRequest {
@@ -145,10 +163,7 @@
     };
     if !edge.may_accept(arrived, late) {
         return Err(RefusedRequest {
-            failure: Failure::NotRun {
-                reason: Refusal::ShuttingDown,
-                retry_after: Millis::ZERO,
-            },
+            failure: RefusedRequest::shutting_down().failure,
             ..refuse(Refusal::ShuttingDown, age)
         });
     }
