--- a/crates/lab/tests/graceful_stop.rs
+++ b/crates/lab/tests/graceful_stop.rs
@@ -181,3 +181,33 @@
     }
     wait_exit(&mut hosts[1], stopped).await;
 }
+
+/// Guards against a host that drops a request whose head is not complete when its listener closes.
+#[tokio::test(flavor = "multi_thread")]
+async fn begun_head_is_answered() {
+    let deployment = Deployment::start(INVENTORY).await.unwrap();
+    let mut hosts = start_hosts(&deployment, 2).await;
+    let addr = hosts[1].spec.caller_addr;
+    let mut buf = [0; 4_096];
+    let mut new = TcpStream::connect(addr).await.unwrap();
+    let mut kept = TcpStream::connect(addr).await.unwrap();
+    let req = b"GET /no-such-route HTTP/1.1\r\nhost: lab\r\n\r\n";
+    kept.write_all(req).await.unwrap();
+    assert!(kept.read(&mut buf).await.unwrap() > 0);
+    let stopped = Instant::now();
+    send_signal(&hosts[1], Signal::TERM);
+    // Shortly before the host closes its idle connections.
+    tokio::time::sleep(Duration::from_millis(4_500)).await;
+    let (begin, rest) = req.split_at(10);
+    for conn in [&mut new, &mut kept] {
+        conn.write_all(begin).await.unwrap();
+    }
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    let mut answered = Vec::new();
+    for conn in [&mut new, &mut kept] {
+        let sent = conn.write_all(rest).await.is_ok();
+        answered.push(sent && conn.read(&mut buf).await.is_ok_and(|n| n > 0));
+    }
+    assert_eq!(answered, [true, true], "new, kept");
+    wait_exit(&mut hosts[1], stopped).await;
+}
