edge: a request whose head still arrives is answered before the process ends

What callers saw: a request whose head had begun less than its time limit before the exit of a stopping host ended without an answer.

Cause: at the exit, connections whose head was not complete were closed without regard to it.

--- a/crates/edge/src/connection.rs
+++ b/crates/edge/src/connection.rs
@@ -51,6 +51,8 @@
     Idle,
     /// The head of a request is not complete in time.
     SlowHead,
+    /// The head of a request is not complete, and the process ends.
+    HostEnds,
 }
 
 /// Serves a caller's connection until it ends.
@@ -95,7 +97,11 @@
             End::Idle if parts.read_buf.is_empty() && has_unread_bytes(&stream) => {}
             End::Idle => return,
             End::SlowHead => {
-                refuse_slow_head(&mut stream).await;
+                refuse_head(&mut stream, Failure::refused(Refusal::ReadTimeout)).await;
+                return linger(&mut stream, BODY_TIMEOUT).await;
+            }
+            End::HostEnds => {
+                refuse_head(&mut stream, Failure::refused(Refusal::ShuttingDown)).await;
                 return linger(&mut stream, BODY_TIMEOUT).await;
             }
             End::Closed(Ok(())) if guard.has_unread_body() => {
@@ -154,6 +160,7 @@
             changed = drain_rx.changed(), if !is_draining => {
                 is_draining = changed.is_ok();
             }
+            () = edge.wait_for_end(), if matches!(wait, Wait::Head(_)) => return End::HostEnds,
             () = timer => {}
         }
     }
@@ -204,9 +211,8 @@
     }
 }
 
-/// Answers a request whose head is not complete in time.
-async fn refuse_slow_head(stream: &mut TcpStream) {
-    let failure = Failure::refused(Refusal::ReadTimeout);
+/// Answers a request whose head is not complete.
+async fn refuse_head(stream: &mut TcpStream, failure: Failure) {
     counters::refused(failure.code());
     write_refusal(stream, failure).await;
 }
