--- a/crates/blame/src/watch.rs
+++ b/crates/blame/src/watch.rs
@@ -184,6 +184,11 @@
         self.evidence.crash_count(content) + unconfirmed <= MAX_RETRIED_CRASHES
     }
 
+    /// Largest number of crashes that a digest of a request may have caused.
+    pub fn crash_count(&self, content: &Content) -> u32 {
+        self.evidence.crash_count(content)
+    }
+
     /// The blocks in force.
     pub fn blocks(&self, now: Millis) -> impl Iterator<Item = &Block> {
         let blocks = self.evidence.blocks().iter();
--- a/crates/edge/src/crashes.rs
+++ b/crates/edge/src/crashes.rs
@@ -23,17 +23,19 @@
 #[derive(Debug)]
 pub(crate) struct WatchedRun {
     edge: Arc<Edge>,
+    req: Arc<CallerRequest>,
     server: Registration,
     /// None after the end.
     run: Option<RunId>,
 }
 
 impl WatchedRun {
-    pub fn begin(edge: &Arc<Edge>, req: &CallerRequest, server: &Registration) -> Self {
+    pub fn begin(edge: &Arc<Edge>, req: &Arc<CallerRequest>, server: &Registration) -> Self {
         let crash = CrashId::of_process(&server.id, server.started_at);
         let run = edge.state().crashes.begin(crash, req.content.clone());
         WatchedRun {
             edge: edge.clone(),
+            req: req.clone(),
             server: server.clone(),
             run: Some(run),
         }
@@ -61,13 +63,18 @@
         let must_check = state.crashes.lose(now, run);
         // A server that leaves ends what it does not finish in time.
         let is_leaving = !state.may_send(now, &self.server);
+        let known_crashes = state.crashes.crash_count(&self.req.content);
         drop(state);
+        let crash = CrashId::of_process(&self.server.id, self.server.started_at);
+        self.edge
+            .logs
+            .run_lost(now, &self.req, &self.server.id, crash, known_crashes);
         if !must_check {
             return;
         }
         let (edge, server) = (self.edge.clone(), self.server.clone());
         match is_leaving {
-            true => edge.confirm_crash(&server, false),
+            true => edge.confirm_crash(&server, Verdict::Leaving),
             false => drop(tokio::spawn(check(edge, server))),
         }
     }
@@ -93,6 +100,17 @@
     }
 }
 
+/// What is known of a server that a run has lost.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Verdict {
+    /// It accepts no connection.
+    Crashed,
+    /// It accepts connections.
+    Accepts,
+    /// It leaves or rests, or its row has gone.
+    Leaving,
+}
+
 /// Finds out whether a server has ended: it accepts no connection any more.
 async fn check(edge: Arc<Edge>, server: Registration) {
     let mut has_crashed = refuses_connections(&server).await;
@@ -101,7 +119,11 @@
         tokio::time::sleep(RECHECK_DELAY.duration()).await;
         has_crashed = refuses_connections(&server).await;
     }
-    edge.confirm_crash(&server, has_crashed);
+    let verdict = match has_crashed {
+        true => Verdict::Crashed,
+        false => Verdict::Accepts,
+    };
+    edge.confirm_crash(&server, verdict);
 }
 
 async fn refuses_connections(server: &Registration) -> bool {
@@ -141,18 +163,27 @@
         })
     }
 
-    fn confirm_crash(&self, server: &Registration, has_crashed: bool) {
+    fn confirm_crash(&self, server: &Registration, verdict: Verdict) {
         let now = self.now();
         let crash = CrashId::of_process(&server.id, server.started_at);
         let mut state = self.state();
-        state.crashes.confirm(now, crash, has_crashed);
+        state
+            .crashes
+            .confirm(now, crash, verdict == Verdict::Crashed);
         let suspects = state.crashes.crash(crash).map_or(0, |c| c.suspects.len());
         drop(state);
-        if has_crashed {
-            counters::engine_crashed();
-            self.logs.engine_crashed(now, &server.id, crash, suspects);
-            self.update_blocks(now);
-            self.own_load_changed.notify_one();
+        match verdict {
+            Verdict::Crashed => {
+                counters::engine_crashed();
+                self.logs.engine_crashed(now, &server.id, crash, suspects);
+                self.update_blocks(now);
+                self.own_load_changed.notify_one();
+            }
+            Verdict::Accepts => {
+                self.logs
+                    .server_lives(now, &server.id, crash, "accepts connections");
+            }
+            Verdict::Leaving => self.logs.server_lives(now, &server.id, crash, "leaves"),
         }
     }
 
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -10,6 +10,7 @@
 mod answer_log;
 mod connection;
 mod counters;
+mod crash_logs;
 mod crash_rows;
 mod crashes;
 mod edge;
--- a/crates/edge/src/logs.rs
+++ b/crates/edge/src/logs.rs
@@ -4,7 +4,6 @@
 use std::sync::{Mutex, PoisonError};
 
 use bv_admit::Instance;
-use bv_blame::{Block, CrashId};
 use bv_retry::Balance;
 use bv_types::{BackendId, Millis, ParseError, Tokens};
 use http::StatusCode;
@@ -29,18 +28,13 @@
 #[derive(Debug)]
 pub(crate) struct LogBudget(Mutex<(f64, Millis)>);
 
-/// Values as one text, separated by commas.
-fn list(values: &[impl std::fmt::Display]) -> String {
-    let texts: Vec<String> = values.iter().map(ToString::to_string).collect();
-    texts.join(",")
-}
-
 impl LogBudget {
     pub fn new(now: Millis) -> Self {
         LogBudget(Mutex::new((LINES_BURST, now)))
     }
 
-    fn take(&self, now: Millis) -> bool {
+    /// Takes a line from the budget; returns whether there was one left.
+    pub(super) fn take(&self, now: Millis) -> bool {
         let mut budget = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         let (left, at) = *budget;
         let earned = (now - at).0 as f64 / 1_000.0 * LINES_PER_SEC;
@@ -362,52 +356,6 @@
         }
     }
 
-    /// Logs that an engine crashed while it answered this host.
-    pub fn engine_crashed(&self, now: Millis, server: &BackendId, crash: CrashId, suspects: usize) {
-        if self.take(now) {
-            warn!(server = %server, crash = %crash, suspects, "crash: an engine ended during answers");
-        }
-    }
-
-    /// Logs that requests with some contents are refused from now on.
-    pub fn block_began(&self, now: Millis, block: &Block) {
-        if self.take(now) {
-            warn!(
-                contents = list(&block.contents),
-                crashes = list(&block.crashes),
-                for_ms = (block.until - now).0,
-                "crash: requests with these contents crash engines and are refused"
-            );
-        }
-    }
-
-    /// Logs that requests with some contents are allowed again.
-    pub fn block_ended(&self, now: Millis, block: &Block) {
-        if self.take(now) {
-            let reason = match now < block.until {
-                true => "survived",
-                false => "time_over",
-            };
-            info!(
-                contents = list(&block.contents),
-                reason, "crash: block ended"
-            );
-        }
-    }
-
-    /// Logs the block that a refused request falls under.
-    pub fn request_blocked(&self, now: Millis, req: &CallerRequest, block: &Block) {
-        if self.take(now) {
-            info!(
-                id = %req.facts.request_id,
-                parts = req.facts.prompt_parts.join(","),
-                contents = list(&block.contents),
-                crashes = list(&block.crashes),
-                "crash: request refused"
-            );
-        }
-    }
-
     /// Logs that a stream was forwarded to its end.
     pub fn stream_complete(&self, edge: &Edge, call: &ModelCall, server: &BackendId) {
         let now = edge.now();
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -35,7 +35,7 @@
 
 struct Call<'a> {
     edge: &'a Arc<Edge>,
-    req: &'a CallerRequest,
+    req: &'a Arc<CallerRequest>,
     tried: Vec<BackendId>,
     /// Server that was left before the next one had accepted or refused the call.
     left: Option<BackendId>,
@@ -98,7 +98,10 @@
 
 /// Serves a call. A call that must run at most once is sent again only after a server stated that
 /// it did not run it; an idempotent call is sent several times within the retry budget.
-pub(crate) async fn call(edge: &Arc<Edge>, req: &CallerRequest) -> Result<Response<Body>, Failure> {
+pub(crate) async fn call(
+    edge: &Arc<Edge>,
+    req: &Arc<CallerRequest>,
+) -> Result<Response<Body>, Failure> {
     let mut call = Call {
         edge,
         req,
