edge, blame: the caller belongs to what identifies a request that crashes servers

Cause: the digest held method, path, query and body, neither Host nor the caller. The users' rule names path, caller and body. Nothing on the platform names a caller, so a content has two more suspects: the request with the caller's address, and with the headers that stay the same between attempts. What tells them apart is decided as for parts of a prompt: an answer to another caller clears the request, not the request with the crashing caller. Where a mark changes from one attempt to the next, the request is still a suspect.

--- a/crates/blame/src/content.rs
+++ b/crates/blame/src/content.rs
@@ -27,8 +27,10 @@
 /// Digests of a request and of the parts of its prompt that other requests may share.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Content {
-    /// The request as a whole.
+    /// The request as a whole, whoever sent it.
     request: Fingerprint,
+    /// The request together with each mark of its caller.
+    of_caller: Arc<[Fingerprint]>,
     /// Sorted.
     parts: Arc<[Fingerprint]>,
 }
@@ -45,10 +47,23 @@
         parts.dedup();
         Content {
             request: Fingerprint::digest([b"request".as_slice()].into_iter().chain(request)),
+            of_caller: Arc::default(),
             parts: parts.into(),
         }
     }
 
+    /// Adds marks of the request's caller, such as its address. Equal requests of two callers have the
+    /// digest of the request in common, and that of each mark that the callers share.
+    pub fn with_caller<'a>(self, marks: impl IntoIterator<Item = &'a [u8]>) -> Self {
+        let marks = marks.into_iter();
+        let digest =
+            |mark| Fingerprint::digest([b"caller".as_slice(), self.request.0.as_slice(), mark]);
+        Content {
+            of_caller: marks.map(digest).collect(),
+            ..self
+        }
+    }
+
     /// Digest of a prompt part.
     pub fn part(id: &str) -> Fingerprint {
         Fingerprint::digest([b"part".as_slice(), id.as_bytes()])
@@ -59,6 +74,13 @@
         self.request
     }
 
+    /// Digests of the request as a whole: that of the request, and those with its caller.
+    pub fn whole(&self) -> impl Iterator<Item = Fingerprint> {
+        [self.request]
+            .into_iter()
+            .chain(self.of_caller.iter().copied())
+    }
+
     /// Digests of the parts of the prompt, without the last part.
     pub fn parts(&self) -> &[Fingerprint] {
         &self.parts
@@ -66,11 +88,11 @@
 
     /// All digests.
     pub fn keys(&self) -> impl Iterator<Item = Fingerprint> {
-        self.parts.iter().copied().chain([self.request])
+        self.parts.iter().copied().chain(self.whole())
     }
 
     /// Whether the request has this digest.
     pub fn contains(&self, key: Fingerprint) -> bool {
-        key == self.request || self.parts.binary_search(&key).is_ok()
+        self.whole().any(|whole| whole == key) || self.parts.binary_search(&key).is_ok()
     }
 }
--- a/crates/blame/src/watch.rs
+++ b/crates/blame/src/watch.rs
@@ -412,8 +412,9 @@
 
     fn record_survival(&mut self, now: Millis, content: &Content) {
         // Whole requests are rarely sent again, so only suspects are remembered.
-        let request = Some(content.request()).filter(|key| self.evidence.is_suspect(*key));
-        for key in content.parts().iter().copied().chain(request) {
+        let whole = content.whole().filter(|key| self.evidence.is_suspect(*key));
+        let keys: Vec<Fingerprint> = content.parts().iter().copied().chain(whole).collect();
+        for key in keys {
             if self.evidence.add_survival(key, now) {
                 self.report_contested_survival(now, key);
             }
--- a/crates/edge/src/connection.rs
+++ b/crates/edge/src/connection.rs
@@ -72,7 +72,8 @@
         let service_edge = edge.clone();
         let service = service_fn(move |req: Request<Incoming>| {
             let guard = service_guard.clone();
-            let serving = serve(service_edge.clone(), guard.take_verdict(), req);
+            let verdict = guard.take_verdict();
+            let serving = serve(service_edge.clone(), peer.ip(), verdict, req);
             async move {
                 let response = serving.await;
                 if response.extensions().get::<UnreadBody>().is_some() {
--- a/crates/edge/src/crash_logs.rs
+++ b/crates/edge/src/crash_logs.rs
@@ -30,7 +30,7 @@
                 server = %server,
                 crash = %crash,
                 parts = req.facts.prompt_parts.join(","),
-                content = %req.content.request(),
+                contents = list(req.content.whole()),
                 known_crashes,
                 ms = (now - req.arrived).0,
                 "crash: a server was lost during an answer"
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -1,12 +1,13 @@
 //! Checks callers' requests and passes them to their service.
 
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bv_blame::Content;
 use bv_drain::LateRequest;
 use bv_link::{CollectError, Sender, collect};
-use bv_platform::{Table, parse_caller_headers, strip_request};
+use bv_platform::{Table, caller_mark, parse_caller_headers, strip_request};
 use bv_roster::store_intervals;
 use bv_types::{Millis, Refusal, Version};
 use bytes::Bytes;
@@ -30,9 +31,10 @@
 /// Time that the answer of a call for changes may take beyond the longest wait of the call.
 const CALL_SLACK: Millis = Millis(900);
 
-/// Serves one request of a caller.
+/// Serves one request of the caller at an address.
 pub(crate) async fn serve(
     edge: Arc<Edge>,
+    caller: IpAddr,
     verdict: Option<Verdict>,
     req: Request<Incoming>,
 ) -> Response<Body> {
@@ -41,7 +43,7 @@
     let has_body = !req.body().is_end_stream();
     let accepted = tokio::select! {
         biased;
-        accepted = accept(&edge, verdict, req, arrived) => accepted,
+        accepted = accept(&edge, caller, verdict, req, arrived) => accepted,
         () = edge.wait_for_end() => Err(RefusedRequest::shutting_down()),
     };
     let mut response = match accepted {
@@ -102,6 +104,7 @@
 /// Checks a request, chooses its route and service, and reads its body.
 async fn accept(
     edge: &Arc<Edge>,
+    caller: IpAddr,
     verdict: Option<Verdict>,
     req: Request<Incoming>,
     arrived: Millis,
@@ -133,8 +136,9 @@
         .headers
         .get(header::HOST)
         .and_then(|host| host.to_str().ok())
+        .map(SmolStr::from)
         .ok_or_else(|| refuse(Refusal::BadRequest, age))?;
-    let route = match table.find(host, parts.uri.path()) {
+    let route = match table.find(&host, parts.uri.path()) {
         Some(route) => route.clone(),
         None => {
             // A host that may lack a change that is due cannot know that the route does not exist. With
@@ -175,7 +179,9 @@
     let mut headers = parts.headers;
     strip_request(&mut headers);
     let uri = origin_form(parts.uri);
-    let content = digest(&facts.prompt_parts, &parts.method, &uri, &body).await;
+    let content = digest(&facts.prompt_parts, &parts.method, &host, &uri, &body).await;
+    let address = caller.to_string();
+    let content = content.with_caller([address.as_bytes(), &caller_mark(&headers)]);
     Ok(CallerRequest {
         method: parts.method,
         uri,
@@ -195,16 +201,17 @@
 async fn digest(
     prompt_parts: &[SmolStr],
     method: &Method,
+    host: &SmolStr,
     uri: &http::Uri,
     body: &Bytes,
 ) -> Content {
     if body.len() <= MAX_INLINE_DIGEST_BYTES {
-        return digest_inline(prompt_parts, method, uri, body);
+        return digest_inline(prompt_parts, method, host, uri, body);
     }
     let (parts, method, uri) = (prompt_parts.to_vec(), method.clone(), uri.clone());
-    let body = body.clone();
+    let (host, body) = (host.clone(), body.clone());
     let digesting =
-        tokio::task::spawn_blocking(move || digest_inline(&parts, &method, &uri, &body));
+        tokio::task::spawn_blocking(move || digest_inline(&parts, &method, &host, &uri, &body));
     match digesting.await {
         Ok(content) => content,
         Err(err) => std::panic::resume_unwind(err.into_panic()),
@@ -214,11 +221,17 @@
 fn digest_inline(
     prompt_parts: &[SmolStr],
     method: &Method,
+    host: &str,
     uri: &http::Uri,
     body: &[u8],
 ) -> Content {
     let uri = uri.to_string();
-    let request = [method.as_str().as_bytes(), uri.as_bytes(), body];
+    let request = [
+        method.as_str().as_bytes(),
+        host.as_bytes(),
+        uri.as_bytes(),
+        body,
+    ];
     Content::new(prompt_parts.iter().map(SmolStr::as_str), request)
 }
 
