edge, blame: a request that may have ended servers is sent one at a time over all hosts

Cause: a burst of crashes is no evidence, since servers may end together for another reason, and nothing bounded the sends until the next burst. A service of three servers loses all of them to a few calls at a moment; then every host sends what it has to the first server that is back, before one loss is confirmed and reported. Class: a limit kept by each host alone, on evidence that all hosts share.

Change: from two crashes before an answer on, a content of whole requests is under trial. One host, chosen by a rendezvous hash among the hosts that are heard, grants the permit to send it; it is given back when the request was answered, or when it is known whether its server has crashed, in one datagram with that evidence. Others wait up to 400 ms for the verdict, then get 503 under_trial, which has not run. An answer in a trial is told at once and frees the content. Crashes in trials are not cleared by later answers; two block the content in any case. Evidence under trial goes to hosts that start, by the store as well.

--- a/crates/admit/src/fleet.rs
+++ b/crates/admit/src/fleet.rs
@@ -278,6 +278,11 @@
         self.expected_peers = count;
     }
 
+    /// Whether another host reports its load.
+    pub fn hears(&self, host: &HostId) -> bool {
+        self.peers.contains(host)
+    }
+
     /// Number of other hosts that should report their load and do not.
     pub fn missing_peers(&self) -> usize {
         self.expected_peers.saturating_sub(self.peers.len())
--- a/crates/admit/src/peers.rs
+++ b/crates/admit/src/peers.rs
@@ -88,6 +88,10 @@
             .count()
     }
 
+    pub fn contains(&self, host: &HostId) -> bool {
+        self.0.binary_search_by(|p| p.host.cmp(host)).is_ok()
+    }
+
     pub fn iter(&self) -> impl Iterator<Item = &Peer> {
         self.0.iter()
     }
--- a/crates/blame/src/evidence.rs
+++ b/crates/blame/src/evidence.rs
@@ -3,7 +3,9 @@
 use bv_types::{Fingerprint, Millis};
 
 use crate::content::{Content, CrashId};
-use crate::verdict::{Block, Crash, MAX_CRASHES, SOUND_TIME, Suspicion, crash_count, judge};
+use crate::verdict::{
+    Block, Crash, Judgement, MAX_CRASHES, SOUND_TIME, Suspicion, crash_count, judge,
+};
 
 /// Time for which a crash is kept if it blocks nothing.
 pub const SUSPECT_TIME: Millis = Millis::from_secs(600);
@@ -27,8 +29,8 @@
     crashes: Vec<Crash>,
     /// Sorted by content, at most [`MAX_SURVIVALS`].
     survivals: Vec<Survival>,
-    blocks: Vec<Block>,
-    /// Number of times that the blocks were determined.
+    judgement: Judgement,
+    /// Number of times that the crashes were judged.
     version: u64,
 }
 
@@ -40,12 +42,16 @@
 
     /// The blocks, including those that are over and not forgotten yet.
     pub fn blocks(&self) -> &[Block] {
-        &self.blocks
+        &self.judgement.blocks
     }
 
     /// The block that a request falls under.
     pub fn block_of(&self, now: Millis, content: &Content) -> Option<&Block> {
-        let mut in_force = self.blocks.iter().filter(|block| now < block.until);
+        let mut in_force = self
+            .judgement
+            .blocks
+            .iter()
+            .filter(|block| now < block.until);
         in_force.find(|block| block.contents.iter().all(|key| content.contains(*key)))
     }
 
@@ -58,6 +64,22 @@
         content.keys().map(count).max().unwrap_or(0)
     }
 
+    /// Number of crashes that a content of whole requests may have caused, which no other blocked
+    /// content explains. Those before which a request with it was answered do not count.
+    pub fn suspected_crashes(&self, key: Fingerprint) -> u32 {
+        let suspected = &self.judgement.suspected;
+        let found = suspected.binary_search_by_key(&key, |(suspect, _)| *suspect);
+        found.map_or(0, |at| suspected[at].1)
+    }
+
+    /// Contents of whole requests that may have caused this many crashes or more.
+    pub fn suspected(&self, crashes: u32) -> impl Iterator<Item = Fingerprint> {
+        let suspected = self.judgement.suspected.iter();
+        suspected
+            .filter(move |(_, count)| *count >= crashes)
+            .map(|(content, _)| *content)
+    }
+
     /// The time and the suspects of a crash.
     pub fn crash(&self, id: CrashId) -> Option<&Crash> {
         self.crashes.iter().find(|crash| crash.id == id)
@@ -116,10 +138,12 @@
                 .binary_search_by_key(&new.content, |suspicion| suspicion.content);
             match known {
                 Ok(at) => {
-                    // Another request with the content may have had no answer.
-                    let had_answer = &mut crash.suspects[at].has_answer;
-                    is_changed |= *had_answer && !new.has_answer;
-                    *had_answer &= new.has_answer;
+                    // Another request with the content may have had no answer, or been in a trial.
+                    let known = &mut crash.suspects[at];
+                    is_changed |= known.has_answer && !new.has_answer;
+                    is_changed |= !known.in_trial && new.in_trial;
+                    known.has_answer &= new.has_answer;
+                    known.in_trial |= new.in_trial;
                 }
                 Err(at) => {
                     crash.suspects.insert(at, new);
@@ -168,7 +192,7 @@
     /// Forgets what is over.
     pub fn expire(&mut self, now: Millis) {
         let before = self.crashes.len();
-        let blocks = &self.blocks;
+        let blocks = &self.judgement.blocks;
         self.crashes.retain(|crash| {
             let is_kept =
                 |block: &Block| now < block.forget_at && block.crashes.contains(&crash.id);
@@ -180,12 +204,15 @@
     }
 
     fn judge(&mut self) {
-        self.blocks = judge(&self.crashes, |key| self.survived_at(key));
+        self.judgement = judge(&self.crashes, |key| self.survived_at(key));
         self.version += 1;
     }
 
     fn blocks_any(&self, id: CrashId) -> bool {
-        self.blocks.iter().any(|block| block.crashes.contains(&id))
+        self.judgement
+            .blocks
+            .iter()
+            .any(|block| block.crashes.contains(&id))
     }
 
     /// Drops the oldest crash, if possible one that blocks nothing.
--- a/crates/blame/src/exchange.rs
+++ b/crates/blame/src/exchange.rs
@@ -1,7 +1,7 @@
 //! When a host exchanges what it knows of crashes through the store.
 //!
 //! Hosts tell each other of crashes directly. The store serves hosts that cannot hear each other, and
-//! keeps the blocks while all hosts start again.
+//! keeps the evidence while all hosts start again.
 
 use bv_types::Millis;
 
@@ -23,8 +23,8 @@
     pub last_loss_at: Option<Millis>,
     /// Number of reports of crashes that this host saw itself.
     pub own_crashes: u64,
-    /// Whether a content is blocked.
-    pub has_blocks: bool,
+    /// Whether a content is blocked, or suspected of so many crashes that it is sent one at a time.
+    pub has_suspects: bool,
 }
 
 /// Next call of the store.
@@ -60,8 +60,8 @@
         };
         let has_news = view.own_crashes != self.written_crashes;
         let may_write = self.written_at.is_none_or(|at| now >= at + WRITE_INTERVAL);
-        // Without a block and with all hosts heard, nobody needs the row.
-        if has_news && may_write && (view.has_blocks || view.missing_peers > 0) {
+        // Without a suspect and with all hosts heard, nobody needs the row.
+        if has_news && may_write && (view.has_suspects || view.missing_peers > 0) {
             return ExchangeStep::Write;
         }
         let is_alert = view.last_loss_at.is_some_and(|at| now < at + ALERT_TIME);
--- a/crates/blame/src/lib.rs
+++ b/crates/blame/src/lib.rs
@@ -33,7 +33,7 @@
 //! for (n, own) in ["a", "b", "c"].into_iter().enumerate() {
 //!     let now = Millis::from_secs(n as u64);
 //!     let engine = CrashId::of_process(&"engine".parse().unwrap(), Some(now));
-//!     let run = watch.begin(engine, request(own));
+//!     let run = watch.begin(engine, request(own), None);
 //!     assert!(watch.lose(now, run));
 //!     watch.confirm(now, engine, true);
 //! }
@@ -53,5 +53,6 @@
 pub use state::{Action, BLOCK_SCORE, BLOCK_TIME, Blame, Event, SUSPECT_TIME, Score};
 pub use verdict::{Block, Crash, MAX_BLOCK_TIME, MAX_CRASHES, Suspicion};
 pub use watch::{
-    CrashReport, CrashWatch, REPORT_TIME, Report, RunEnd, RunId, SURVIVAL_TIME, SurvivalReport,
+    Admission, CrashReport, CrashWatch, EndedTrial, PERMIT_TIME, REPORT_TIME, Report, RunEnd,
+    RunId, SURVIVAL_TIME, SurvivalReport, TrialId,
 };
--- a/crates/blame/src/verdict.rs
+++ b/crates/blame/src/verdict.rs
@@ -19,6 +19,9 @@
 pub const SOUND_BLOCK_BURSTS: u32 = 5;
 /// Crashes within this time are one burst: engines that crash together may have a common cause.
 pub const BURST_TIME: Millis = Millis(300);
+/// Number of crashes during trials after which a content is blocked in any case: no other request with
+/// it was at a server meanwhile.
+pub const BLOCK_TRIAL_CRASHES: u32 = 2;
 /// Smallest share of the crashes that no other content explains. While engines crash often for
 /// other reasons, a content may be beside several crashes by chance.
 pub const MIN_SHARE: f64 = 0.25;
@@ -44,6 +47,10 @@
 pub struct Suspicion {
     /// Digest of the content.
     pub content: Fingerprint,
+    /// Whether it identifies whole requests.
+    pub is_request: bool,
+    /// Whether its request was sent in a trial, while no other request with the content was.
+    pub in_trial: bool,
     /// Whether a request with it had begun to be answered. Most crashes come before that, so
     /// such a request was probably beside the one that caused it.
     pub has_answer: bool,
@@ -118,6 +125,10 @@
     crashes: CrashSet,
     /// Those of them before which no request with it had begun to be answered.
     unanswered: CrashSet,
+    /// Those of them that came in a trial.
+    tried: CrashSet,
+    /// Whether it identifies whole requests.
+    is_request: bool,
     /// Whether it survived shortly before the first of them.
     is_sound: bool,
 }
@@ -125,6 +136,9 @@
 impl Suspect {
     /// Whether it is to be blocked. `explained` are the crashes that blocked contents caused.
     fn is_guilty(&self, crashes: &[Crash], explained: CrashSet) -> bool {
+        if self.is_tried(explained) {
+            return true;
+        }
         let open = self.crashes.without(explained);
         if self.is_sound {
             return count_bursts(crashes, open) >= SOUND_BLOCK_BURSTS;
@@ -137,6 +151,11 @@
             || (unanswered.len() >= BLOCK_CRASHES && is_frequent(crashes, open, explained))
     }
 
+    /// Whether its trials alone block it.
+    fn is_tried(&self, explained: CrashSet) -> bool {
+        self.tried.without(explained).len() >= BLOCK_TRIAL_CRASHES
+    }
+
     /// Number of its crashes beyond those that begin a block.
     fn relapses(&self, crashes: &[Crash]) -> u32 {
         match self.is_sound {
@@ -172,10 +191,51 @@
     bursts
 }
 
-/// The contents to block. `crashes` are in the order of their time, at most [`MAX_CRASHES`];
+/// What follows from the crashes.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Judgement {
+    /// The contents to block.
+    pub blocks: Vec<Block>,
+    /// Contents of whole requests that may have caused crashes which no other blocked content explains,
+    /// with the number of those before which no request with them was answered. Sorted by content.
+    pub suspected: Vec<(Fingerprint, u32)>,
+}
+
+/// Judges the crashes. `crashes` are in the order of their time, at most [`MAX_CRASHES`];
 /// `survived_at` tells when a content last survived.
-pub fn judge(crashes: &[Crash], survived_at: impl Fn(Fingerprint) -> Option<Millis>) -> Vec<Block> {
-    let mut suspects = suspects(crashes, survived_at);
+pub fn judge(crashes: &[Crash], survived_at: impl Fn(Fingerprint) -> Option<Millis>) -> Judgement {
+    let suspects = suspects(crashes, survived_at);
+    let blocks = blocks(crashes, suspects.clone());
+    let sets: Vec<CrashSet> = blocks
+        .iter()
+        .map(|block| positions_of(crashes, block))
+        .collect();
+    let requests = suspects.iter().filter(|suspect| suspect.is_request);
+    let suspected = requests.map(|suspect| {
+        let others = blocks
+            .iter()
+            .zip(&sets)
+            .filter(|(block, _)| !block.contents.contains(&suspect.key));
+        let explained = others.fold(CrashSet::default(), |all, (_, set)| all.union(*set));
+        (suspect.key, suspect.unanswered.without(explained).len())
+    });
+    Judgement {
+        suspected: suspected.filter(|(_, count)| *count > 0).collect(),
+        blocks,
+    }
+}
+
+fn positions_of(crashes: &[Crash], block: &Block) -> CrashSet {
+    let mut set = CrashSet::default();
+    let is_of_block = |crash: &Crash| block.crashes.contains(&crash.id);
+    for (position, _) in crashes.iter().enumerate().filter(|(_, c)| is_of_block(c)) {
+        set.insert(position);
+    }
+    set
+}
+
+/// The contents to block.
+fn blocks(crashes: &[Crash], mut suspects: Vec<Suspect>) -> Vec<Block> {
     let mut explained = CrashSet::default();
     let mut blocks = Vec::new();
     loop {
@@ -192,7 +252,8 @@
         };
         let contents = suspects.iter().filter(|suspect| is_tied(suspect));
         let contents = contents.map(|suspect| suspect.key).collect();
-        let first_length = match is_frequent(crashes, open, explained) {
+        let is_certain = most_blamed.is_tried(explained) || is_frequent(crashes, open, explained);
+        let first_length = match is_certain {
             true => BLOCK_TIME,
             false => DOUBTFUL_BLOCK_TIME,
         };
@@ -220,14 +281,18 @@
         let since = survived_at.unwrap_or(Millis::ZERO);
         let mut set = CrashSet::default();
         let mut unanswered = CrashSet::default();
+        let mut tried = CrashSet::default();
         let mut first: Option<Millis> = None;
         for (suspicion, position) in group {
             let at = crashes[*position].at;
-            // A crash is not the fault of a content that survives afterwards.
-            if at <= since && survived_at.is_some() {
+            // A crash is not the fault of a content that survives afterwards, unless it was tried alone.
+            if at <= since && survived_at.is_some() && !suspicion.in_trial {
                 continue;
             }
             set.insert(*position);
+            if suspicion.in_trial {
+                tried.insert(*position);
+            }
             first = Some(first.map_or(at, |first| first.min(at)));
             if !suspicion.has_answer {
                 unanswered.insert(*position);
@@ -238,6 +303,8 @@
                 key,
                 crashes: set,
                 unanswered,
+                tried,
+                is_request: group.iter().any(|(suspicion, _)| suspicion.is_request),
                 is_sound: survived_at.is_some_and(|at| first <= at + SOUND_TIME),
             });
         }
--- a/crates/blame/src/watch.rs
+++ b/crates/blame/src/watch/mod.rs
@@ -1,5 +1,7 @@
 //! One host's view of the requests that crash engines.
 
+mod trials;
+
 use std::collections::VecDeque;
 
 use bv_types::{Fingerprint, Millis};
@@ -9,6 +11,9 @@
 use crate::evidence::Evidence;
 use crate::verdict::{Block, Crash, Suspicion};
 
+pub use trials::{Admission, EndedTrial, PERMIT_TIME, TrialId};
+use trials::{Permit, Trial};
+
 /// Time that an engine must go on with an answer before its request counts as harmless. A request
 /// that crashes engines does so when they begin the answer.
 pub const SURVIVAL_TIME: Millis = Millis(1_000);
@@ -21,8 +26,8 @@
 pub const MAX_REPORTED: usize = 24;
 /// Maximum number of suspects in one report, over all its crashes.
 pub const MAX_REPORTED_SUSPECTS: usize = 300;
-/// Number of crashes of a block that are reported, the latest ones.
-const REPORTED_BLOCK_CRASHES: usize = 5;
+/// Number of crashes of a block or a suspect that are reported, the latest ones.
+const REPORTED_GROUP_CRASHES: usize = 5;
 /// Time after which a loss that was not confirmed is forgotten.
 const LOSS_TIME: Millis = Millis(10_000);
 /// Time for which the runs that an engine's crash ended add suspects to it.
@@ -32,8 +37,9 @@
 const MAX_SURVIVAL_DELAY: Millis = Millis(300);
 /// Number of crashes from which the survival of a suspect is reported.
 const CONTESTED_CRASHES: usize = 2;
-/// Number of crashes that a request may have caused from which it is not sent again after a loss.
-const MAX_RETRIED_CRASHES: u32 = 1;
+/// Number of crashes that a request may have caused and still be sent again after a loss, and beside
+/// other requests with its content.
+const MAX_FREE_CRASHES: u32 = 1;
 
 /// A run of a request on an engine, as known to the host that sent it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -89,6 +95,7 @@
     id: RunId,
     engine: CrashId,
     content: Content,
+    trial: Option<TrialId>,
     last_piece: Option<Millis>,
     /// Time for which the engine has gone on with the answer.
     answering: Millis,
@@ -97,11 +104,15 @@
 
 impl Run {
     fn suspicions(&self) -> impl Iterator<Item = Suspicion> {
-        let has_answer = self.last_piece.is_some();
-        self.content.keys().map(move |content| Suspicion {
+        let of = |content, is_request| Suspicion {
             content,
-            has_answer,
-        })
+            is_request,
+            in_trial: is_request && self.trial.is_some(),
+            has_answer: self.last_piece.is_some(),
+        };
+        let parts = self.content.parts().iter();
+        let parts = parts.map(move |part| of(*part, false));
+        parts.chain(self.content.whole().map(move |whole| of(whole, true)))
     }
 }
 
@@ -146,10 +157,16 @@
     evidence: Evidence,
     news: VecDeque<News>,
     rng: Rng,
-    /// Position of the next block in the reports of blocks.
-    next_block: usize,
+    /// Position of the next group of evidence that is reported.
+    next_group: usize,
     own_crashes: u64,
+    /// Number of the news that other hosts wait for.
+    urgent_news: u64,
     last_loss_at: Option<Millis>,
+    /// Trials of this host's requests.
+    trials: Vec<Trial>,
+    /// Permits that this host granted; sorted by content.
+    permits: Vec<Permit>,
 }
 
 impl CrashWatch {
@@ -162,9 +179,12 @@
             evidence: Evidence::default(),
             news: VecDeque::new(),
             rng: Rng::with_seed(seed),
-            next_block: 0,
+            next_group: 0,
             own_crashes: 0,
+            urgent_news: 0,
             last_loss_at: None,
+            trials: Vec::new(),
+            permits: Vec::new(),
         }
     }
 
@@ -181,7 +201,7 @@
         let request = content.request();
         let is_in = |loss: &&Loss| loss.suspects.iter().any(|s| s.content == request);
         let unconfirmed = self.losses.iter().filter(is_in).count() as u32;
-        self.evidence.crash_count(content) + unconfirmed <= MAX_RETRIED_CRASHES
+        self.evidence.crash_count(content) + unconfirmed <= MAX_FREE_CRASHES
     }
 
     /// Largest number of crashes that a digest of a request may have caused.
@@ -215,19 +235,25 @@
         self.own_crashes
     }
 
+    /// Changes whenever there are news that other hosts wait for.
+    pub fn urgent_news(&self) -> u64 {
+        self.urgent_news
+    }
+
     /// Number of known crashes.
     pub fn crash_total(&self) -> usize {
         self.evidence.crash_total()
     }
 
-    /// Records that a request is sent to an engine.
-    pub fn begin(&mut self, engine: CrashId, content: Content) -> RunId {
+    /// Records that a request is sent to an engine, in a trial if it was admitted to one.
+    pub fn begin(&mut self, engine: CrashId, content: Content, trial: Option<TrialId>) -> RunId {
         let id = RunId(self.next_run);
         self.next_run += 1;
         self.runs.push(Run {
             id,
             engine,
             content,
+            trial,
             last_piece: None,
             answering: Millis::ZERO,
             has_survived: false,
@@ -246,15 +272,15 @@
             return;
         }
         run.has_survived = true;
-        let content = run.content.clone();
-        self.record_survival(now, &content);
+        let (content, in_trial) = (run.content.clone(), run.trial.is_some());
+        self.record_survival(now, &content, in_trial);
     }
 
     /// Records the end of a run whose connection was not lost.
     pub fn end(&mut self, now: Millis, run: RunId, end: RunEnd) {
         let Some(run) = self.remove(run) else { return };
         if end == RunEnd::Completed && !run.has_survived {
-            self.record_survival(now, &run.content);
+            self.record_survival(now, &run.content, run.trial.is_some());
         }
     }
 
@@ -359,17 +385,18 @@
         self.news.iter().any(|news| news.is_due(now))
     }
 
-    /// The evidence of the blocks, some at a time, for a host that may have missed the news.
+    /// The evidence of the blocks and of the contents that are sent one at a time, some of it at a time,
+    /// for a host that may have missed the news.
     pub fn report_blocks(&mut self, now: Millis) -> Report {
         let mut report = Report::default();
-        let blocks: Vec<&Block> = self.blocks(now).collect();
+        let groups = self.evidence_groups(now);
         let mut suspects = 0;
         let mut reported = 0;
-        for offset in 0..blocks.len() {
-            let block = blocks[(self.next_block + offset) % blocks.len()];
-            let first = block.crashes.len().saturating_sub(REPORTED_BLOCK_CRASHES);
-            let latest = &block.crashes[first..];
-            suspects += latest.len() * block.contents.len();
+        for offset in 0..groups.len() {
+            let (contents, crashes) = &groups[(self.next_group + offset) % groups.len()];
+            let first = crashes.len().saturating_sub(REPORTED_GROUP_CRASHES);
+            let latest = &crashes[first..];
+            suspects += latest.len() * contents.len();
             let is_full = report.crashes.len() + latest.len() > MAX_REPORTED;
             if reported > 0 && (is_full || suspects > MAX_REPORTED_SUSPECTS) {
                 break;
@@ -382,21 +409,45 @@
                     suspects: crash
                         .suspects
                         .iter()
-                        .filter(|suspicion| block.contents.contains(&suspicion.content))
+                        .filter(|suspicion| contents.contains(&suspicion.content))
                         .copied()
                         .collect(),
                 }
             }));
             reported += 1;
         }
-        self.next_block = self.next_block.wrapping_add(reported);
+        self.next_group = self.next_group.wrapping_add(reported);
         report
     }
 
+    /// Contents that are blocked together or sent one at a time, with the crashes that speak against
+    /// them, the latest one last.
+    fn evidence_groups(&self, now: Millis) -> Vec<(Vec<Fingerprint>, Vec<CrashId>)> {
+        let blocks = self.blocks(now);
+        let blocks = blocks.map(|block| (block.contents.clone(), block.crashes.clone()));
+        let suspected = self.evidence.suspected(MAX_FREE_CRASHES + 1);
+        let suspected = suspected.map(|content| {
+            let crashes = self.evidence.crashes_of(content);
+            (vec![content], crashes.map(|crash| crash.id).collect())
+        });
+        blocks.chain(suspected).collect()
+    }
+
+    /// Whether there is evidence that hosts must not lose.
+    pub fn has_suspects(&self, now: Millis) -> bool {
+        self.blocks(now).next().is_some()
+            || self
+                .evidence
+                .suspected(MAX_FREE_CRASHES + 1)
+                .next()
+                .is_some()
+    }
+
     /// Forgets what is over.
     pub fn expire(&mut self, now: Millis) {
         self.evidence.expire(now);
         self.losses.retain(|loss| now < loss.at + LOSS_TIME);
+        self.permits.retain(|permit| now < permit.until);
     }
 
     fn add_own_crash(&mut self, now: Millis, id: CrashId, at: Millis, suspects: Vec<Suspicion>) {
@@ -405,18 +456,26 @@
             return;
         }
         self.own_crashes += 1;
+        self.urgent_news += 1;
         let age = now - at;
         let report = CrashReport { id, age, suspects };
         self.add_news(now, NewsItem::Crash(report));
     }
 
-    fn record_survival(&mut self, now: Millis, content: &Content) {
+    fn record_survival(&mut self, now: Millis, content: &Content, in_trial: bool) {
         // Whole requests are rarely sent again, so only suspects are remembered.
         let whole = content.whole().filter(|key| self.evidence.is_suspect(*key));
         let keys: Vec<Fingerprint> = content.parts().iter().copied().chain(whole).collect();
         for key in keys {
-            if self.evidence.add_survival(key, now) {
-                self.report_contested_survival(now, key);
+            if !self.evidence.add_survival(key, now) {
+                continue;
+            }
+            match in_trial {
+                true => {
+                    self.urgent_news += 1;
+                    self.add_news(now, NewsItem::Survival(key));
+                }
+                false => self.report_contested_survival(now, key),
             }
         }
     }
--- a/crates/blame/tests/fleet/mod.rs
+++ b/crates/blame/tests/fleet/mod.rs
@@ -370,7 +370,7 @@
             }
         }
         let engine = crash_id(slot, self.slots[slot].incarnation);
-        let id = self.hosts[host].watch.begin(engine, content.clone());
+        let id = self.hosts[host].watch.begin(engine, content.clone(), None);
         let number = self.runs.len();
         self.runs.push(Run {
             host,
--- a/crates/blame/tests/store_exchange.rs
+++ b/crates/blame/tests/store_exchange.rs
@@ -45,7 +45,7 @@
     let mut exchange = after_read();
     let view = ExchangeView {
         own_crashes: 3,
-        has_blocks: true,
+        has_suspects: true,
         ..ExchangeView::default()
     };
     assert_eq!(exchange.step(Millis(2_000), view), ExchangeStep::Write);
@@ -60,7 +60,7 @@
         missing_peers: 1,
         last_loss_at: Some(Millis(2_000)),
         own_crashes: 1,
-        has_blocks: false,
+        has_suspects: false,
     };
     assert_eq!(exchange.step(Millis(2_010), view), ExchangeStep::Write);
     exchange.record_write(Millis(2_010), 1);
--- a/crates/edge/src/crash_logs.rs
+++ b/crates/edge/src/crash_logs.rs
@@ -1,7 +1,7 @@
 //! Log lines about requests that crash engines.
 
 use bv_blame::{Block, CrashId};
-use bv_types::{BackendId, Millis};
+use bv_types::{BackendId, Fingerprint, Millis};
 use tracing::{info, warn};
 
 use crate::logs::LogBudget;
@@ -38,6 +38,29 @@
         }
     }
 
+    /// Logs that a request is the only one with a suspected content that is sent now.
+    pub fn trial_began(&self, now: Millis, req: &CallerRequest, content: Fingerprint) {
+        if self.take(now) {
+            let ms = (now - req.arrived).0;
+            info!(id = %req.facts.request_id, content = %content, ms, "crash: request tried alone");
+        }
+    }
+
+    /// Logs that a request waits for the trial of another one with a suspected content.
+    pub fn trial_awaited(&self, now: Millis, req: &CallerRequest, content: Fingerprint) {
+        if self.take(now) {
+            info!(id = %req.facts.request_id, content = %content, "crash: request waits for a trial");
+        }
+    }
+
+    /// Logs that a request was refused because another one with a suspected content is tried.
+    pub fn trial_refused(&self, now: Millis, req: &CallerRequest, content: Fingerprint) {
+        if self.take(now) {
+            let ms = (now - req.arrived).0;
+            info!(id = %req.facts.request_id, content = %content, ms, "crash: request not tried");
+        }
+    }
+
     /// Logs that a server on which a run lost its connection has not crashed.
     pub fn server_lives(&self, now: Millis, server: &BackendId, crash: CrashId, reason: &str) {
         if self.take(now) {
--- a/crates/edge/src/crash_rows.rs
+++ b/crates/edge/src/crash_rows.rs
@@ -56,7 +56,7 @@
         missing_peers: state.fleet.missing_peers(),
         last_loss_at: state.crashes.last_loss_at(),
         own_crashes: state.crashes.own_crashes(),
-        has_blocks: state.crashes.blocks(now).next().is_some(),
+        has_suspects: state.crashes.has_suspects(now),
     }
 }
 
--- a/crates/edge/src/crashes.rs
+++ b/crates/edge/src/crashes.rs
@@ -2,10 +2,10 @@
 
 use std::sync::Arc;
 
-use bv_blame::{Block, CrashId, RunEnd, RunId};
+use bv_blame::{Admission, Block, CrashId, RunEnd, RunId};
 use bv_link::{ConnectError, ConnectOptions, connect};
 use bv_roster::Registration;
-use bv_types::{Millis, Refusal};
+use bv_types::{Fingerprint, Millis, Refusal};
 
 use crate::answer::Failure;
 use crate::counters;
@@ -32,7 +32,9 @@
 impl WatchedRun {
     pub fn begin(edge: &Arc<Edge>, req: &Arc<CallerRequest>, server: &Registration) -> Self {
         let crash = CrashId::of_process(&server.id, server.started_at);
-        let run = edge.state().crashes.begin(crash, req.content.clone());
+        let trial = req.trial.get().copied();
+        let content = req.content.clone();
+        let run = edge.state().crashes.begin(crash, content, trial);
         WatchedRun {
             edge: edge.clone(),
             req: req.clone(),
@@ -70,6 +72,7 @@
             .logs
             .run_lost(now, &self.req, &self.server.id, crash, known_crashes);
         if !must_check {
+            self.edge.tell_ended_trials();
             return;
         }
         let (edge, server) = (self.edge.clone(), self.server.clone());
@@ -90,6 +93,7 @@
         if let Some(run) = self.run.take() {
             let now = self.edge.now();
             self.edge.state().crashes.end(now, run, end);
+            self.edge.tell_ended_trials();
         }
     }
 }
@@ -151,16 +155,40 @@
 }
 
 impl Edge {
-    /// The refusal of a request whose content crashes engines.
+    /// The refusal of a request whose content crashes engines, or may do so and is tried by another
+    /// request.
     pub fn blocked(&self, req: &CallerRequest) -> Option<Failure> {
         let now = self.now();
         let state = self.state();
-        let block = state.crashes.block_of(now, &req.content)?;
+        let trial = req.trial.get().copied();
+        match state.crashes.admission(now, &req.content, trial) {
+            Admission::Free => None,
+            Admission::Blocked(block) => Some(self.refuse_blocked(now, req, block)),
+            Admission::OneAtATime(content) => Some(self.refuse_untried(now, req, content)),
+        }
+    }
+
+    pub(crate) fn refuse_blocked(
+        &self,
+        now: Millis,
+        req: &CallerRequest,
+        block: &Block,
+    ) -> Failure {
         self.logs.request_blocked(now, req, block);
-        Some(Failure::NotRun {
+        Failure::NotRun {
             reason: Refusal::CrashesEngines,
             retry_after: block.until - now,
-        })
+        }
+    }
+
+    pub(crate) fn refuse_untried(
+        &self,
+        now: Millis,
+        req: &CallerRequest,
+        content: Fingerprint,
+    ) -> Failure {
+        self.logs.trial_refused(now, req, content);
+        Failure::refused(Refusal::UnderTrial)
     }
 
     fn confirm_crash(&self, server: &Registration, verdict: Verdict) {
@@ -185,6 +213,8 @@
             }
             Verdict::Leaving => self.logs.server_lives(now, &server.id, crash, "leaves"),
         }
+        self.tell_ended_trials();
+        self.trials_changed.notify_waiters();
     }
 
     /// Forgets blocks and crashes that are over, and logs the blocks that began or ended.
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -11,6 +11,7 @@
 use bv_roster::{AgeBounds, HostEntry, store_intervals};
 use bv_route::IdleTimeouts;
 use bv_types::{BackendId, Clock, Millis, Tokens};
+use tokio::net::UdpSocket;
 use tokio::sync::{Notify, watch};
 
 use crate::logs::LogBudget;
@@ -52,6 +53,10 @@
     pub sources_changed: Notify,
     /// Whether this host reads the tables of the store itself.
     reads_store: watch::Sender<bool>,
+    /// Notified when what is known of crashes or trials changes.
+    pub trials_changed: Notify,
+    /// Socket for datagrams to other hosts, once it is open.
+    pub datagrams: OnceLock<Arc<UdpSocket>>,
     /// Notified when the load that this host reports to the others changes.
     pub own_load_changed: Notify,
     state: Mutex<State>,
@@ -84,6 +89,8 @@
             state,
             pool: ConnectionPool::default(),
             capacity_changed: Notify::new(),
+            trials_changed: Notify::new(),
+            datagrams: OnceLock::new(),
             own_load_changed: Notify::new(),
             queue_changed: Notify::new(),
             newer_version_reported: Notify::new(),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -36,6 +36,7 @@
 mod stop;
 mod store_health;
 mod subscribe;
+mod trials;
 mod usage;
 
 pub use run::{EdgeError, help, run};
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -264,7 +264,10 @@
         let timeout = || SendError::Timeout(edge.now() - sending.sent_at);
         let mut has_searched = false;
         let (waited, outcome) = loop {
-            let may_move = req.route.kind.may_repeat() && self.runs + 1 < req.route.max_attempts;
+            // A trial is at one server at a time.
+            let may_move = req.route.kind.may_repeat()
+                && req.trial.get().is_none()
+                && self.runs + 1 < req.route.max_attempts;
             match silence.step(edge.now(), may_move) {
                 SilenceStep::DeadlinePassed => {
                     break (
--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -1,8 +1,8 @@
 //! A caller's request in progress.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
-use bv_blame::Content;
+use bv_blame::{Content, TrialId};
 use bv_platform::CallerHeaders;
 use bv_route::{Route, RouteTable};
 use bv_types::{Millis, ServiceId};
@@ -25,6 +25,8 @@
     pub facts: CallerHeaders,
     /// What other requests may have in common with it that crashes engines.
     pub content: Content,
+    /// The trial that it was admitted to, if its content may have caused crashes.
+    pub trial: OnceLock<TrialId>,
     /// Configuration by which the request was routed.
     pub table: Arc<RouteTable>,
     pub route: Route,
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -127,6 +127,7 @@
     let mut terminate = signal(SignalKind::terminate())?;
     let mut hangup = signal(SignalKind::hangup())?;
     let edge = Arc::new(Edge::new(settings));
+    edge.datagrams.get_or_init(|| datagrams.clone());
     let (drain_tx, drain_rx) = watch::channel(GracePhase::Serving);
     tokio::spawn(follow::config(edge.clone()));
     tokio::spawn(follow::servers(edge.clone()));
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -1,7 +1,7 @@
 //! Checks callers' requests and passes them to their service.
 
 use std::net::IpAddr;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use bv_blame::Content;
@@ -23,6 +23,7 @@
 use crate::plain::call;
 use crate::relay::stream;
 use crate::request::CallerRequest;
+use crate::trials::admit;
 
 /// Longest time for reading the body of a request, unless its deadline is shorter.
 pub(crate) const BODY_TIMEOUT: Millis = Millis(10_000);
@@ -186,6 +187,7 @@
         method: parts.method,
         uri,
         content,
+        trial: OnceLock::new(),
         headers,
         body,
         facts,
@@ -291,8 +293,9 @@
     edge.state()
         .retry_budgets
         .request(req.arrived, &req.service, limits);
+    let admitted = admit(edge, &req).await;
     let result = match req.route.kind.is_stream() {
-        _ if let Some(failure) = edge.blocked(&req) => Err(failure),
+        _ if let Err(failure) = admitted => Err(failure),
         true => stream(edge, ModelCall::new(edge, req.clone()), count_guard).await,
         false => {
             let _count_guard = count_guard;
--- a/crates/edge/src/usage.rs
+++ b/crates/edge/src/usage.rs
@@ -17,6 +17,7 @@
 use tracing::debug;
 
 use crate::edge::Edge;
+use crate::trials::{self, TrialMessage, TrialStep};
 
 /// Interval at which an unchanged update is sent again, since datagrams can be lost.
 const REFRESH_INTERVAL: Millis = Millis(500);
@@ -66,6 +67,9 @@
     crashes: Vec<EngineCrash>,
     #[prost(message, repeated, tag = "13")]
     survivals: Vec<ContentSurvival>,
+    /// Present in a datagram that carries no usage.
+    #[prost(message, optional, tag = "14")]
+    trial: Option<TrialMessage>,
 }
 
 /// A crash of an engine, with digests of the contents that may have caused it.
@@ -82,6 +86,15 @@
     /// Contents of requests whose answer had begun.
     #[prost(bytes = "vec", repeated, tag = "4")]
     answered: Vec<Vec<u8>>,
+    /// Like `unanswered`, but of contents that identify whole requests.
+    #[prost(bytes = "vec", repeated, tag = "5")]
+    unanswered_requests: Vec<Vec<u8>>,
+    /// Like `answered`, but of contents that identify whole requests.
+    #[prost(bytes = "vec", repeated, tag = "6")]
+    answered_requests: Vec<Vec<u8>>,
+    /// Those of whole requests that were sent in a trial.
+    #[prost(bytes = "vec", repeated, tag = "7")]
+    tried: Vec<Vec<u8>>,
 }
 
 /// A content that an engine answered without a crash.
@@ -124,8 +137,8 @@
 struct LastSent {
     load: PeerLoad,
     reads_store: bool,
-    /// Crashes of engines that this host saw.
-    crashes: u64,
+    /// News of crashes that other hosts wait for.
+    crash_news: u64,
     at: Millis,
 }
 
@@ -137,13 +150,13 @@
         &self,
         now: Millis,
         load: &PeerLoad,
-        (reads_store, crashes): (bool, u64),
+        (reads_store, crash_news): (bool, u64),
         interval: Millis,
     ) -> bool {
         let is_waiting_changed = load.first_waiting.is_some() != self.load.first_waiting.is_some();
         is_waiting_changed
             || reads_store != self.reads_store
-            || crashes != self.crashes
+            || crash_news != self.crash_news
             || (*load != self.load && now >= self.at + interval)
             || now >= self.at + interval.max(REFRESH_INTERVAL)
     }
@@ -169,24 +182,24 @@
         let load = own_load(&edge, now);
         let store_age = edge.state().sources.own_report(now);
         let reads_store = store_age.is_some();
-        let crashes = edge.state().crashes.own_crashes();
+        let crash_news = edge.state().crashes.urgent_news();
         let remote_interval = update_intervals::remote_interval(near.len() + remote.len() + 1);
         let mut receivers = Vec::new();
-        if last_near.is_due(now, &load, (reads_store, crashes), Millis::ZERO) {
+        if last_near.is_due(now, &load, (reads_store, crash_news), Millis::ZERO) {
             receivers.extend(near);
             last_near = LastSent {
                 load: load.clone(),
                 reads_store,
-                crashes,
+                crash_news,
                 at: now,
             };
         }
-        if last_remote.is_due(now, &load, (reads_store, crashes), remote_interval) {
+        if last_remote.is_due(now, &load, (reads_store, crash_news), remote_interval) {
             receivers.extend(remote);
             last_remote = LastSent {
                 load: load.clone(),
                 reads_store,
-                crashes,
+                crash_news,
                 at: now,
             };
         }
@@ -219,6 +232,30 @@
     }
 }
 
+/// Sends a message about a trial to one host, with what this host knows of crashes.
+pub(crate) fn send_trial(edge: &Edge, to: SocketAddr, message: TrialMessage) {
+    let Some(socket) = edge.datagrams.get() else {
+        return;
+    };
+    let now = edge.now();
+    let report = {
+        let mut state = edge.state();
+        let mut report = state.crashes.report(now);
+        if message.kind() == TrialStep::Refuse {
+            report
+                .crashes
+                .extend(state.crashes.report_blocks(now).crashes);
+        }
+        report
+    };
+    let update = UsageUpdate {
+        host: edge.settings.host.to_string(),
+        trial: Some(message),
+        ..UsageUpdate::default()
+    };
+    send_to(socket, &with_report(update, &report), &[to]);
+}
+
 /// Load that this host reports to the others.
 fn own_load(edge: &Edge, now: Millis) -> PeerLoad {
     let mut state = edge.state();
@@ -275,16 +312,18 @@
 }
 
 fn encode_crash(crash: &CrashReport) -> EngineCrash {
-    let of = |has_answer: bool| {
-        let suspects = crash.suspects.iter();
-        let suspects = suspects.filter(move |s| s.has_answer == has_answer);
+    let of = |is_wanted: &dyn Fn(&Suspicion) -> bool| {
+        let suspects = crash.suspects.iter().filter(|s| is_wanted(s));
         suspects.map(|s| s.content.0.to_vec()).collect()
     };
     EngineCrash {
         id: crash.id.0,
         age_ms: crash.age.0,
-        unanswered: of(false),
-        answered: of(true),
+        unanswered: of(&|s| !s.is_request && !s.has_answer),
+        answered: of(&|s| !s.is_request && s.has_answer),
+        unanswered_requests: of(&|s| s.is_request && !s.has_answer),
+        answered_requests: of(&|s| s.is_request && s.has_answer),
+        tried: of(&|s| s.in_trial),
     }
 }
 
@@ -298,20 +337,35 @@
 /// The report in an update. Digests of a wrong length are left out.
 fn decode_report(update: &UsageUpdate) -> Report {
     let digest = |bytes: &Vec<u8>| Some(Fingerprint(bytes.as_slice().try_into().ok()?));
-    let suspicion = |bytes: &Vec<u8>, has_answer| {
-        let content = digest(bytes)?;
-        Some(Suspicion {
-            content,
-            has_answer,
-        })
+    let suspicions = |crash: &EngineCrash| {
+        let lists = [
+            (&crash.unanswered, false, false),
+            (&crash.answered, false, true),
+            (&crash.unanswered_requests, true, false),
+            (&crash.answered_requests, true, true),
+        ];
+        let suspicions = lists
+            .into_iter()
+            .flat_map(|(list, is_request, has_answer)| {
+                let contents = list
+                    .iter()
+                    .map(move |bytes| (bytes, is_request, has_answer));
+                contents.collect::<Vec<_>>()
+            });
+        let suspicions = suspicions.filter_map(|(bytes, is_request, has_answer)| {
+            Some(Suspicion {
+                content: digest(bytes)?,
+                is_request,
+                in_trial: crash.tried.contains(bytes),
+                has_answer,
+            })
+        });
+        suspicions.collect()
     };
     let crashes = update.crashes.iter().map(|crash| CrashReport {
         id: CrashId(crash.id),
         age: Millis(crash.age_ms),
-        suspects: (crash.unanswered.iter().map(|bytes| (bytes, false)))
-            .chain(crash.answered.iter().map(|bytes| (bytes, true)))
-            .filter_map(|(bytes, has_answer)| suspicion(bytes, has_answer))
-            .collect(),
+        suspects: suspicions(crash),
     });
     let survivals = update.survivals.iter().filter_map(|survival| {
         Some(SurvivalReport {
@@ -378,6 +432,12 @@
     let update = UsageUpdate::decode(datagram)?;
     let report = decode_report(&update);
     let host: HostId = update.host.parse()?;
+    if let Some(message) = &update.trial {
+        edge.state().crashes.receive(edge.now(), &report);
+        trials::receive(edge, peer, &host, message);
+        edge.trials_changed.notify_waiters();
+        return Ok(());
+    }
     let mut loads = Vec::with_capacity(update.uses.len());
     for engine_use in update.uses {
         loads.push(ServerLoad {
@@ -416,5 +476,8 @@
         edge.newer_version_reported.notify_waiters();
     }
     edge.capacity_changed.notify_waiters();
+    if !report.is_empty() {
+        edge.trials_changed.notify_waiters();
+    }
     Ok(())
 }
--- a/crates/types/src/reason.rs
+++ b/crates/types/src/reason.rs
@@ -86,6 +86,8 @@
         DispatchTooLate = "dispatch_too_late",
         /// The request is blocked because it has crashed engines.
         CrashesEngines = "crashes_engines",
+        /// The request may have crashed engines, and another one with its content is tried first.
+        UnderTrial = "under_trial",
         /// The entry host is shutting down.
         ShuttingDown = "shutting_down",
         /// The caller closed its connection before dispatch.
