blame, edge: the holder of a permit renews it, so a lost end holds nobody up for long

A permit was free again three seconds after its grant if the datagram that gives it back was lost. A holder now renews its permit every 100 ms while its trial lasts, and a permit that is not renewed passes on after 400 ms.

--- a/crates/blame/src/lib.rs
+++ b/crates/blame/src/lib.rs
@@ -53,6 +53,6 @@
 pub use state::{Action, BLOCK_SCORE, BLOCK_TIME, Blame, Event, SUSPECT_TIME, Score};
 pub use verdict::{Block, Crash, MAX_BLOCK_TIME, MAX_CRASHES, Suspicion};
 pub use watch::{
-    Admission, CrashReport, CrashWatch, EndedTrial, PERMIT_TIME, REPORT_TIME, Report, RunEnd,
-    RunId, SURVIVAL_TIME, SurvivalReport, TrialId,
+    Admission, CrashReport, CrashWatch, EndedTrial, PERMIT_TIME, RENEW_INTERVAL, REPORT_TIME,
+    Report, RunEnd, RunId, SURVIVAL_TIME, SurvivalReport, TrialId,
 };
--- a/crates/blame/src/watch/mod.rs
+++ b/crates/blame/src/watch/mod.rs
@@ -11,7 +11,7 @@
 use crate::evidence::Evidence;
 use crate::verdict::{Block, Crash, Suspicion};
 
-pub use trials::{Admission, EndedTrial, PERMIT_TIME, TrialId};
+pub use trials::{Admission, EndedTrial, PERMIT_TIME, RENEW_INTERVAL, TrialId};
 use trials::{Permit, Trial};
 
 /// Time that an engine must go on with an answer before its request counts as harmless. A request
--- a/crates/blame/src/watch/trials.rs
+++ b/crates/blame/src/watch/trials.rs
@@ -12,8 +12,10 @@
 
 use super::{CrashWatch, MAX_FREE_CRASHES};
 
-/// Time after which a permit whose holder does not give it back passes on.
-pub const PERMIT_TIME: Millis = Millis(3_000);
+/// Time after which a permit passes on whose holder neither renews it nor gives it back.
+pub const PERMIT_TIME: Millis = Millis(400);
+/// Interval at which the holder of a permit renews it, by asking for it again.
+pub const RENEW_INTERVAL: Millis = Millis(100);
 
 /// Identifies a trial over all hosts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -103,6 +105,11 @@
         true
     }
 
+    /// Whether a trial is not over yet.
+    pub fn has_trial(&self, id: TrialId) -> bool {
+        self.trials.iter().any(|trial| trial.id == id)
+    }
+
     /// Whether the permit for a trial was granted, and its request may be sent.
     pub fn is_granted(&self, id: TrialId) -> bool {
         let mut trials = self.trials.iter();
@@ -140,7 +147,7 @@
     }
 
     /// Grants the permit for the first of a request's contents to a host, unless another trial has it
-    /// or the request is blocked here. Asking again is granted again.
+    /// or the request is blocked here. Asking again renews it.
     pub fn grant_permit(
         &mut self,
         now: Millis,
--- a/crates/edge/src/trials.rs
+++ b/crates/edge/src/trials.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use bv_blame::{Admission, TrialId};
+use bv_blame::{Admission, RENEW_INTERVAL, TrialId};
 use bv_types::{Fingerprint, HostId, Millis};
 use prost::Message;
 
@@ -79,19 +79,10 @@
         })
     }
 
-    /// Asks for the permit; returns whether this host has granted it.
-    fn ask(&self, req: &CallerRequest) -> bool {
+    /// The contents of its request, that of the trial first.
+    fn contents(&self, req: &CallerRequest) -> Vec<Fingerprint> {
         let others = req.content.whole().filter(|key| *key != self.content);
-        let contents: Vec<Fingerprint> = [self.content].into_iter().chain(others).collect();
-        if let Some(grantor) = self.edge.grantor(self.content) {
-            let message = TrialMessage::new(TrialStep::Ask, self.trial, &contents);
-            send_trial(&self.edge, grantor, message);
-            return false;
-        }
-        let now = self.edge.now();
-        let host = &self.edge.settings.host;
-        let crashes = &mut self.edge.state().crashes;
-        crashes.grant_permit(now, &contents, host, self.trial) && crashes.grant_trial(self.trial)
+        [self.content].into_iter().chain(others).collect()
     }
 }
 
@@ -128,6 +119,7 @@
             if let Some(own) = &own {
                 edge.logs.trial_began(now, req, own.content);
                 req.trial.get_or_init(|| own.trial);
+                tokio::spawn(renew(edge.clone(), own.trial, own.contents(req)));
             }
             return Ok(own);
         };
@@ -140,7 +132,8 @@
         if own.as_ref().is_none_or(|own| own.content != content) {
             own = RequestInTrial::begin(edge, content);
         }
-        if own.as_ref().is_some_and(|own| own.ask(req)) {
+        let is_granted = |own: &RequestInTrial| edge.ask_permit(own.trial, &own.contents(req));
+        if own.as_ref().is_some_and(is_granted) {
             continue;
         }
         // At the end of the wait the permit is asked for again.
@@ -148,6 +141,17 @@
     }
 }
 
+/// Renews the permit for a trial until the trial is over.
+async fn renew(edge: Arc<Edge>, trial: TrialId, contents: Vec<Fingerprint>) {
+    loop {
+        tokio::time::sleep(RENEW_INTERVAL.duration()).await;
+        if !edge.state().crashes.has_trial(trial) {
+            return;
+        }
+        edge.ask_permit(trial, &contents);
+    }
+}
+
 /// Handles a message about a trial.
 pub(crate) fn receive(edge: &Edge, peer: SocketAddr, host: &HostId, message: &TrialMessage) {
     let trial = TrialId(message.trial);
@@ -186,6 +190,26 @@
 }
 
 impl Edge {
+    /// Asks for the permit for the first of a request's contents, or renews it; returns whether this host
+    /// has granted it itself.
+    fn ask_permit(&self, trial: TrialId, contents: &[Fingerprint]) -> bool {
+        let Some(&content) = contents.first() else {
+            return false;
+        };
+        if let Some(grantor) = self.grantor(content) {
+            send_trial(
+                self,
+                grantor,
+                TrialMessage::new(TrialStep::Ask, trial, contents),
+            );
+            return false;
+        }
+        let now = self.now();
+        let crashes = &mut self.state().crashes;
+        crashes.grant_permit(now, contents, &self.settings.host, trial)
+            && crashes.grant_trial(trial)
+    }
+
     /// Gives back the permits of trials that are over.
     pub fn tell_ended_trials(&self) {
         let ended = self.state().crashes.take_ended_trials();
