blame: a whole request is blocked by its own trials only, and stays under trial until it survives

Cause: a sound call that ran beside the trial of the crashing one was reported first; with two crashes of the burst it had three in two bursts and was blocked. Its block then explained the crashes of the crashing call, which was free to go. A whole request is now blocked after three crashes of which one came in a trial of its own, or after two such trials; other blocks do not take a request out of trial, only an answer does.

crates/blame/tests/crashing_calls plays hosts, a few servers, several calls at a moment and equal sound calls, with lost and late datagrams, hosts cut and killed.

--- a/crates/blame/src/evidence.rs
+++ b/crates/blame/src/evidence.rs
@@ -64,8 +64,8 @@
         content.keys().map(count).max().unwrap_or(0)
     }
 
-    /// Number of crashes that a content of whole requests may have caused, which no other blocked
-    /// content explains. Those before which a request with it was answered do not count.
+    /// Number of crashes that a content of whole requests may have caused. Those before which a request
+    /// with it was answered do not count.
     pub fn suspected_crashes(&self, key: Fingerprint) -> u32 {
         let suspected = &self.judgement.suspected;
         let found = suspected.binary_search_by_key(&key, |(suspect, _)| *suspect);
--- a/crates/blame/src/verdict.rs
+++ b/crates/blame/src/verdict.rs
@@ -127,6 +127,8 @@
     unanswered: CrashSet,
     /// Those of them that came in a trial.
     tried: CrashSet,
+    /// Those of `unanswered` that came after it survived last.
+    since_survival: CrashSet,
     /// Whether it identifies whole requests.
     is_request: bool,
     /// Whether it survived shortly before the first of them.
@@ -136,17 +138,22 @@
 impl Suspect {
     /// Whether it is to be blocked. `explained` are the crashes that blocked contents caused.
     fn is_guilty(&self, crashes: &[Crash], explained: CrashSet) -> bool {
-        if self.is_tried(explained) {
-            return true;
-        }
         let open = self.crashes.without(explained);
+        let unanswered = self.unanswered.without(explained);
+        // Whole requests are tried alone; one that was only beside others is not blocked for that.
+        if self.is_request {
+            return self.is_tried(explained)
+                || (self.tried.without(explained).len() > 0
+                    && !self.is_sound
+                    && unanswered.len() >= BLOCK_CRASHES
+                    && is_frequent(crashes, open, explained));
+        }
         if self.is_sound {
             return count_bursts(crashes, open) >= SOUND_BLOCK_BURSTS;
         }
         if count_bursts(crashes, open) < 2 {
             return false;
         }
-        let unanswered = self.unanswered.without(explained);
         open.len() >= MAX_CRASHES_OF_CONTENT
             || (unanswered.len() >= BLOCK_CRASHES && is_frequent(crashes, open, explained))
     }
@@ -196,8 +203,8 @@
 pub struct Judgement {
     /// The contents to block.
     pub blocks: Vec<Block>,
-    /// Contents of whole requests that may have caused crashes which no other blocked content explains,
-    /// with the number of those before which no request with them was answered. Sorted by content.
+    /// Contents of whole requests that may have caused crashes since they survived last, with the number
+    /// of those before which no request with them was answered. Sorted by content.
     pub suspected: Vec<(Fingerprint, u32)>,
 }
 
@@ -205,33 +212,12 @@
 /// `survived_at` tells when a content last survived.
 pub fn judge(crashes: &[Crash], survived_at: impl Fn(Fingerprint) -> Option<Millis>) -> Judgement {
     let suspects = suspects(crashes, survived_at);
-    let blocks = blocks(crashes, suspects.clone());
-    let sets: Vec<CrashSet> = blocks
-        .iter()
-        .map(|block| positions_of(crashes, block))
-        .collect();
     let requests = suspects.iter().filter(|suspect| suspect.is_request);
-    let suspected = requests.map(|suspect| {
-        let others = blocks
-            .iter()
-            .zip(&sets)
-            .filter(|(block, _)| !block.contents.contains(&suspect.key));
-        let explained = others.fold(CrashSet::default(), |all, (_, set)| all.union(*set));
-        (suspect.key, suspect.unanswered.without(explained).len())
-    });
+    let suspected = requests.map(|suspect| (suspect.key, suspect.since_survival.len()));
     Judgement {
         suspected: suspected.filter(|(_, count)| *count > 0).collect(),
-        blocks,
-    }
-}
-
-fn positions_of(crashes: &[Crash], block: &Block) -> CrashSet {
-    let mut set = CrashSet::default();
-    let is_of_block = |crash: &Crash| block.crashes.contains(&crash.id);
-    for (position, _) in crashes.iter().enumerate().filter(|(_, c)| is_of_block(c)) {
-        set.insert(position);
+        blocks: blocks(crashes, suspects),
     }
-    set
 }
 
 /// The contents to block.
@@ -282,11 +268,13 @@
         let mut set = CrashSet::default();
         let mut unanswered = CrashSet::default();
         let mut tried = CrashSet::default();
+        let mut since_survival = CrashSet::default();
         let mut first: Option<Millis> = None;
         for (suspicion, position) in group {
             let at = crashes[*position].at;
             // A crash is not the fault of a content that survives afterwards, unless it was tried alone.
-            if at <= since && survived_at.is_some() && !suspicion.in_trial {
+            let is_cleared = at <= since && survived_at.is_some();
+            if is_cleared && !suspicion.in_trial {
                 continue;
             }
             set.insert(*position);
@@ -296,6 +284,9 @@
             first = Some(first.map_or(at, |first| first.min(at)));
             if !suspicion.has_answer {
                 unanswered.insert(*position);
+                if !is_cleared {
+                    since_survival.insert(*position);
+                }
             }
         }
         if let Some(first) = first {
@@ -304,6 +295,7 @@
                 crashes: set,
                 unanswered,
                 tried,
+                since_survival,
                 is_request: group.iter().any(|(suspicion, _)| suspicion.is_request),
                 is_sound: survived_at.is_some_and(|at| first <= at + SOUND_TIME),
             });
--- a/crates/blame/tests/fleet/mod.rs
+++ b/crates/blame/tests/fleet/mod.rs
@@ -5,8 +5,8 @@
 use std::collections::BinaryHeap;
 use std::rc::Rc;
 
-use bv_blame::{Content, CrashId, CrashWatch, Report, RunEnd, RunId};
-use bv_types::{BackendId, Millis};
+use bv_blame::{Admission, Content, CrashId, CrashWatch, Report, RunEnd, RunId, TrialId};
+use bv_types::{BackendId, Fingerprint, HostId, Millis};
 use fastrand::Rng;
 
 /// First parts of prompts, which all requests share.
@@ -282,7 +282,10 @@
                 let watch = &mut self.hosts[host].watch;
                 let version = watch.version();
                 watch.confirm(now, engine, gone);
-                if watch.version() != version {
+                let is_changed = watch.version() != version;
+                self.tell_ended_trials(host);
+                let watch = &mut self.hosts[host].watch;
+                if is_changed {
                     let report = watch.report_blocks(now);
                     if !report.is_empty() {
                         self.stored = report;
@@ -347,18 +350,18 @@
         attempt: u32,
         is_resumable: bool,
     ) {
-        let now = self.now();
-        if self.hosts[host].watch.block_of(now, &content).is_some() {
+        let Some(trial) = self.admit(host, &content) else {
             match crashing {
                 Some(part) => self.outcome.parts[part].refused += 1,
                 None => self.outcome.wrongly_refused += 1,
             }
             return;
-        }
+        };
         let up: Vec<usize> = (0..self.slots.len())
             .filter(|slot| self.slots[*slot].is_up)
             .collect();
         let Some(slot) = self.rng.choice(up) else {
+            self.end_trial_request(host, trial);
             return;
         };
         if let Some(part) = crashing {
@@ -370,7 +373,8 @@
             }
         }
         let engine = crash_id(slot, self.slots[slot].incarnation);
-        let id = self.hosts[host].watch.begin(engine, content.clone(), None);
+        let id = self.hosts[host].watch.begin(engine, content.clone(), trial);
+        self.end_trial_request(host, trial);
         let number = self.runs.len();
         self.runs.push(Run {
             host,
@@ -398,6 +402,51 @@
         }
     }
 
+    /// Admits a request that may be sent, with its trial if it needs one; a permit is had at once or not
+    /// at all.
+    fn admit(&mut self, host: usize, content: &Content) -> Option<Option<TrialId>> {
+        let now = self.now();
+        let key = match self.hosts[host].watch.admission(now, content, None) {
+            Admission::Free => return Some(None),
+            Admission::Blocked(_) => return None,
+            Admission::OneAtATime(key) => key,
+        };
+        let trial = self.hosts[host].watch.begin_trial(key)?;
+        let id: HostId = format!("host-{host}").parse().unwrap();
+        let grantor = self.grantor(host, key);
+        let watch = &mut self.hosts[grantor].watch;
+        if !watch.grant_permit(now, &[key], &id, trial) {
+            self.end_trial_request(host, Some(trial));
+            return None;
+        }
+        self.hosts[host].watch.grant_trial(trial);
+        Some(Some(trial))
+    }
+
+    /// The host that hands out permits, or the same one if they cannot hear each other.
+    fn grantor(&self, host: usize, key: Fingerprint) -> usize {
+        let grantor = usize::from(key.0[0]) % self.setup.hosts;
+        let cut_until = self.hosts[grantor]
+            .cut_until
+            .max(self.hosts[host].cut_until);
+        if cut_until <= self.now { grantor } else { host }
+    }
+
+    fn end_trial_request(&mut self, host: usize, trial: Option<TrialId>) {
+        if let Some(trial) = trial {
+            self.hosts[host].watch.end_trial_request(trial);
+            self.tell_ended_trials(host);
+        }
+    }
+
+    fn tell_ended_trials(&mut self, host: usize) {
+        for trial in self.hosts[host].watch.take_ended_trials() {
+            let grantor = self.grantor(host, trial.content);
+            let watch = &mut self.hosts[grantor].watch;
+            watch.end_permit(trial.content, trial.id);
+        }
+    }
+
     fn begin(&mut self, run: usize) {
         if self.runs[run].is_over || self.runs[run].crashing.is_some() {
             return;
@@ -424,6 +473,8 @@
         }
         run.is_over = true;
         host.watch.end(now, run.id, RunEnd::Completed);
+        let host = run.host;
+        self.tell_ended_trials(host);
     }
 
     fn crash(&mut self, slot: usize, incarnation: u64, part: Option<usize>) {
