server: a begun head on a kept connection is answered while the host stops

Cause: the HTTP library's graceful shutdown closes an HTTP/1 connection that waits for a head, without regard to the part that has arrived. The stream of a connection now records whether a head has begun, and the library is told to shut down only once the head was read, or after its time limit of 10 s; HTTP/2 connections are told at once as before.

--- a/crates/server/src/callers.rs
+++ b/crates/server/src/callers.rs
@@ -3,6 +3,7 @@
 use std::convert::Infallible;
 use std::error::Error;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,15 +16,17 @@
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderValue};
 use hyper_util::rt::TokioIo;
-use hyper_util::server::graceful::GracefulShutdown;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 use tower::ServiceExt;
 use tracing::{debug, warn};
 
-use crate::http_limits::HttpLimits;
+use crate::begun_head::{HeadWatch, WatchedStream};
+use crate::http_limits::{HEAD_TIMEOUT, HttpLimits};
 use crate::{Host, counters, model, plain};
 
 const HTTP_LIMITS: HttpLimits = HttpLimits {
@@ -45,13 +48,21 @@
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct PeerAddr(pub SocketAddr);
 
+/// The open connections of callers.
+#[derive(Debug, Clone, Default)]
+struct Connections {
+    tasks: TaskTracker,
+    /// Whether they are to close after the requests that have begun to arrive.
+    shut_down: CancellationToken,
+}
+
 /// Serves callers until the host closes, then lets requests in progress finish.
 pub(crate) async fn serve(host: Arc<Host>, listener: TcpListener) {
     let router = Router::new()
         .route("/v1/chat/completions", post(model::chat))
         .fallback(plain::call)
         .with_state(host.clone());
-    let graceful = GracefulShutdown::new();
+    let connections = Connections::default();
     let permits = Arc::new(Semaphore::new(host.settings.max_connections));
     loop {
         let accepted = tokio::select! {
@@ -67,13 +78,13 @@
             }
         };
         match permits.clone().try_acquire_owned() {
-            Ok(permit) => spawn_connection(&host, &router, &graceful, stream, addr, permit),
+            Ok(permit) => spawn_connection(&host, &router, &connections, stream, addr, permit),
             Err(_) => refuse(stream),
         }
     }
     let closed = bv_listen::close(listener, |stream, addr| {
         if let Ok(permit) = permits.clone().try_acquire_owned() {
-            spawn_connection(&host, &router, &graceful, stream, addr, permit);
+            spawn_connection(&host, &router, &connections, stream, addr, permit);
         }
     });
     if let Err(err) = closed.await {
@@ -81,13 +92,15 @@
     }
     // The shutdown closes connections that have received nothing yet.
     tokio::time::sleep(FIRST_REQUEST_TIMEOUT.duration()).await;
-    graceful.shutdown().await;
+    connections.shut_down.cancel();
+    connections.tasks.close();
+    connections.tasks.wait().await;
 }
 
 fn spawn_connection(
     host: &Arc<Host>,
     router: &Router,
-    graceful: &GracefulShutdown,
+    connections: &Connections,
     stream: TcpStream,
     addr: SocketAddr,
     permit: OwnedSemaphorePermit,
@@ -97,12 +110,17 @@
     }
     let router = router.clone();
     let lame_duck = host.shutdown.lame_duck.clone();
+    let heads = HeadWatch::new();
+    let service_heads = heads.clone();
     let service = hyper::service::service_fn(move |mut req: hyper::Request<Incoming>| {
+        let heads = service_heads.clone();
+        heads.begin_service();
         req.extensions_mut().insert(PeerAddr(addr));
         let answered = router.clone().oneshot(req.map(Body::new));
         let lame_duck = lame_duck.clone();
         async move {
             let mut answer = answered.await?;
+            heads.end_service();
             if lame_duck.is_cancelled() && answer.version() < Version::HTTP_2 {
                 // The caller then opens its next connection to another host.
                 let close = HeaderValue::from_static("close");
@@ -113,11 +131,31 @@
     });
     let connection = HTTP_LIMITS
         .server()
-        .serve_connection(TokioIo::new(stream), service)
+        .serve_connection(
+            TokioIo::new(WatchedStream::new(stream, heads.clone())),
+            service,
+        )
         .into_owned();
-    let watched = graceful.watch(connection);
-    tokio::spawn(async move {
-        if let Err(err) = watched.await {
+    let shut_down = connections.shut_down.clone();
+    connections.tasks.spawn(async move {
+        let mut connection = pin!(connection);
+        let closing = async {
+            shut_down.cancelled().await;
+            // After the timeout the library itself gives up a head.
+            let _ = tokio::time::timeout(HEAD_TIMEOUT, heads.no_begun_head()).await;
+        };
+        let ended = tokio::select! {
+            ended = connection.as_mut() => Some(ended),
+            () = closing => None,
+        };
+        let ended = match ended {
+            Some(ended) => ended,
+            None => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
+        };
+        if let Err(err) = ended {
             count_rejected_head(&*err);
             debug!(%addr, %err, "callers: connection ended");
         }
--- a/crates/server/src/http_limits.rs
+++ b/crates/server/src/http_limits.rs
@@ -8,7 +8,7 @@
 /// Largest head of a request, in bytes.
 const MAX_HEAD_BYTES: usize = 16 << 10;
 /// Time to read the head of a request; also the longest idle time of an HTTP/1 connection.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+pub(crate) const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Limits that differ between listeners.
 #[derive(Debug, Clone, Copy)]
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -1,6 +1,7 @@
 //! The entry host daemon as a library.
 
 mod backend;
+mod begun_head;
 mod body;
 mod callers;
 mod conf;
