--- a/crates/edge/src/crashes.rs
+++ b/crates/edge/src/crashes.rs
@@ -77,7 +77,7 @@
         }
         let (edge, server) = (self.edge.clone(), self.server.clone());
         match is_leaving {
-            true => edge.confirm_crash(&server, Verdict::Leaving),
+            true => edge.confirm_crash(&server, LossVerdict::Leaving),
             false => drop(tokio::spawn(check(edge, server))),
         }
     }
@@ -106,7 +106,7 @@
 
 /// What is known of a server that a run has lost.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Verdict {
+enum LossVerdict {
     /// It accepts no connection.
     Crashed,
     /// It accepts connections.
@@ -124,8 +124,8 @@
         has_crashed = refuses_connections(&server).await;
     }
     let verdict = match has_crashed {
-        true => Verdict::Crashed,
-        false => Verdict::Accepts,
+        true => LossVerdict::Crashed,
+        false => LossVerdict::Accepts,
     };
     edge.confirm_crash(&server, verdict);
 }
@@ -191,27 +191,27 @@
         Failure::refused(Refusal::UnderTrial)
     }
 
-    fn confirm_crash(&self, server: &Registration, verdict: Verdict) {
+    fn confirm_crash(&self, server: &Registration, verdict: LossVerdict) {
         let now = self.now();
         let crash = CrashId::of_process(&server.id, server.started_at);
         let mut state = self.state();
         state
             .crashes
-            .confirm(now, crash, verdict == Verdict::Crashed);
+            .confirm(now, crash, verdict == LossVerdict::Crashed);
         let suspects = state.crashes.crash(crash).map_or(0, |c| c.suspects.len());
         drop(state);
         match verdict {
-            Verdict::Crashed => {
+            LossVerdict::Crashed => {
                 counters::engine_crashed();
                 self.logs.engine_crashed(now, &server.id, crash, suspects);
                 self.update_blocks(now);
                 self.own_load_changed.notify_one();
             }
-            Verdict::Accepts => {
+            LossVerdict::Accepts => {
                 self.logs
                     .server_lives(now, &server.id, crash, "accepts connections");
             }
-            Verdict::Leaving => self.logs.server_lives(now, &server.id, crash, "leaves"),
+            LossVerdict::Leaving => self.logs.server_lives(now, &server.id, crash, "leaves"),
         }
         self.tell_ended_trials();
         self.trials_changed.notify_waiters();
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -11,6 +11,7 @@
 mod connection;
 mod counters;
 mod crash_logs;
+mod crash_reports;
 mod crash_rows;
 mod crashes;
 mod edge;
--- a/crates/edge/src/usage.rs
+++ b/crates/edge/src/usage.rs
@@ -9,13 +9,16 @@
 use std::sync::Arc;
 
 use bv_admit::{PeerLoad, QueuedCall, ServerLoad, update_intervals};
-use bv_blame::{CrashId, CrashReport, Report, SurvivalReport, Suspicion};
+use bv_blame::Report;
 use bv_platform::Table;
-use bv_types::{BackendId, Fingerprint, HostId, Millis, Tokens, Version};
+use bv_types::{BackendId, HostId, Millis, Tokens, Version};
 use prost::Message;
 use tokio::net::UdpSocket;
 use tracing::debug;
 
+use crate::crash_reports::{
+    ContentSurvival, EngineCrash, decode_report, encode_crash, encode_survival,
+};
 use crate::edge::Edge;
 use crate::trials::{self, TrialMessage, TrialStep};
 
@@ -72,41 +75,6 @@
     trial: Option<TrialMessage>,
 }
 
-/// A crash of an engine, with digests of the contents that may have caused it.
-#[derive(Clone, PartialEq, Message)]
-struct EngineCrash {
-    #[prost(fixed64, tag = "1")]
-    id: u64,
-    /// Time since the crash, in ms.
-    #[prost(uint64, tag = "2")]
-    age_ms: u64,
-    /// Contents of requests that had no answer yet.
-    #[prost(bytes = "vec", repeated, tag = "3")]
-    unanswered: Vec<Vec<u8>>,
-    /// Contents of requests whose answer had begun.
-    #[prost(bytes = "vec", repeated, tag = "4")]
-    answered: Vec<Vec<u8>>,
-    /// Like `unanswered`, but of contents that identify whole requests.
-    #[prost(bytes = "vec", repeated, tag = "5")]
-    unanswered_requests: Vec<Vec<u8>>,
-    /// Like `answered`, but of contents that identify whole requests.
-    #[prost(bytes = "vec", repeated, tag = "6")]
-    answered_requests: Vec<Vec<u8>>,
-    /// Those of whole requests that were sent in a trial.
-    #[prost(bytes = "vec", repeated, tag = "7")]
-    tried: Vec<Vec<u8>>,
-}
-
-/// A content that an engine answered without a crash.
-#[derive(Clone, PartialEq, Message)]
-struct ContentSurvival {
-    #[prost(bytes = "vec", tag = "1")]
-    content: Vec<u8>,
-    /// Time since then, in ms.
-    #[prost(uint64, tag = "2")]
-    age_ms: u64,
-}
-
 /// The first call in the sender's queue. Times are sent as durations, since clocks differ.
 #[derive(Clone, PartialEq, Message)]
 struct QueueHead {
@@ -311,74 +279,6 @@
     }
 }
 
-fn encode_crash(crash: &CrashReport) -> EngineCrash {
-    let of = |is_wanted: &dyn Fn(&Suspicion) -> bool| {
-        let suspects = crash.suspects.iter().filter(|s| is_wanted(s));
-        suspects.map(|s| s.content.0.to_vec()).collect()
-    };
-    EngineCrash {
-        id: crash.id.0,
-        age_ms: crash.age.0,
-        unanswered: of(&|s| !s.is_request && !s.has_answer),
-        answered: of(&|s| !s.is_request && s.has_answer),
-        unanswered_requests: of(&|s| s.is_request && !s.has_answer),
-        answered_requests: of(&|s| s.is_request && s.has_answer),
-        tried: of(&|s| s.in_trial),
-    }
-}
-
-fn encode_survival(survival: &SurvivalReport) -> ContentSurvival {
-    ContentSurvival {
-        content: survival.content.0.to_vec(),
-        age_ms: survival.age.0,
-    }
-}
-
-/// The report in an update. Digests of a wrong length are left out.
-fn decode_report(update: &UsageUpdate) -> Report {
-    let digest = |bytes: &Vec<u8>| Some(Fingerprint(bytes.as_slice().try_into().ok()?));
-    let suspicions = |crash: &EngineCrash| {
-        let lists = [
-            (&crash.unanswered, false, false),
-            (&crash.answered, false, true),
-            (&crash.unanswered_requests, true, false),
-            (&crash.answered_requests, true, true),
-        ];
-        let suspicions = lists
-            .into_iter()
-            .flat_map(|(list, is_request, has_answer)| {
-                let contents = list
-                    .iter()
-                    .map(move |bytes| (bytes, is_request, has_answer));
-                contents.collect::<Vec<_>>()
-            });
-        let suspicions = suspicions.filter_map(|(bytes, is_request, has_answer)| {
-            Some(Suspicion {
-                content: digest(bytes)?,
-                is_request,
-                in_trial: crash.tried.contains(bytes),
-                has_answer,
-            })
-        });
-        suspicions.collect()
-    };
-    let crashes = update.crashes.iter().map(|crash| CrashReport {
-        id: CrashId(crash.id),
-        age: Millis(crash.age_ms),
-        suspects: suspicions(crash),
-    });
-    let survivals = update.survivals.iter().filter_map(|survival| {
-        Some(SurvivalReport {
-            content: digest(&survival.content)?,
-            age: Millis(survival.age_ms),
-        })
-    });
-    Report {
-        crashes: crashes.collect(),
-        survivals: survivals.collect(),
-    }
-}
-
 fn encode_use(load: &ServerLoad) -> EngineUse {
     EngineUse {
         server: load.server.to_string(),
@@ -430,7 +330,7 @@
     datagram: &[u8],
 ) -> Result<(), Box<dyn std::error::Error>> {
     let update = UsageUpdate::decode(datagram)?;
-    let report = decode_report(&update);
+    let report = decode_report(&update.crashes, &update.survivals);
     let host: HostId = update.host.parse()?;
     if let Some(message) = &update.trial {
         edge.state().crashes.receive(edge.now(), &report);
