--- a/crates/blame/src/verdict.rs
+++ b/crates/blame/src/verdict.rs
@@ -19,8 +19,8 @@
 pub const SOUND_BLOCK_BURSTS: u32 = 5;
 /// Crashes within this time are one burst: engines that crash together may have a common cause.
 pub const BURST_TIME: Millis = Millis(300);
-/// Number of crashes during trials after which a content is blocked in any case: no other request with
-/// it was at a server meanwhile.
+/// Number of crashes in trials after which a content is blocked in any case. Requests in trials are sent
+/// one at a time, over the hosts that hear each other.
 pub const BLOCK_TRIAL_CRASHES: u32 = 2;
 /// Smallest share of the crashes that no other content explains. While engines crash often for
 /// other reasons, a content may be beside several crashes by chance.
@@ -49,7 +49,7 @@
     pub content: Fingerprint,
     /// Whether it identifies whole requests.
     pub is_request: bool,
-    /// Whether its request was sent in a trial, while no other request with the content was.
+    /// Whether its request was sent in a trial.
     pub in_trial: bool,
     /// Whether a request with it had begun to be answered. Most crashes come before that, so
     /// such a request was probably beside the one that caused it.
--- a/crates/edge/src/trials.rs
+++ b/crates/edge/src/trials.rs
@@ -17,7 +17,7 @@
 use crate::request::CallerRequest;
 use crate::usage::send_trial;
 
-/// Longest wait for a trial; a sound call is answered within it.
+/// Longest wait for the trials of other requests; a caller waits for its answer meanwhile.
 const MAX_WAIT: Millis = Millis(400);
 /// A request waits for this share of its remaining time, so that it can still be served afterwards.
 const WAIT_DIVISOR: u64 = 2;
@@ -41,6 +41,7 @@
 /// Message about a trial.
 #[derive(Clone, PartialEq, Message)]
 pub(crate) struct TrialMessage {
+    /// A [`TrialStep`].
     #[prost(enumeration = "TrialStep", tag = "1")]
     kind: i32,
     #[prost(fixed64, tag = "2")]
