--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -23,6 +23,7 @@
 mod listen;
 mod logs;
 mod model;
+mod owner;
 mod peers;
 mod plain;
 mod relay;
--- a/crates/edge/src/trials.rs
+++ b/crates/edge/src/trials.rs
@@ -197,7 +197,7 @@
         let Some(&content) = contents.first() else {
             return false;
         };
-        if let Some(grantor) = self.grantor(content) {
+        if let Some(grantor) = self.owner(&content.0) {
             send_trial(
                 self,
                 grantor,
@@ -215,7 +215,7 @@
     pub fn tell_ended_trials(&self) {
         let ended = self.state().crashes.take_ended_trials();
         for trial in &ended {
-            match self.grantor(trial.content) {
+            match self.owner(&trial.content.0) {
                 Some(peer) => {
                     let message = TrialMessage::new(TrialStep::End, trial.id, &[trial.content]);
                     send_trial(self, peer, message);
@@ -227,15 +227,4 @@
             self.trials_changed.notify_waiters();
         }
     }
-
-    /// The host that hands out the permit for a content; none if it is this one.
-    fn grantor(&self, content: Fingerprint) -> Option<SocketAddr> {
-        let weight =
-            |host: &HostId| Fingerprint::digest([content.0.as_slice(), host.as_str().as_bytes()]).0;
-        let state = self.state();
-        let others = state.hosts.others().iter();
-        let heard = others.filter(|host| state.fleet.hears(&host.id));
-        let best = heard.max_by_key(|host| weight(&host.id))?;
-        (weight(&best.id) > weight(&self.settings.host)).then_some(best.addr)
-    }
 }
