route, platform, edge: requests are identified by the keys of teams, and servers are told the team

Cause: the configuration of a deployment may have teams with keys; no key was checked, and the caller's key and its own team header were passed to servers. Change: bv_route::Teams finds the team of a key by its digest; the edge answers 401 without a known key, 503 while it may lack a change of the configuration, removes the key, names the team in X-Burdockvale-Tenant and uses its priority. The team takes the place of the caller's address in what identifies a request that crashes servers.

--- a/crates/edge/src/answer.rs
+++ b/crates/edge/src/answer.rs
@@ -64,6 +64,8 @@
             Failure::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
             Failure::NotRun { reason, .. } => match reason {
                 Refusal::BadRequest => StatusCode::BAD_REQUEST,
+                Refusal::UnknownKey => StatusCode::UNAUTHORIZED,
+                Refusal::TeamRate => StatusCode::TOO_MANY_REQUESTS,
                 Refusal::NoRoute => StatusCode::NOT_FOUND,
                 Refusal::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
                 Refusal::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
@@ -92,7 +94,11 @@
             retry_after,
         } = self
         {
-            if self.status() == StatusCode::SERVICE_UNAVAILABLE {
+            let may_return = matches!(
+                self.status(),
+                StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
+            );
+            if may_return {
                 let seconds = retry_after.max(MIN_RETRY_AFTER).0 as f64 / 1_000.0;
                 if let Ok(value) = HeaderValue::from_str(&format!("{seconds:.3}")) {
                     response.headers_mut().insert(header::RETRY_AFTER, value);
@@ -100,7 +106,7 @@
             }
             // These requests may be refused before they were read completely. Their rest belongs to no
             // request, so the connection cannot be reused.
-            if self.status() != StatusCode::SERVICE_UNAVAILABLE || reason == Refusal::NoMemory {
+            if !may_return || reason == Refusal::NoMemory {
                 close(&mut response);
             }
         }
--- a/crates/edge/src/counters.rs
+++ b/crates/edge/src/counters.rs
@@ -2,6 +2,7 @@
 
 use bv_retry::{Balance, Settlement};
 use bv_roster::Rejected;
+use bv_route::KeyError;
 use bv_types::{Millis, ServiceId};
 use http::StatusCode;
 use metrics::{counter, describe_counter, describe_gauge, describe_histogram, gauge, histogram};
@@ -33,6 +34,7 @@
 const ENGINE_CRASHES: &str = "burdockvale_engine_crashes_total";
 const BLOCKED_CONTENTS: &str = "burdockvale_blocked_contents";
 const BAD_HEADERS: &str = "burdockvale_unreadable_headers_total";
+const KEYS_CHECKED: &str = "burdockvale_keys_checked_total";
 const LOGS_DROPPED: &str = "burdockvale_log_lines_dropped_total";
 
 /// Upper bounds of the latency histogram, in seconds.
@@ -104,6 +106,7 @@
     );
     describe_counter!(BAD_HEADERS, "Headers of answers that cannot be read.");
     describe_counter!(LOGS_DROPPED, "Log lines left out to bound their rate.");
+    describe_counter!(KEYS_CHECKED, "Requests whose key was checked, by result.");
     Ok(handle)
 }
 
@@ -116,6 +119,12 @@
     counter!(REFUSED, "reason" => reason).increment(1);
 }
 
+/// Counts a request whose key was checked; `error` if it states no key of a team.
+pub(crate) fn key_checked(error: Option<KeyError>) {
+    let result = error.map_or("known", KeyError::code);
+    counter!(KEYS_CHECKED, "result" => result).increment(1);
+}
+
 pub(crate) fn retry(reason: &'static str) {
     counter!(RETRIES, "reason" => reason).increment(1);
 }
--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -4,8 +4,8 @@
 
 use bv_blame::{Content, TrialId};
 use bv_platform::CallerHeaders;
-use bv_route::{Route, RouteTable};
-use bv_types::{Millis, ServiceId};
+use bv_route::{Route, RouteTable, Team, TeamQuota};
+use bv_types::{Millis, ServiceId, TeamId};
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Uri};
 use http_body_util::Full;
@@ -13,6 +13,22 @@
 /// A caller honours a Retry-After of at most its remaining time divided by this.
 const RETRY_AFTER_DIVISOR: u64 = 3;
 
+/// The team of a request's caller.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) struct CallerTeam {
+    pub id: TeamId,
+    pub quota: Option<TeamQuota>,
+}
+
+impl From<&Team> for CallerTeam {
+    fn from(team: &Team) -> Self {
+        CallerTeam {
+            id: team.id.clone(),
+            quota: team.quota,
+        }
+    }
+}
+
 /// A request that was read completely, with its route.
 #[derive(Debug)]
 pub(crate) struct CallerRequest {
@@ -29,7 +45,10 @@
     pub trial: OnceLock<TrialId>,
     /// Configuration by which the request was routed.
     pub table: Arc<RouteTable>,
+    /// Its route, with the priority of the caller's team if that has one.
     pub route: Route,
+    /// The team of its caller, where the configuration has teams.
+    pub team: Option<CallerTeam>,
     pub service: ServiceId,
     /// When the head of the request was read.
     pub arrived: Millis,
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -7,11 +7,12 @@
 use bv_blame::Content;
 use bv_drain::LateRequest;
 use bv_link::{CollectError, Sender, collect};
-use bv_platform::{Table, caller_mark, parse_caller_headers, strip_request};
+use bv_platform::{Table, caller_mark, credential, parse_caller_headers, set_team, strip_request};
 use bv_roster::store_intervals;
+use bv_route::{KeyError, Route, RouteTable};
 use bv_types::{Millis, Refusal, Version};
 use bytes::Bytes;
-use http::{Method, Request, Response, header};
+use http::{HeaderMap, Method, Request, Response, header};
 use hyper::body::{Body as _, Incoming};
 use smol_str::SmolStr;
 
@@ -22,7 +23,7 @@
 use crate::model::ModelCall;
 use crate::plain::call;
 use crate::relay::stream;
-use crate::request::CallerRequest;
+use crate::request::{CallerRequest, CallerTeam};
 use crate::trials::admit;
 
 /// Longest time for reading the body of a request, unless its deadline is shorter.
@@ -139,22 +140,18 @@
         .and_then(|host| host.to_str().ok())
         .map(SmolStr::from)
         .ok_or_else(|| refuse(Refusal::BadRequest, age))?;
-    let route = match table.find(&host, parts.uri.path()) {
+    let mut route = match table.find(&host, parts.uri.path()) {
         Some(route) => route.clone(),
         None => {
-            // A host that may lack a change that is due cannot know that the route does not exist. With
-            // few hosts, each waits for changes itself, for as long as the promised time.
-            let bounds = edge.state().sources.bounds();
-            let wait = store_intervals::change_wait(edge.host_count(), bounds);
-            let stale_after = bounds.promise().max(wait + CALL_SLACK);
-            let is_stale = age.is_none_or(|age| age > stale_after);
-            let reason = match is_stale {
+            let reason = match may_lack_change(edge, age) {
                 true => Refusal::NotConfigured,
                 false => Refusal::NoRoute,
             };
             return Err(refuse(reason, age));
         }
     };
+    let team = identify(edge, &table, &mut route, &parts.headers, age)
+        .map_err(|reason| refuse(reason, age))?;
     let service = route
         .pick_service(fastrand::u64(..))
         .cloned()
@@ -181,8 +178,18 @@
     strip_request(&mut headers);
     let uri = origin_form(parts.uri);
     let content = digest(&facts.prompt_parts, &parts.method, &host, &uri, &body).await;
-    let address = caller.to_string();
-    let content = content.with_caller([address.as_bytes(), &caller_mark(&headers)]);
+    // Callers of a team share its key, and their addresses may change from one attempt to the next.
+    let caller = match &team {
+        Some(team) => team.id.to_string(),
+        None => caller.to_string(),
+    };
+    if table.teams().is_some() {
+        set_team(&mut headers, None);
+    }
+    let content = content.with_caller([caller.as_bytes(), &caller_mark(&headers)]);
+    if let Some(team) = &team {
+        set_team(&mut headers, Some(&team.id));
+    }
     Ok(CallerRequest {
         method: parts.method,
         uri,
@@ -193,12 +200,51 @@
         facts,
         table: table.clone(),
         route,
+        team,
         service,
         arrived,
         deadline,
     })
 }
 
+/// Whether this host may lack a change of the configuration that is due, so that it cannot know that
+/// something is not in the configuration. With few hosts, each waits for changes itself, for as long
+/// as the promised time.
+fn may_lack_change(edge: &Edge, config_age: Option<Millis>) -> bool {
+    let bounds = edge.state().sources.bounds();
+    let wait = store_intervals::change_wait(edge.host_count(), bounds);
+    let stale_after = bounds.promise().max(wait + CALL_SLACK);
+    config_age.is_none_or(|age| age > stale_after)
+}
+
+/// The team of a request. Its priority takes the place of the route's.
+fn identify(
+    edge: &Edge,
+    table: &RouteTable,
+    route: &mut Route,
+    headers: &HeaderMap,
+    config_age: Option<Millis>,
+) -> Result<Option<CallerTeam>, Refusal> {
+    if table.teams().is_none() {
+        return Ok(None);
+    }
+    let identified = table.identify(route, credential(headers));
+    counters::key_checked(identified.as_ref().err().copied());
+    let max_age = edge.settings.max_key_age;
+    let is_revocable = max_age.is_some_and(|max| config_age.is_none_or(|age| age > max));
+    let team = match identified {
+        Err(KeyError::Unknown) if may_lack_change(edge, config_age) => {
+            return Err(Refusal::NotConfigured);
+        }
+        Err(_) => return Err(Refusal::UnknownKey),
+        Ok(_) if is_revocable && !route.is_public => return Err(Refusal::NotConfigured),
+        Ok(team) => team,
+    };
+    let priority = team.and_then(|team| team.priority);
+    route.priority = priority.unwrap_or(route.priority);
+    Ok(team.map(CallerTeam::from))
+}
+
 /// Digests a request. All tasks run on one thread, so large bodies are digested on another one.
 async fn digest(
     prompt_parts: &[SmolStr],
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -16,6 +16,7 @@
 //!     targets: vec![Target { service: "bookings".parse().unwrap(), weight: 1 }],
 //!     event_gap: None,
 //!     uses_model: false,
+//!     is_public: false,
 //! };
 //! let table = RouteTable::new(Version(7), vec![route], Vec::new(), Limits::default());
 //! assert!(table.find("lot.example", "/seats/42").is_some());
@@ -26,8 +27,10 @@
 mod in_force;
 mod route;
 mod table;
+mod team;
 
 pub use idle_timeouts::IdleTimeouts;
 pub use in_force::{ApplyResult, InForce};
 pub use route::{EngineFacts, Kind, Limits, Route, Service, Target};
 pub use table::RouteTable;
+pub use team::{Credential, KeyDigest, KeyError, QuotaUnit, Team, TeamQuota, Teams, TeamsError};
--- a/crates/route/src/route.rs
+++ b/crates/route/src/route.rs
@@ -63,6 +63,8 @@
     pub event_gap: Option<Millis>,
     /// Whether the requests carry a prompt for a model.
     pub uses_model: bool,
+    /// Whether callers need no key, where the configuration has teams.
+    pub is_public: bool,
 }
 
 impl Route {
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -3,6 +3,7 @@
 use bv_types::{ServiceId, Version};
 
 use crate::route::{Limits, Route, Service};
+use crate::team::{Credential, KeyError, Team, Teams};
 
 /// All routes of one version of the configuration.
 #[derive(Debug, Clone, PartialEq)]
@@ -13,6 +14,8 @@
     /// Sorted by id.
     services: Vec<Service>,
     limits: Limits,
+    /// `None` if the configuration has no teams, so that callers need no keys.
+    teams: Option<Teams>,
 }
 
 impl RouteTable {
@@ -32,6 +35,45 @@
             routes,
             services,
             limits,
+            teams: None,
+        }
+    }
+
+    /// The same table with teams, whose keys callers need.
+    pub fn with_teams(self, teams: Teams) -> Self {
+        RouteTable {
+            teams: Some(teams),
+            ..self
+        }
+    }
+
+    /// The teams; `None` if the configuration has none.
+    pub fn teams(&self) -> Option<&Teams> {
+        self.teams.as_ref()
+    }
+
+    /// The team of a request on a route; `None` if the configuration has no teams, or the route is
+    /// public and the request states no known key.
+    ///
+    /// # Errors
+    /// The route needs a key, and the request does not state a known one.
+    pub fn identify(
+        &self,
+        route: &Route,
+        credential: Credential,
+    ) -> Result<Option<&Team>, KeyError> {
+        let Some(teams) = &self.teams else {
+            return Ok(None);
+        };
+        let found = match credential {
+            Credential::Absent => Err(KeyError::Absent),
+            Credential::Malformed => Err(KeyError::Malformed),
+            Credential::Key(key) => teams.by_key(&key).ok_or(KeyError::Unknown),
+        };
+        match found {
+            Ok(team) => Ok(Some(team)),
+            Err(_) if route.is_public => Ok(None),
+            Err(err) => Err(err),
         }
     }
 
--- a/crates/route/tests/longest_prefix.rs
+++ b/crates/route/tests/longest_prefix.rs
@@ -22,6 +22,7 @@
             })
             .collect(),
         event_gap: None,
+        is_public: false,
         uses_model: false,
     }
 }
--- a/crates/types/src/reason.rs
+++ b/crates/types/src/reason.rs
@@ -58,6 +58,8 @@
         NestedTooDeeply = "nested_too_deeply",
         /// The entry host has too many connections.
         TooManyConnections = "too_many_connections",
+        /// The request does not state the key of a team.
+        UnknownKey = "unknown_key",
         /// The team is over its rate limit.
         TeamRate = "team_rate",
         /// The team has too many tokens in progress.
