admit, edge: hosts tell the tokens of their waiting calls by priority

Cause: the predicted wait of an urgent call counted all calls that wait at other hosts, also less urgent ones, which do not go before it. Change: the sums travel by priority where several priorities wait; only calls of the same or a more urgent priority count.

--- a/crates/admit/src/fleet.rs
+++ b/crates/admit/src/fleet.rs
@@ -335,13 +335,17 @@
     /// Number of other hosts that have calls waiting for capacity.
     pub fn waiting_peer_count(&self) -> usize {
         let peers = self.peers.iter();
-        peers.filter(|peer| peer.load.waiting_tokens.0 > 0).count()
+        peers
+            .filter(|peer| peer.load.waiting.iter().any(|sum| sum.tokens.0 > 0))
+            .count()
     }
 
-    /// Tokens of the calls that wait for capacity at other hosts.
-    pub fn peer_waiting_tokens(&self) -> Tokens {
-        let peers = self.peers.iter();
-        peers.map(|peer| peer.load.waiting_tokens).sum()
+    /// Tokens of the calls of this priority or a more urgent one that wait for capacity at other hosts.
+    /// Less urgent ones do not go before a call of this priority.
+    pub fn peer_waiting_tokens(&self, priority: u8) -> Tokens {
+        let sums = self.peers.iter().flat_map(|peer| &peer.load.waiting);
+        let before = sums.filter(|sum| sum.priority <= priority);
+        before.map(|sum| sum.tokens).sum()
     }
 
     /// Load of this host at model engines. Plain servers have no tokens and are left out.
--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -25,7 +25,7 @@
 pub use health::{Fault, Health};
 pub use model::{ModelPlan, ModelRequest};
 pub use peers::{PeerLoad, ServerLoad};
-pub use queue::{Queue, QueuedCall, Ticket};
+pub use queue::{Queue, QueuedCall, Ticket, WaitingTokens};
 pub use server::Report;
 
 /// Why a request cannot be placed.
--- a/crates/admit/src/peers.rs
+++ b/crates/admit/src/peers.rs
@@ -2,7 +2,7 @@
 
 use bv_types::{BackendId, HostId, Millis, Tokens};
 
-use crate::queue::{QueuedCall, rank};
+use crate::queue::{QueuedCall, WaitingTokens, rank};
 use crate::update_intervals;
 
 /// Requests of one host at one engine.
@@ -21,8 +21,8 @@
 pub struct PeerLoad {
     /// Requests in progress, by engine.
     pub loads: Vec<ServerLoad>,
-    /// Tokens of the requests that wait for capacity.
-    pub waiting_tokens: Tokens,
+    /// Tokens of the requests that wait for capacity, by priority.
+    pub waiting: Vec<WaitingTokens>,
     /// The first call in its queue, with times by the clock of the receiving host.
     pub first_waiting: Option<QueuedCall>,
     /// Engines that change their role on an order of the reporting host.
--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -19,6 +19,15 @@
     pub tokens: Tokens,
 }
 
+/// Tokens that calls of one priority wait for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct WaitingTokens {
+    /// Priority of the calls; 0 is the most urgent.
+    pub priority: u8,
+    /// Their tokens.
+    pub tokens: Tokens,
+}
+
 /// Waiting calls, in order of arrival.
 ///
 /// During a burst not all calls can be on time. Calls with a more urgent priority go first. Within
@@ -73,9 +82,22 @@
         before.map(|(_, w)| w.tokens).sum()
     }
 
-    /// Tokens of all waiting calls.
-    pub fn tokens(&self) -> Tokens {
-        self.waiting.iter().map(|(_, w)| w.tokens).sum()
+    /// Tokens of the waiting calls of each priority, the most urgent first.
+    pub fn tokens_by_priority(&self) -> Vec<WaitingTokens> {
+        let mut sums: Vec<WaitingTokens> = Vec::new();
+        for (_, call) in &self.waiting {
+            match sums.binary_search_by_key(&call.priority, |sum| sum.priority) {
+                Ok(at) => sums[at].tokens = sums[at].tokens + call.tokens,
+                Err(at) => sums.insert(
+                    at,
+                    WaitingTokens {
+                        priority: call.priority,
+                        tokens: call.tokens,
+                    },
+                ),
+            }
+        }
+        sums
     }
 
     /// Number of waiting calls.
--- a/crates/admit/tests/admission_order.rs
+++ b/crates/admit/tests/admission_order.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use bv_admit::{Fleet, ModelRequest, PeerLoad, PlacementError, QueuedCall};
+use bv_admit::{Fleet, ModelRequest, PeerLoad, PlacementError, QueuedCall, WaitingTokens};
 use bv_roster::Stage;
 use bv_types::{HostId, Millis, Tokens};
 use common::{model_request, server, service, zone};
@@ -25,7 +25,10 @@
 
 fn waiting_peer(arrived: u64) -> PeerLoad {
     PeerLoad {
-        waiting_tokens: Tokens(4_000),
+        waiting: vec![WaitingTokens {
+            priority: 1,
+            tokens: Tokens(4_000),
+        }],
         first_waiting: Some(queued_call(arrived)),
         ..PeerLoad::default()
     }
--- a/crates/admit/tests/odd_numbers.rs
+++ b/crates/admit/tests/odd_numbers.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use bv_admit::{Fleet, PeerLoad, Queue, QueuedCall, Report, ServerLoad, Work};
+use bv_admit::{Fleet, PeerLoad, Queue, QueuedCall, Report, ServerLoad, WaitingTokens, Work};
 use bv_types::{Millis, Tokens};
 use common::{call_request, id, model_request, server, service, zone};
 
@@ -34,7 +34,10 @@
                 requests: u32::MAX,
                 tokens: MOST,
             }],
-            waiting_tokens: MOST,
+            waiting: vec![WaitingTokens {
+                priority: 1,
+                tokens: MOST,
+            }],
             ..PeerLoad::default()
         };
         fleet.update_peer(now, host.parse().unwrap(), (1, 1), load);
@@ -46,7 +49,7 @@
         };
         fleet.begin(now, &id("b"), work);
     }
-    assert_eq!(fleet.peer_waiting_tokens(), MOST);
+    assert_eq!(fleet.peer_waiting_tokens(1), MOST);
     assert!(fleet.own_loads().iter().all(|load| load.tokens == MOST));
     let (service, zone) = (service(), zone("north"));
     let servers = [
@@ -73,6 +76,7 @@
     queue.push(call);
     queue.push(call);
     let last = queue.push(call);
-    assert_eq!(queue.tokens(), MOST);
+    let sums = queue.tokens_by_priority();
+    assert!(sums.iter().all(|sum| sum.tokens == MOST), "{sums:?}");
     assert_eq!(queue.ahead(Millis::MAX, last), Tokens(0));
 }
--- a/crates/admit/tests/queue_rank.rs
+++ b/crates/admit/tests/queue_rank.rs
@@ -22,7 +22,9 @@
     assert_eq!(queue.ahead(Millis(20), small), Tokens(9_000));
     queue.remove(large);
     assert_eq!(queue.first_ticket(Millis(20)), Some(small));
-    assert_eq!(queue.tokens(), Tokens(500));
+    let sums = queue.tokens_by_priority();
+    assert_eq!(sums.len(), 1);
+    assert_eq!((sums[0].priority, sums[0].tokens), (1, Tokens(500)));
 }
 
 #[test]
--- a/crates/edge/src/model/place.rs
+++ b/crates/edge/src/model/place.rs
@@ -117,7 +117,7 @@
             }
             let ticket = state.queue.push(call);
             let ahead = state.queue.ahead(now, ticket);
-            let ahead = ahead + state.fleet.peer_waiting_tokens();
+            let ahead = ahead + state.fleet.peer_waiting_tokens(call.priority);
             let entries = state.roster.of_service(now, &self.req.service);
             let entries = state.announced.allowed(now, entries);
             (
--- a/crates/edge/src/usage.rs
+++ b/crates/edge/src/usage.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use bv_admit::{PeerLoad, QueuedCall, ServerLoad, update_intervals};
+use bv_admit::{PeerLoad, QueuedCall, ServerLoad, WaitingTokens, update_intervals};
 use bv_blame::Report;
 use bv_platform::Table;
 use bv_types::{BackendId, HostId, Millis, Tokens, Version};
@@ -46,6 +46,7 @@
     sequence: u64,
     #[prost(message, repeated, tag = "4")]
     uses: Vec<EngineUse>,
+    /// Tokens of all waiting calls.
     #[prost(uint64, tag = "5")]
     waiting_tokens: u64,
     /// Engines that change their role on an order of the sender.
@@ -73,6 +74,17 @@
     /// Present in a datagram that carries no usage.
     #[prost(message, optional, tag = "14")]
     trial: Option<TrialMessage>,
+    /// Tokens of the waiting calls by priority; absent if all have the priority of `head`.
+    #[prost(message, repeated, tag = "19")]
+    waiting: Vec<PriorityTokens>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct PriorityTokens {
+    #[prost(uint32, tag = "1")]
+    priority: u32,
+    #[prost(uint64, tag = "2")]
+    tokens: u64,
 }
 
 /// The first call in the sender's queue. Times are sent as durations, since clocks differ.
@@ -230,7 +242,7 @@
     state.fleet.expire_peers(now);
     PeerLoad {
         loads: state.fleet.own_loads(),
-        waiting_tokens: state.queue.tokens(),
+        waiting: state.queue.tokens_by_priority(),
         first_waiting: state.queue.first(now),
         engines_changing_role: state.fleet.engines_changing_role(now),
         refusing: state.fleet.refusing(now),
@@ -256,7 +268,8 @@
         incarnation,
         sequence,
         uses: load.loads.iter().map(encode_use).collect(),
-        waiting_tokens: load.waiting_tokens.0,
+        waiting_tokens: load.waiting.iter().map(|sum| sum.tokens).sum::<Tokens>().0,
+        waiting: encode_waiting(&load.waiting),
         changing: load
             .engines_changing_role
             .iter()
@@ -287,6 +300,39 @@
     }
 }
 
+/// Sums of several priorities. A single one is told by the head of the queue.
+fn encode_waiting(waiting: &[WaitingTokens]) -> Vec<PriorityTokens> {
+    if waiting.len() < 2 {
+        return Vec::new();
+    }
+    let encode = |sum: &WaitingTokens| PriorityTokens {
+        priority: u32::from(sum.priority),
+        tokens: sum.tokens.0,
+    };
+    waiting.iter().map(encode).collect()
+}
+
+fn decode_waiting(
+    waiting: &[PriorityTokens],
+    all: u64,
+    head: Option<&QueueHead>,
+) -> Vec<WaitingTokens> {
+    let to_priority = |priority: u32| u8::try_from(priority).unwrap_or(u8::MAX);
+    let decode = |sum: &PriorityTokens| WaitingTokens {
+        priority: to_priority(sum.priority),
+        tokens: Tokens(sum.tokens),
+    };
+    if !waiting.is_empty() || all == 0 {
+        return waiting.iter().map(decode).collect();
+    }
+    // Calls whose priority is not told may go before any other.
+    let priority = head.map_or(0, |head| to_priority(head.priority));
+    vec![WaitingTokens {
+        priority,
+        tokens: Tokens(all),
+    }]
+}
+
 fn encode_head(now: Millis, call: QueuedCall) -> QueueHead {
     QueueHead {
         priority: u32::from(call.priority),
@@ -352,7 +398,7 @@
     let peer_load = PeerLoad {
         first_waiting: update.head.as_ref().map(|head| decode_head(now, head)),
         loads,
-        waiting_tokens: Tokens(update.waiting_tokens),
+        waiting: decode_waiting(&update.waiting, update.waiting_tokens, update.head.as_ref()),
         engines_changing_role: changing?,
         refusing: refusing?,
     };
