route, edge: among requests of one team priority, the route's priority decides

Cause: a team's priority took the place of the route's, so where teams have the same priority an urgent route with a short objective waited behind less urgent ones and was refused most. Change: requests are ordered by the priority of the team, then by that of the route.

--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -45,7 +45,7 @@
     pub trial: OnceLock<TrialId>,
     /// Configuration by which the request was routed.
     pub table: Arc<RouteTable>,
-    /// Its route, with the priority of the caller's team if that has one.
+    /// Its route, with the priority of the request among those of all teams.
     pub route: Route,
     /// The team of its caller, where the configuration has teams.
     pub team: Option<CallerTeam>,
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -9,7 +9,7 @@
 use bv_link::{CollectError, Sender, collect};
 use bv_platform::{Table, caller_mark, credential, parse_caller_headers, set_team, strip_request};
 use bv_roster::store_intervals;
-use bv_route::{KeyError, Route, RouteTable};
+use bv_route::{KeyError, Route, RouteTable, request_priority};
 use bv_types::{Millis, Refusal, Version};
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Response, header};
@@ -217,7 +217,7 @@
     config_age.is_none_or(|age| age > stale_after)
 }
 
-/// The team of a request. Its priority takes the place of the route's.
+/// The team of a request. Its priority goes before that of the route.
 fn identify(
     edge: &Edge,
     table: &RouteTable,
@@ -240,8 +240,8 @@
         Ok(_) if is_revocable && !route.is_public => return Err(Refusal::NotConfigured),
         Ok(team) => team,
     };
-    let priority = team.and_then(|team| team.priority);
-    route.priority = priority.unwrap_or(route.priority);
+    let team_priority = team.and_then(|team| team.priority);
+    route.priority = request_priority(team_priority, route.priority);
     Ok(team.map(CallerTeam::from))
 }
 
--- a/crates/route/src/team.rs
+++ b/crates/route/src/team.rs
@@ -105,6 +105,17 @@
     pub keys: Vec<KeyDigest>,
 }
 
+/// Number of priorities of routes that are told apart within a priority of teams. Engines know ten
+/// priorities in all.
+const ROUTE_LEVELS: u8 = 3;
+
+/// Priority of a request where the configuration has teams; 0 is the most urgent. The team's own
+/// priority goes first, then that of the route, which also takes the place of a missing one.
+pub fn request_priority(team: Option<u8>, route: u8) -> u8 {
+    let first = team.unwrap_or(route).saturating_mul(ROUTE_LEVELS);
+    first.saturating_add(route.min(ROUTE_LEVELS - 1))
+}
+
 /// The teams of one version of the configuration.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Teams {
