edge, platform: engines are no longer told the priorities of requests

Change: the order is that of the queue over all hosts, before the prompt is read; requests at an engine are equal. Deployments with one priority: as before.

--- a/crates/edge/src/model/decode.rs
+++ b/crates/edge/src/model/decode.rs
@@ -10,8 +10,7 @@
 use super::prefill::PrefilledPrompt;
 use super::reservation::Reservation;
 use super::{
-    MAX_PRIORITY, MAX_SENDS, ModelCall, OpenedStream, PlanResult, PreparedDecode, STALL_TIMEOUT,
-    Waited,
+    MAX_SENDS, ModelCall, OpenedStream, PlanResult, PreparedDecode, STALL_TIMEOUT, Waited,
 };
 use crate::answer::Failure;
 use crate::counters;
@@ -130,7 +129,6 @@
                 .as_ref()
                 .map(|reservation| reservation.id.as_str()),
             last_event: self.last_event,
-            priority: Some(self.req.route.priority.min(MAX_PRIORITY)),
             ..BackendHeaders::default()
         };
         let patience = predicted + STALL_TIMEOUT;
--- a/crates/edge/src/model/mod.rs
+++ b/crates/edge/src/model/mod.rs
@@ -36,8 +36,6 @@
 /// Maximum number of sends for one request, of all kinds. More sends do not help a request that
 /// fails at every engine.
 const MAX_SENDS: u32 = 8;
-/// Largest priority value that engines accept; 0 is the most urgent.
-const MAX_PRIORITY: u8 = 9;
 
 /// A model call in progress, across all its sends.
 #[derive(Debug)]
--- a/crates/edge/src/model/prefill.rs
+++ b/crates/edge/src/model/prefill.rs
@@ -11,7 +11,7 @@
 use http::StatusCode;
 use smol_str::SmolStr;
 
-use super::{MAX_PRIORITY, ModelCall, PreparedDecode, Waited};
+use super::{ModelCall, PreparedDecode, Waited};
 use crate::counters;
 use crate::edge::Edge;
 use crate::request::CallerRequest;
@@ -194,7 +194,6 @@
     let backend_headers = BackendHeaders {
         prefill_only: true,
         last_event,
-        priority: Some(req.route.priority.min(MAX_PRIORITY)),
         ..BackendHeaders::default()
     };
     let timeout = req.remaining(edge.now());
