--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -33,4 +33,7 @@
 pub use in_force::{ApplyResult, InForce};
 pub use route::{EngineFacts, Kind, Limits, Route, Service, Target};
 pub use table::RouteTable;
-pub use team::{Credential, KeyDigest, KeyError, QuotaUnit, Team, TeamQuota, Teams, TeamsError};
+pub use team::{
+    Credential, KeyDigest, KeyError, ParseDigestError, QuotaUnit, Team, TeamQuota, Teams,
+    TeamsError,
+};
--- a/crates/route/src/team.rs
+++ b/crates/route/src/team.rs
@@ -1,21 +1,51 @@
 //! Teams of callers and the keys by which they are recognised.
 
 use std::fmt;
+use std::str::FromStr;
 
 use bv_types::{RatePerSec, TeamId, Tokens};
 use sha2::{Digest, Sha256};
 
+const DIGEST_BYTES: usize = 32;
+
 /// SHA-256 digest of an API key. Keys themselves are not held.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub struct KeyDigest([u8; 32]);
+pub struct KeyDigest([u8; DIGEST_BYTES]);
 
 impl KeyDigest {
     /// The digest of a key.
     pub fn of(key: &str) -> Self {
         KeyDigest(Sha256::digest(key.as_bytes()).into())
     }
+
+    /// The digest in hexadecimal digits, as [`KeyDigest::from_str`] reads it. It stands for the key in
+    /// messages between hosts and must not be logged.
+    pub fn to_hex(&self) -> String {
+        self.0.iter().map(|byte| format!("{byte:02x}")).collect()
+    }
 }
 
+impl FromStr for KeyDigest {
+    type Err = ParseDigestError;
+
+    fn from_str(hex: &str) -> Result<Self, ParseDigestError> {
+        if hex.len() != 2 * DIGEST_BYTES || !hex.bytes().all(|b| b.is_ascii_hexdigit()) {
+            return Err(ParseDigestError);
+        }
+        let mut digest = [0; DIGEST_BYTES];
+        for (at, byte) in digest.iter_mut().enumerate() {
+            let digits = &hex[2 * at..2 * at + 2];
+            *byte = u8::from_str_radix(digits, 16).map_err(|_| ParseDigestError)?;
+        }
+        Ok(KeyDigest(digest))
+    }
+}
+
+/// A text is not the digest of a key. Does not repeat the text, which may be a key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("not a SHA-256 digest in hexadecimal digits")]
+pub struct ParseDigestError;
+
 impl fmt::Debug for KeyDigest {
     /// Hides the digest: short keys could be guessed from it.
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
