edge: teams in log lines and in calls made for a request; unconfirmed configurations with strict revocation

Cause: log lines about requests did not name the team; reservations and releases at engines did not carry it; with strict_revocation and a revoke_ms below the promised time, an unknown key got 401 from a host whose configuration was too old. Change: the lines name the team where it is known, also for refusals after the key was checked; the calls made for a request carry X-Burdockvale-Tenant; an unknown key gets 503 wherever a known one does.

--- a/crates/edge/src/logs.rs
+++ b/crates/edge/src/logs.rs
@@ -5,7 +5,7 @@
 
 use bv_admit::Instance;
 use bv_retry::Balance;
-use bv_types::{BackendId, Millis, ParseError, Tokens};
+use bv_types::{BackendId, Millis, ParseError, TeamId, Tokens};
 use http::StatusCode;
 use tracing::{debug, info, warn};
 
@@ -53,6 +53,7 @@
             debug!(
                 id = %req.facts.request_id,
                 route = %req.route.name,
+                team = req.team_id().map(TeamId::as_str),
                 ms = (now - req.arrived).0,
                 "request: answered"
             );
@@ -62,6 +63,7 @@
             info!(
                 id = %req.facts.request_id,
                 route = %req.route.name,
+                team = req.team_id().map(TeamId::as_str),
                 config = req.table.version().0,
                 status = status.as_u16(),
                 ms = (now - req.arrived).0,
@@ -76,6 +78,7 @@
             info!(
                 id = %req.facts.request_id,
                 route = %req.route.name,
+                team = req.team_id().map(TeamId::as_str),
                 config = req.table.version().0,
                 service = %req.service,
                 status = failure.status().as_u16(),
@@ -94,6 +97,7 @@
                 id = refused.request_id.as_deref().unwrap_or("unknown"),
                 status = refused.failure.status().as_u16(),
                 reason = refused.failure.code(),
+                team = refused.team.as_ref().map(TeamId::as_str),
                 config = refused.config.map(|version| version.0),
                 config_age_ms = refused.config_age.map(|age| age.0),
                 "request: refused"
@@ -113,6 +117,7 @@
             info!(
                 id = %req.facts.request_id,
                 route = %req.route.name,
+                team = req.team_id().map(TeamId::as_str),
                 server = %server,
                 reason = err.code(),
                 error = %err,
@@ -366,6 +371,7 @@
         info!(
             id = %req.facts.request_id,
             route = %req.route.name,
+            team = req.team_id().map(TeamId::as_str),
             server = %server,
             prompt = req.facts.prompt_tokens.map(|t| t.0),
             parts = req.facts.prompt_parts.join(","),
@@ -422,6 +428,7 @@
             warn!(
                 id = %call.req.facts.request_id,
                 route = %call.req.route.name,
+                team = call.req.team_id().map(TeamId::as_str),
                 server = %server,
                 reason,
                 parts = call.req.facts.prompt_parts.join(","),
--- a/crates/edge/src/model/prefill.rs
+++ b/crates/edge/src/model/prefill.rs
@@ -4,10 +4,10 @@
 use std::sync::Arc;
 
 use bv_admit::{Fault, Instance, SendOutcome};
-use bv_platform::{BackendHeaders, PrefillResult, kv_handle_path, parse_prefill_answer};
+use bv_platform::{BackendHeaders, PrefillResult, kv_handle_path, parse_prefill_answer, set_team};
 use bv_retry::{Delivery, SendKind, Silence};
 use bv_roster::Registration;
-use bv_types::Millis;
+use bv_types::{Millis, TeamId};
 use http::StatusCode;
 use smol_str::SmolStr;
 
@@ -27,6 +27,8 @@
 pub(super) struct PrefilledPrompt {
     edge: Arc<Edge>,
     pub engine: Registration,
+    /// The team that the request is from.
+    team: Option<TeamId>,
     pub handle: SmolStr,
     pub prefilled_at: Millis,
     /// Whether another engine may have imported the KV cache, or it was lost.
@@ -42,12 +44,13 @@
                 self.edge.clone(),
                 self.engine.address,
                 self.handle.clone(),
+                self.team.clone(),
             ));
         }
     }
 }
 
-async fn free(edge: Arc<Edge>, addr: SocketAddr, handle: SmolStr) {
+async fn free(edge: Arc<Edge>, addr: SocketAddr, handle: SmolStr, team: Option<TeamId>) {
     let options = bv_link::ConnectOptions {
         timeout: FREE_TIMEOUT,
         unacknowledged: FREE_TIMEOUT,
@@ -56,10 +59,11 @@
         let mut channel = bv_link::connect(addr, options)
             .await
             .map_err(|err| err.to_string())?;
-        let req = http::Request::delete(kv_handle_path(&handle))
+        let mut req = http::Request::delete(kv_handle_path(&handle))
             .header(http::header::HOST, addr.to_string())
             .body(Default::default())
             .map_err(|err| err.to_string())?;
+        set_team(req.headers_mut(), team.as_ref());
         channel.send(req).await.map_err(|err| err.to_string())?;
         Ok::<(), String>(())
     };
@@ -165,6 +169,7 @@
                 return Prefill::Done(PrefilledPrompt {
                     edge: self.edge.clone(),
                     engine: engine.clone(),
+                    team: self.req.team_id().cloned(),
                     handle: read.handle,
                     prefilled_at: now,
                     consumed: false,
--- a/crates/edge/src/model/reservation.rs
+++ b/crates/edge/src/model/reservation.rs
@@ -10,10 +10,10 @@
 use bv_admit::{Instance, SendOutcome};
 use bv_link::{CollectError, Sender, collect};
 use bv_platform::{
-    parse_answer_head, parse_reservation_answer, release_request, reservation_request,
+    parse_answer_head, parse_reservation_answer, release_request, reservation_request, set_team,
 };
 use bv_roster::Registration;
-use bv_types::{Millis, Tokens};
+use bv_types::{Millis, TeamId, Tokens};
 use http::{Request, StatusCode, header};
 use http_body_util::Full;
 use smol_str::SmolStr;
@@ -39,6 +39,8 @@
 pub(super) struct Reservation {
     edge: Arc<Edge>,
     engine: Registration,
+    /// The team that the request is from.
+    team: Option<TeamId>,
     /// Id that the engine gave to the reservation.
     pub id: SmolStr,
     /// When the engine ends the reservation.
@@ -56,18 +58,20 @@
                 self.edge.clone(),
                 self.engine.address,
                 self.id.clone(),
+                self.team.clone(),
             ));
         }
     }
 }
 
-async fn release(edge: Arc<Edge>, addr: SocketAddr, id: SmolStr) {
+async fn release(edge: Arc<Edge>, addr: SocketAddr, id: SmolStr, team: Option<TeamId>) {
     let options = bv_link::ConnectOptions {
         timeout: RELEASE_TIMEOUT,
         unacknowledged: RELEASE_TIMEOUT,
     };
     let releasing = async {
         let mut req = release_request(&id).map_err(|err| err.to_string())?;
+        set_team(req.headers_mut(), team.as_ref());
         set_host_header(&mut req, addr)?;
         let mut channel = bv_link::connect(addr, options)
             .await
@@ -137,6 +141,7 @@
                 Some(Reservation {
                     edge: self.edge.clone(),
                     engine: engine.clone(),
+                    team: self.req.team_id().cloned(),
                     id,
                     expires_at: requested_at + duration,
                     used: false,
@@ -200,6 +205,7 @@
         let unsent = |err: &dyn std::fmt::Display| SendError::Unsent(err.to_string());
         let mut req =
             reservation_request(&engine.id, tokens, duration).map_err(|err| unsent(&err))?;
+        set_team(req.headers_mut(), self.req.team_id());
         set_host_header(&mut req, engine.address).map_err(|err| unsent(&err))?;
         let answer = channel.send(req).await.map_err(|err| unsent(&err))?;
         let (parts, mut body) = answer.into_parts();
--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -57,6 +57,11 @@
 }
 
 impl CallerRequest {
+    /// Id of the team of its caller, where the configuration has teams.
+    pub fn team_id(&self) -> Option<&TeamId> {
+        self.team.as_ref().map(|team| &team.id)
+    }
+
     /// Time left until the deadline.
     pub fn remaining(&self, now: Millis) -> Millis {
         self.deadline - now
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -10,7 +10,7 @@
 use bv_platform::{Table, caller_mark, credential, parse_caller_headers, set_team, strip_request};
 use bv_roster::store_intervals;
 use bv_route::{KeyError, Route, RouteTable};
-use bv_types::{Millis, Refusal, Version};
+use bv_types::{Millis, Refusal, TeamId, Version};
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Response, header};
 use hyper::body::{Body as _, Incoming};
@@ -73,6 +73,8 @@
 pub(crate) struct RefusedRequest {
     pub failure: Failure,
     pub request_id: Option<smol_str::SmolStr>,
+    /// The team of its caller, if that is known.
+    pub team: Option<TeamId>,
     /// Version of the configuration in force.
     pub config: Option<Version>,
     /// Time since the configuration was last confirmed to be the newest.
@@ -97,6 +99,7 @@
         RefusedRequest {
             failure: Failure::refused(reason),
             request_id: None,
+            team: None,
             config: None,
             config_age: None,
         }
@@ -127,6 +130,7 @@
     let refuse = |reason: Refusal, config_age: Option<Millis>| RefusedRequest {
         failure: Failure::refused(reason),
         request_id: Some(facts.request_id.clone()),
+        team: None,
         config,
         config_age,
     };
@@ -152,6 +156,10 @@
     };
     let team = identify(edge, &table, &mut route, &parts.headers, age)
         .map_err(|reason| refuse(reason, age))?;
+    let refuse = |reason: Refusal, config_age: Option<Millis>| RefusedRequest {
+        team: team.as_ref().map(|team| team.id.clone()),
+        ..refuse(reason, config_age)
+    };
     let service = route
         .pick_service(fastrand::u64(..))
         .cloned()
@@ -231,13 +239,13 @@
     let identified = table.identify(route, credential(headers));
     counters::key_checked(identified.as_ref().err().copied());
     let max_age = edge.settings.max_key_age;
-    let is_revocable = max_age.is_some_and(|max| config_age.is_none_or(|age| age > max));
+    let is_unconfirmed = max_age.is_some_and(|max| config_age.is_none_or(|age| age > max));
     let team = match identified {
-        Err(KeyError::Unknown) if may_lack_change(edge, config_age) => {
+        Err(KeyError::Unknown) if is_unconfirmed || may_lack_change(edge, config_age) => {
             return Err(Refusal::NotConfigured);
         }
         Err(_) => return Err(Refusal::UnknownKey),
-        Ok(_) if is_revocable && !route.is_public => return Err(Refusal::NotConfigured),
+        Ok(_) if is_unconfirmed && !route.is_public => return Err(Refusal::NotConfigured),
         Ok(team) => team,
     };
     let priority = team.and_then(|team| team.priority);
