--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -8,6 +8,7 @@
 mod ledger;
 mod limit;
 mod measure;
+mod teams;
 mod wire;
 
 use measure::Figure;
@@ -17,6 +18,7 @@
     figures.extend(config::measure());
     figures.extend(ledger::measure());
     figures.extend(limit::measure());
+    figures.extend(teams::measure());
     figures.extend(blame::measure());
     figures.extend(wire::measure());
     for figure in &figures {
