--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -34,6 +34,6 @@
 pub use route::{EngineFacts, Kind, Limits, Route, Service, Target};
 pub use table::RouteTable;
 pub use team::{
-    Credential, KeyDigest, KeyError, QuotaUnit, Team, TeamQuota, Teams, TeamsError,
-    request_priority,
+    Credential, KeyDigest, KeyError, ParseDigestError, QuotaUnit, Team, TeamQuota, Teams,
+    TeamsError, request_priority,
 };
