edge, platform: counters of control messages and bytes by kind and direction

Cause: with 300 hosts a host sends and receives 325 kB/s, and no counter tells which messages these are. Change: burdockvale_control_messages_total and burdockvale_control_bytes_total count datagrams by purpose, queries and replies for rows (all servers, changes, host lists) and calls of the store.

--- a/crates/edge/src/counters.rs
+++ b/crates/edge/src/counters.rs
@@ -1,5 +1,6 @@
 //! Metrics of the host.
 
+use bv_platform::StoreTraffic;
 use bv_retry::{Balance, Settlement};
 use bv_roster::Rejected;
 use bv_route::KeyError;
@@ -35,6 +36,8 @@
 const BLOCKED_CONTENTS: &str = "burdockvale_blocked_contents";
 const BAD_HEADERS: &str = "burdockvale_unreadable_headers_total";
 const KEYS_CHECKED: &str = "burdockvale_keys_checked_total";
+const CONTROL_MESSAGES: &str = "burdockvale_control_messages_total";
+const CONTROL_BYTES: &str = "burdockvale_control_bytes_total";
 const LOGS_DROPPED: &str = "burdockvale_log_lines_dropped_total";
 
 /// Upper bounds of the latency histogram, in seconds.
@@ -106,6 +109,14 @@
     );
     describe_counter!(BAD_HEADERS, "Headers of answers that cannot be read.");
     describe_counter!(LOGS_DROPPED, "Log lines left out to bound their rate.");
+    describe_counter!(
+        CONTROL_MESSAGES,
+        "Messages to and from other hosts and the store, by kind and direction."
+    );
+    describe_counter!(
+        CONTROL_BYTES,
+        "Bytes of these messages without the headers of the transport."
+    );
     describe_counter!(KEYS_CHECKED, "Requests whose key was checked, by result.");
     Ok(handle)
 }
@@ -168,6 +179,75 @@
     counter!(PEER_CALLS, "result" => if ok { "ok" } else { "failed" }).increment(1);
 }
 
+/// Kind of a message to or from another host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ControlKind {
+    /// Datagram with the load of a host.
+    Load,
+    /// Datagram about a trial.
+    Trial,
+    /// Query for rows.
+    RowsQuery,
+    /// Reply with all servers.
+    AllRows,
+    /// Reply with changed servers or a changed configuration, or with none.
+    ChangedRows,
+    /// Live hosts in a reply.
+    Hosts,
+}
+
+impl ControlKind {
+    fn name(self) -> &'static str {
+        match self {
+            ControlKind::Load => "load",
+            ControlKind::Trial => "trial",
+            ControlKind::RowsQuery => "rows_query",
+            ControlKind::AllRows => "all_rows",
+            ControlKind::ChangedRows => "changed_rows",
+            ControlKind::Hosts => "hosts",
+        }
+    }
+}
+
+/// Direction of a message, seen from this host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Direction {
+    Sent,
+    Received,
+}
+
+impl Direction {
+    fn name(self) -> &'static str {
+        match self {
+            Direction::Sent => "sent",
+            Direction::Received => "received",
+        }
+    }
+}
+
+/// Counts a message to or from another host.
+pub(crate) fn control_message(kind: ControlKind, direction: Direction, bytes: usize) {
+    let labels = [("kind", kind.name()), ("direction", direction.name())];
+    counter!(CONTROL_MESSAGES, &labels).increment(1);
+    counter!(CONTROL_BYTES, &labels).increment(bytes as u64);
+}
+
+/// Sets the counts of the store's calls: their bodies are sent with writes and received with reads.
+pub(crate) fn store_traffic(traffic: StoreTraffic) {
+    let kinds = [
+        ("store_read", traffic.reads),
+        ("store_write", traffic.writes),
+    ];
+    for (kind, calls) in kinds {
+        let sent = [("kind", kind), ("direction", "sent")];
+        counter!(CONTROL_MESSAGES, &sent).absolute(calls.count);
+        counter!(CONTROL_BYTES, &sent).absolute(calls.bytes_sent);
+        let received = [("kind", kind), ("direction", "received")];
+        counter!(CONTROL_MESSAGES, &received).absolute(calls.answers);
+        counter!(CONTROL_BYTES, &received).absolute(calls.bytes_received);
+    }
+}
+
 pub(crate) fn answer_given_up(reason: &'static str) {
     counter!(ANSWERS_GIVEN_UP, "reason" => reason).increment(1);
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -27,6 +27,7 @@
 mod peers;
 mod plain;
 mod relay;
+mod replies;
 mod request;
 mod retries;
 mod roles;
--- a/crates/edge/src/listen.rs
+++ b/crates/edge/src/listen.rs
@@ -104,6 +104,7 @@
 ) -> io::Result<()> {
     let render = move || {
         retries::update_gauges(&edge);
+        counters::store_traffic(edge.store.traffic());
         let handle = handle.clone();
         async move { Response::new(handle.render()) }
     };
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -5,8 +5,6 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::time::Duration;
 
 use bv_platform::{Row, Table};
 use bv_roster::{Answer, Extent, HostEntry, TableAnswer};
@@ -14,125 +12,134 @@
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
 use prost::Message;
-use tokio::net::{TcpListener, TcpStream};
-use tokio_util::codec::{Framed, FramedRead, FramedWrite, LengthDelimitedCodec};
-use tracing::debug;
+use tokio::net::TcpStream;
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use crate::answer_log::{AnswerLog, Origin, log_config, log_rejected, log_servers};
+use crate::counters::{self, ControlKind, Direction};
 use crate::edge::Edge;
 use crate::hosts::Hosts;
-use crate::state::{State, Taken};
+use crate::state::Taken;
 
 /// Timeout of a query to another host, beyond the wait that it requests; hosts are at most 10 ms
 /// apart.
-const QUERY_TIMEOUT: Millis = Millis(400);
-/// Largest query; it has a few numbers.
-const MAX_QUERY_BYTES: usize = 1 << 10;
+pub(crate) const QUERY_TIMEOUT: Millis = Millis(400);
 /// Largest answer; enough for all rows at the planned size of the system.
-const MAX_ANSWER_BYTES: usize = 4 << 20;
-/// Longest wait for changes that a host grants another one.
-const MAX_WAIT: Millis = Millis(5_000);
-/// Time without a query after which a connection is closed.
-const IDLE_TIMEOUT: Millis = Millis(10_000);
-/// Difference of the ages of two hosts' rows from which a confirmation is passed on.
-const MIN_AGE_DIFFERENCE: Millis = Millis(100);
-/// Time within which an answer must be sent.
-const SEND_TIMEOUT: Duration = Duration::from_secs(2);
+pub(crate) const MAX_ANSWER_BYTES: usize = 4 << 20;
 
 /// Query for rows: states what the querying host has, so that only newer rows are sent.
 #[derive(Clone, PartialEq, Message)]
-struct RowsQuery {
+pub(crate) struct RowsQuery {
     #[prost(uint64, tag = "1")]
-    config_version: u64,
+    pub config_version: u64,
     #[prost(uint64, tag = "2")]
-    servers_version: u64,
+    pub servers_version: u64,
     /// Time for which the answer may wait until there is something newer, in ms.
     #[prost(uint64, tag = "3")]
-    wait_ms: u64,
+    pub wait_ms: u64,
     /// Whether the querying host understands `changes`.
     #[prost(bool, tag = "4")]
-    accepts_changes: bool,
+    pub accepts_changes: bool,
     /// Digest of the live hosts that the querying host knows.
     #[prost(uint64, tag = "5")]
-    hosts_digest: u64,
+    pub hosts_digest: u64,
     /// Time since the store confirmed the querying host's rows, in ms; absent if the answer need not
     /// come when it confirms them again.
     #[prost(uint64, optional, tag = "6")]
-    age_ms: Option<u64>,
+    pub age_ms: Option<u64>,
 }
 
 /// Row of a server.
 #[derive(Clone, PartialEq, Message)]
-struct ServerRow {
+pub(crate) struct ServerRow {
     #[prost(string, tag = "1")]
-    key: String,
+    pub key: String,
     /// Absent if the row was removed.
     #[prost(bytes = "bytes", optional, tag = "2")]
-    value: Option<Bytes>,
+    pub value: Option<Bytes>,
     #[prost(uint64, tag = "3")]
-    version: u64,
+    pub version: u64,
 }
 
 /// A live host.
 #[derive(Clone, PartialEq, Message)]
-struct HostMessage {
+pub(crate) struct HostMessage {
     #[prost(string, tag = "1")]
-    id: String,
+    pub id: String,
     /// Empty if unknown.
     #[prost(string, tag = "2")]
-    zone: String,
+    pub zone: String,
     #[prost(string, tag = "3")]
-    addr: String,
+    pub addr: String,
 }
 
 /// Rows that the querying host does not have.
 #[derive(Clone, PartialEq, Message)]
-struct RowsReply {
+pub(crate) struct RowsReply {
     /// Newest version of the store that an answer about the configuration stated to the sender.
     #[prost(uint64, tag = "1")]
-    config_version: u64,
+    pub config_version: u64,
     /// Time since the store confirmed the configuration and the servers, in ms.
     #[prost(uint64, tag = "2")]
-    age_ms: u64,
+    pub age_ms: u64,
     /// The operator's configuration row, if it is newer than the querying host's.
     #[prost(bytes = "bytes", optional, tag = "3")]
-    config: Option<Bytes>,
+    pub config: Option<Bytes>,
     /// Newest version of the store that an answer about the servers stated to the sender.
     #[prost(uint64, tag = "4")]
-    servers_version: u64,
+    pub servers_version: u64,
     /// All servers, if the querying host needs them all.
     #[prost(message, repeated, tag = "5")]
-    servers: Vec<ServerRow>,
+    pub servers: Vec<ServerRow>,
     /// Version of the newest configuration change.
     #[prost(uint64, tag = "6")]
-    config_changed: u64,
+    pub config_changed: u64,
     /// Servers that changed since the querying host's version.
     #[prost(message, repeated, tag = "7")]
-    changes: Vec<ServerRow>,
+    pub changes: Vec<ServerRow>,
     /// Time for which servers whose rows are missing stay usable after an outage of the store, in
     /// ms.
     #[prost(uint64, tag = "8")]
-    expiry_grace_ms: u64,
+    pub expiry_grace_ms: u64,
     /// Time of the store's clock, as the sender knows it; 0 if it does not.
     #[prost(uint64, tag = "9")]
-    store_time_ms: u64,
+    pub store_time_ms: u64,
     /// All live hosts, if the querying host has another list.
     #[prost(message, repeated, tag = "10")]
-    hosts: Vec<HostMessage>,
+    pub hosts: Vec<HostMessage>,
     /// Digest of the sender's list of live hosts.
     #[prost(uint64, tag = "11")]
-    hosts_digest: u64,
+    pub hosts_digest: u64,
     /// How far the sender's position in each table is behind the version that was stated to it.
     #[prost(uint64, tag = "12")]
-    config_lag: u64,
+    pub config_lag: u64,
     #[prost(uint64, tag = "13")]
-    servers_lag: u64,
+    pub servers_lag: u64,
     /// Whether `servers` are all servers; it may be empty then.
     #[prost(bool, tag = "14")]
-    has_all_servers: bool,
+    pub has_all_servers: bool,
     /// Whether `changes` may lack servers that came and went in between.
     #[prost(bool, tag = "15")]
-    has_gap: bool,
+    pub has_gap: bool,
+}
+
+impl RowsReply {
+    /// Counts this reply; the hosts in it count as a message of their own.
+    pub fn count(&self, direction: Direction) {
+        let list = RowsReply {
+            hosts: self.hosts.clone(),
+            ..RowsReply::default()
+        };
+        let list = list.encoded_len();
+        let kind = match self.has_all_servers || !self.servers.is_empty() {
+            true => ControlKind::AllRows,
+            false => ControlKind::ChangedRows,
+        };
+        counters::control_message(kind, direction, self.encoded_len() - list);
+        if list > 0 {
+            counters::control_message(ControlKind::Hosts, direction, list);
+        }
+    }
 }
 
 /// A connection to another host, for queries one after the other.
@@ -144,164 +151,12 @@
     hosts_digest: Option<u64>,
 }
 
-fn codec(max_bytes: usize) -> LengthDelimitedCodec {
+pub(crate) fn codec(max_bytes: usize) -> LengthDelimitedCodec {
     LengthDelimitedCodec::builder()
         .max_frame_length(max_bytes)
         .new_codec()
 }
 
-/// Answers queries of other hosts.
-pub(crate) async fn listen(edge: Arc<Edge>, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, peer)) => {
-                let edge = edge.clone();
-                tokio::spawn(async move {
-                    if let Err(err) = answer_queries(&edge, stream).await {
-                        debug!(peer = %peer, error = %err, "peer: answering a query failed");
-                    }
-                });
-            }
-            Err(err) => {
-                debug!(error = %err, "peer: accept failed");
-                tokio::time::sleep(QUERY_TIMEOUT.duration()).await;
-            }
-        }
-    }
-}
-
-async fn answer_queries(edge: &Edge, stream: TcpStream) -> io::Result<()> {
-    let (rd, wr) = stream.into_split();
-    let mut queries = FramedRead::new(rd, codec(MAX_QUERY_BYTES));
-    let mut answers = FramedWrite::new(wr, codec(MAX_ANSWER_BYTES));
-    loop {
-        let reading = tokio::time::timeout(IDLE_TIMEOUT.duration(), queries.next());
-        let Some(frame) = reading.await? else {
-            return Ok(());
-        };
-        let query = RowsQuery::decode(frame?)?;
-        wait_for_news(edge, &query).await;
-        let reply = reply(edge, &query);
-        let sending = answers.send(Bytes::from(reply.encode_to_vec()));
-        tokio::time::timeout(SEND_TIMEOUT, sending).await??;
-    }
-}
-
-/// Waits until this host knows something newer than the query states, the store has confirmed its
-/// rows again, or the wait is over.
-async fn wait_for_news(edge: &Edge, query: &RowsQuery) {
-    let arrived = edge.now();
-    let until = arrived + Millis(query.wait_ms).min(MAX_WAIT);
-    let confirmed_at = query.age_ms.map(|age| arrived - Millis(age));
-    loop {
-        let changed = edge.rows_changed.notified();
-        let now = edge.now();
-        let is_due = {
-            let state = edge.state();
-            let is_confirmed = confirmed_at
-                .is_some_and(|at| state.sources.confirmed_at() > at + MIN_AGE_DIFFERENCE);
-            has_news(&state, query) || is_confirmed
-        };
-        if now >= until || is_due {
-            return;
-        }
-        // At the end of the wait the answer says that there is nothing newer.
-        let _ = tokio::time::timeout((until - now).duration(), changed).await;
-    }
-}
-
-fn has_news(state: &State, query: &RowsQuery) -> bool {
-    let known = &state.known;
-    known.config.newest_change().0 > query.config_version
-        || known.servers.newest_change().0 > query.servers_version
-        || needs_hosts(state, query)
-}
-
-fn needs_hosts(state: &State, query: &RowsQuery) -> bool {
-    query.accepts_changes
-        && state.hosts.count().is_some()
-        && state.hosts.digest() != query.hosts_digest
-}
-
-fn reply(edge: &Edge, query: &RowsQuery) -> RowsReply {
-    let now = edge.now();
-    let state = edge.state();
-    let known = &state.known;
-    let config = known.config.since(to_position(query.config_version));
-    let servers = known.servers.since(to_position(query.servers_version));
-    let hosts = match needs_hosts(&state, query) {
-        true => host_messages(edge, &state.hosts),
-        false => Vec::new(),
-    };
-    let mut reply = RowsReply {
-        age_ms: state.rows_age(now).unwrap_or(Millis::MAX).0,
-        config_changed: known.config.newest_change().0,
-        expiry_grace_ms: state.roster.grace_left(now).0,
-        store_time_ms: state.store_clock.store_time(now).map_or(0, |time| time.0),
-        hosts,
-        hosts_digest: state.hosts.digest(),
-        ..RowsReply::default()
-    };
-    if let Some(config) = config {
-        reply.config_version = config.newest_stated.0;
-        reply.config_lag = config.newest_stated.0.saturating_sub(config.up_to.0);
-        let row = config
-            .rows
-            .into_iter()
-            .find(|row| row.key == Table::CONFIG_KEY);
-        reply.config = row.and_then(|row| row.value);
-    }
-    if let Some(servers) = servers {
-        reply.servers_version = servers.newest_stated.0;
-        reply.servers_lag = servers.newest_stated.0.saturating_sub(servers.up_to.0);
-        reply.has_gap = servers.has_gap;
-        match servers.extent {
-            Extent::After(_) if query.accepts_changes => {
-                reply.changes = servers.rows.into_iter().map(to_message).collect();
-            }
-            Extent::After(_) if servers.rows.is_empty() => {}
-            Extent::After(_) | Extent::Whole => {
-                let all = known.servers.rows().all();
-                reply.servers = all.into_iter().map(to_message).collect();
-                reply.has_all_servers = true;
-            }
-        }
-    }
-    reply
-}
-
-/// Position that a query states; 0 before the table was read.
-fn to_position(version: u64) -> Option<Version> {
-    (version > 0).then_some(Version(version))
-}
-
-fn host_messages(edge: &Edge, hosts: &Hosts) -> Vec<HostMessage> {
-    let own = edge.own_entry();
-    let to_message = |host: &HostEntry| HostMessage {
-        id: host.id.to_string(),
-        zone: host
-            .zone
-            .as_ref()
-            .map(|zone| zone.to_string())
-            .unwrap_or_default(),
-        addr: host.addr.to_string(),
-    };
-    hosts
-        .others()
-        .iter()
-        .chain([&own])
-        .map(to_message)
-        .collect()
-}
-
-fn to_message(row: Row) -> ServerRow {
-    ServerRow {
-        key: row.key.to_string(),
-        value: row.value,
-        version: row.version.0,
-    }
-}
-
 /// Opens a connection to another host.
 ///
 /// # Errors
@@ -347,7 +202,9 @@
         }
     };
     let querying = async {
-        link.framed.send(Bytes::from(query.encode_to_vec())).await?;
+        let query = Bytes::from(query.encode_to_vec());
+        counters::control_message(ControlKind::RowsQuery, Direction::Sent, query.len());
+        link.framed.send(query).await?;
         let frame = link
             .framed
             .next()
@@ -357,6 +214,7 @@
     };
     let timeout = wait + QUERY_TIMEOUT;
     let reply = tokio::time::timeout(timeout.duration(), querying).await??;
+    reply.count(Direction::Received);
     link.hosts_digest = Some(reply.hosts_digest);
     Ok(apply_reply(edge, peer, &query, reply))
 }
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -15,7 +15,7 @@
 use tracing_subscriber::EnvFilter;
 
 use crate::edge::Edge;
-use crate::{counters, crash_rows, follow, listen, peers, roles, stop, subscribe, usage};
+use crate::{counters, crash_rows, follow, listen, replies, roles, stop, subscribe, usage};
 
 /// Port of the metrics endpoint; must match `deploy/system.toml`.
 const METRICS_PORT: u16 = 9464;
@@ -139,7 +139,7 @@
     tokio::spawn(crash_rows::exchange(edge.clone()));
     tokio::spawn(usage::send_updates(edge.clone(), datagrams.clone()));
     tokio::spawn(usage::receive_updates(edge.clone(), datagrams));
-    tokio::spawn(peers::listen(edge.clone(), peers));
+    tokio::spawn(replies::listen(edge.clone(), peers));
     tokio::spawn(listen::readiness(edge.clone(), ready));
     tokio::spawn(listen::metrics(edge.clone(), metrics_listener, metrics));
     let accepting = tokio::spawn(listen::callers(edge.clone(), callers, drain_rx));
--- a/crates/edge/src/usage.rs
+++ b/crates/edge/src/usage.rs
@@ -16,6 +16,7 @@
 use tokio::net::UdpSocket;
 use tracing::debug;
 
+use crate::counters::{self, ControlKind, Direction};
 use crate::crash_reports::{
     ContentSurvival, EngineCrash, decode_report, encode_crash, encode_survival,
 };
@@ -193,13 +194,22 @@
 
 fn send_to(socket: &UdpSocket, update: &UsageUpdate, receivers: &[SocketAddr]) {
     let datagram = update.encode_to_vec();
+    let kind = control_kind(update);
     for peer in receivers {
+        counters::control_message(kind, Direction::Sent, datagram.len());
         if let Err(err) = socket.try_send_to(&datagram, *peer) {
             debug!(peer = %peer, error = %err, "usage: sending the update to a peer failed");
         }
     }
 }
 
+fn control_kind(update: &UsageUpdate) -> ControlKind {
+    match update.trial {
+        Some(_) => ControlKind::Trial,
+        None => ControlKind::Load,
+    }
+}
+
 /// Sends a message about a trial to one host, with what this host knows of crashes.
 pub(crate) fn send_trial(edge: &Edge, to: SocketAddr, message: TrialMessage) {
     let Some(socket) = edge.datagrams.get() else {
@@ -330,6 +340,8 @@
     datagram: &[u8],
 ) -> Result<(), Box<dyn std::error::Error>> {
     let update = UsageUpdate::decode(datagram)?;
+    let kind = control_kind(&update);
+    counters::control_message(kind, Direction::Received, datagram.len());
     let report = decode_report(&update.crashes, &update.survivals);
     let host: HostId = update.host.parse()?;
     if let Some(message) = &update.trial {
