edge: replies to hosts that ask for rows are encoded once and bounded in bytes

Cause: a reader built and encoded all rows for each host that asked. After a start of all hosts the followers of a reader ask together, and what it held at once had no bound. A host whose turn does not come within 150 ms is told to ask again and keeps its rows. A follower copies the values of rows out of the reply, which they kept in memory as a whole before, and frees the buffer of a reply.

--- a/crates/edge/src/counters.rs
+++ b/crates/edge/src/counters.rs
@@ -26,6 +26,7 @@
 const ANSWERS_GIVEN_UP: &str = "burdockvale_answers_given_up_total";
 const ROW_SOURCES: &str = "burdockvale_row_source_changes_total";
 const SOURCES_DROPPED: &str = "burdockvale_row_sources_dropped_total";
+const SOURCE_BUSY: &str = "burdockvale_row_source_busy_total";
 const BAD_ROWS: &str = "burdockvale_unreadable_rows_total";
 const FOREIGN_ROWS: &str = "burdockvale_foreign_rows_total";
 const ANSWERS_REJECTED: &str = "burdockvale_row_answers_rejected_total";
@@ -96,6 +97,10 @@
         SOURCES_DROPPED,
         "Sources of the store's rows that were dropped, by reason."
     );
+    describe_counter!(
+        SOURCE_BUSY,
+        "Queries that the source of rows had no room to answer."
+    );
     describe_counter!(BAD_ROWS, "Rows of the store that cannot be read, by table.");
     describe_counter!(
         ANSWERS_REJECTED,
@@ -260,6 +265,11 @@
     counter!(SOURCES_DROPPED, "reason" => reason).increment(1);
 }
 
+/// Counts a query that another host had no room to answer.
+pub(crate) fn source_busy() {
+    counter!(SOURCE_BUSY).increment(1);
+}
+
 pub(crate) fn unreadable_row(table: &'static str) {
     counter!(BAD_ROWS, "table" => table).increment(1);
 }
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -16,6 +16,7 @@
 
 use crate::logs::LogBudget;
 use crate::send::ConnectionPool;
+use crate::shared_replies::Replies;
 use crate::state::State;
 
 /// Share of the process's memory for the bodies of callers' requests. The four shares
@@ -41,6 +42,8 @@
     pub logs: LogBudget,
     /// Memory for the bodies that are held at the same time.
     pub memory: Arc<InboundMemory>,
+    /// Replies to other hosts that ask for rows.
+    pub replies: Replies,
     /// Notified when a request ends or another host's load changes.
     pub capacity_changed: Notify,
     /// Notified when a model call leaves the queue of this host.
@@ -81,6 +84,7 @@
         let state = Mutex::new(state);
         Edge {
             memory,
+            replies: Replies::new(settings.memory_mb),
             logs: LogBudget::new(clock.now()),
             started_at: clock.now(),
             settings,
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -34,6 +34,7 @@
 mod run;
 mod send;
 mod serve;
+mod shared_replies;
 mod silence;
 mod state;
 mod stop;
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -9,7 +9,7 @@
 use bv_platform::{Row, Table};
 use bv_roster::{Answer, Extent, HostEntry, TableAnswer};
 use bv_types::{Millis, Version};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_util::{SinkExt, StreamExt};
 use prost::Message;
 use tokio::net::TcpStream;
@@ -27,6 +27,9 @@
 /// Largest answer; enough for all rows at the planned size of the system.
 pub(crate) const MAX_ANSWER_BYTES: usize = 4 << 20;
 
+/// Longest pause before a host that had no room for its reply is asked again.
+const MAX_BUSY_PAUSE: Millis = Millis(1_000);
+
 /// Query for rows: states what the querying host has, so that only newer rows are sent.
 #[derive(Clone, PartialEq, Message)]
 pub(crate) struct RowsQuery {
@@ -121,23 +124,26 @@
     /// Whether `changes` may lack servers that came and went in between.
     #[prost(bool, tag = "15")]
     pub has_gap: bool,
+    /// Time after which the querying host may ask again, in ms, if the sender had no room for its
+    /// reply; all other fields say nothing then. 0 in other replies.
+    #[prost(uint64, tag = "20")]
+    pub retry_after_ms: u64,
 }
 
 impl RowsReply {
-    /// Counts this reply; the hosts in it count as a message of their own.
-    pub fn count(&self, direction: Direction) {
-        let list = RowsReply {
-            hosts: self.hosts.clone(),
-            ..RowsReply::default()
+    /// Counts this reply as received; the hosts in it count as a message of their own.
+    fn count_received(&self) {
+        let list = |host: &HostMessage| {
+            1 + prost::length_delimiter_len(host.encoded_len()) + host.encoded_len()
         };
-        let list = list.encoded_len();
+        let list: usize = self.hosts.iter().map(list).sum();
         let kind = match self.has_all_servers || !self.servers.is_empty() {
             true => ControlKind::AllRows,
             false => ControlKind::ChangedRows,
         };
-        counters::control_message(kind, direction, self.encoded_len() - list);
+        counters::control_message(kind, Direction::Received, self.encoded_len() - list);
         if list > 0 {
-            counters::control_message(ControlKind::Hosts, direction, list);
+            counters::control_message(ControlKind::Hosts, Direction::Received, list);
         }
     }
 }
@@ -172,11 +178,15 @@
 
 /// What a query brought.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct QueryResult {
-    /// Time since the store confirmed what the other host knows.
-    pub age: Millis,
-    /// Whether rows or hosts changed here.
-    pub changed: bool,
+pub(crate) enum QueryResult {
+    Taken {
+        /// Time since the store confirmed what the other host knows.
+        age: Millis,
+        /// Whether rows or hosts changed here.
+        changed: bool,
+    },
+    /// The other host has no room for the reply now and may be asked again after `pause`.
+    Busy { pause: Millis },
 }
 
 /// Queries a host for rows newer than this host's, which it may await for `wait`, and applies them.
@@ -214,7 +224,17 @@
     };
     let timeout = wait + QUERY_TIMEOUT;
     let reply = tokio::time::timeout(timeout.duration(), querying).await??;
-    reply.count(Direction::Received);
+    reply.count_received();
+    // After all rows the buffer has their size, for as long as the connection is used.
+    let buf = link.framed.read_buffer_mut();
+    if buf.is_empty() {
+        *buf = BytesMut::new();
+    }
+    if reply.retry_after_ms > 0 {
+        return Ok(QueryResult::Busy {
+            pause: Millis(reply.retry_after_ms).min(MAX_BUSY_PAUSE),
+        });
+    }
     link.hosts_digest = Some(reply.hosts_digest);
     Ok(apply_reply(edge, peer, &query, reply))
 }
@@ -229,7 +249,12 @@
     Ok(())
 }
 
-fn apply_reply(edge: &Edge, peer: SocketAddr, query: &RowsQuery, reply: RowsReply) -> QueryResult {
+fn apply_reply(
+    edge: &Edge,
+    peer: SocketAddr,
+    query: &RowsQuery,
+    mut reply: RowsReply,
+) -> QueryResult {
     let now = edge.now();
     let mut state = edge.state();
     if reply.store_time_ms > 0 {
@@ -245,7 +270,7 @@
     let grace = Millis(reply.expiry_grace_ms);
     state.roster.extend_grace(now, grace);
     let config = Answer::Peer(config_answer(query, &reply, confirmed_at));
-    let servers = Answer::Peer(servers_answer(query, &reply, confirmed_at));
+    let servers = Answer::Peer(servers_answer(query, &mut reply, confirmed_at));
     let logs = [&config, &servers].map(|answer| AnswerLog::new(Origin::Host(peer), answer, age));
     // A host that has just started has no copy of a table.
     let config = match reply.config_version {
@@ -289,13 +314,13 @@
         true => age,
         false => Millis::MAX,
     };
-    QueryResult { age, changed }
+    QueryResult::Taken { age, changed }
 }
 
 fn config_answer(query: &RowsQuery, reply: &RowsReply, confirmed_at: Millis) -> TableAnswer {
     let row = reply.config.as_ref().map(|body| Row {
         key: Table::CONFIG_KEY.into(),
-        value: Some(body.clone()),
+        value: Some(Bytes::copy_from_slice(body)),
         version: Version(reply.config_changed),
     });
     TableAnswer {
@@ -312,18 +337,18 @@
     }
 }
 
-fn servers_answer(query: &RowsQuery, reply: &RowsReply, confirmed_at: Millis) -> TableAnswer {
+fn servers_answer(query: &RowsQuery, reply: &mut RowsReply, confirmed_at: Millis) -> TableAnswer {
     let is_whole = reply.has_all_servers || !reply.servers.is_empty();
     let (extent, rows) = match is_whole {
-        true => (Extent::Whole, &reply.servers),
+        true => (Extent::Whole, std::mem::take(&mut reply.servers)),
         false => (
             Extent::After(Version(query.servers_version)),
-            &reply.changes,
+            std::mem::take(&mut reply.changes),
         ),
     };
     TableAnswer {
         extent,
-        rows: rows.iter().cloned().map(to_row).collect(),
+        rows: rows.into_iter().map(to_row).collect(),
         has_gap: reply.has_gap,
         up_to: Version(reply.servers_version.saturating_sub(reply.servers_lag)),
         newest_stated: Version(reply.servers_version),
@@ -334,7 +359,8 @@
 fn to_row(row: ServerRow) -> Row {
     Row {
         key: row.key.into(),
-        value: row.value,
+        // The decoded value is a part of the reply's buffer and would keep all of it.
+        value: row.value.map(|value| Bytes::copy_from_slice(&value)),
         version: Version(row.version),
     }
 }
--- a/crates/edge/src/replies.rs
+++ b/crates/edge/src/replies.rs
@@ -4,22 +4,21 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bv_platform::{Row, Table};
+use bv_platform::Table;
 use bv_roster::{Extent, HostEntry};
 use bv_types::{Millis, Version};
-use bytes::Bytes;
-use futures_util::{SinkExt, StreamExt};
+use futures_util::StreamExt;
 use prost::Message;
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
-use tokio_util::codec::{FramedRead, FramedWrite};
+use tokio_util::codec::FramedRead;
 use tracing::debug;
 
 use crate::counters::{self, ControlKind, Direction};
 use crate::edge::Edge;
 use crate::hosts::Hosts;
-use crate::peers::{
-    HostMessage, MAX_ANSWER_BYTES, QUERY_TIMEOUT, RowsQuery, RowsReply, ServerRow, codec,
-};
+use crate::peers::{HostMessage, QUERY_TIMEOUT, RowsQuery, RowsReply, codec};
+use crate::shared_replies::{Reply, ReplyBytes};
 use crate::state::State;
 
 /// Largest query; it has a few numbers.
@@ -33,6 +32,12 @@
 /// Time within which an answer must be sent.
 const SEND_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Size up to which replies do not count towards the budget: with 100 followers these hold 0.4 MB.
+const UNCOUNTED_BYTES: usize = 4 << 10;
+/// Longest time for which a query waits for its part of the budget; the querying host waits for the
+/// whole reply at most 400 ms.
+const TURN_WAIT: Millis = Millis(150);
+
 /// Answers queries of other hosts.
 pub(crate) async fn listen(edge: Arc<Edge>, listener: TcpListener) {
     loop {
@@ -54,9 +59,8 @@
 }
 
 async fn answer_queries(edge: &Edge, stream: TcpStream) -> io::Result<()> {
-    let (rd, wr) = stream.into_split();
+    let (rd, mut wr) = stream.into_split();
     let mut queries = FramedRead::new(rd, codec(MAX_QUERY_BYTES));
-    let mut answers = FramedWrite::new(wr, codec(MAX_ANSWER_BYTES));
     loop {
         let reading = tokio::time::timeout(IDLE_TIMEOUT.duration(), queries.next());
         let Some(frame) = reading.await? else {
@@ -66,13 +70,38 @@
         counters::control_message(ControlKind::RowsQuery, Direction::Received, frame.len());
         let query = RowsQuery::decode(frame)?;
         wait_for_news(edge, &query).await;
-        let reply = reply(edge, &query);
-        reply.count(Direction::Sent);
-        let sending = answers.send(Bytes::from(reply.encode_to_vec()));
+        let (reply, _bytes) = admitted_reply(edge, &query).await;
+        reply.count();
+        let mut frame = reply.into_frame()?;
+        let sending = wr.write_all_buf(&mut frame);
+        // Dropping the connection lets a follower that reads too slowly ask again.
         tokio::time::timeout(SEND_TIMEOUT, sending).await??;
     }
 }
 
+/// The reply to a query, with its part of the budget for replies; without rows if the budget has no room for
+/// them in time.
+async fn admitted_reply<'a>(edge: &'a Edge, query: &RowsQuery) -> (Reply, Option<ReplyBytes<'a>>) {
+    let reply = reply(edge, query);
+    let size = reply.size();
+    if size <= UNCOUNTED_BYTES {
+        return (reply, None);
+    }
+    if let Some(bytes) = edge.replies.try_admit(size) {
+        return (reply, Some(bytes));
+    }
+    // Rows of other versions would be held for each query that waits.
+    drop(reply);
+    if let Some(bytes) = edge.replies.admit(size, TURN_WAIT).await {
+        let reply = self::reply(edge, query);
+        if reply.size() <= size + UNCOUNTED_BYTES {
+            return (reply, Some(bytes));
+        }
+    }
+    counters::answer_given_up("rows_busy");
+    (Reply::busy(), None)
+}
+
 /// Waits until this host knows something newer than the query states, the store has confirmed its
 /// rows again, or the wait is over.
 async fn wait_for_news(edge: &Edge, query: &RowsQuery) {
@@ -109,50 +138,55 @@
         && state.hosts.digest() != query.hosts_digest
 }
 
-fn reply(edge: &Edge, query: &RowsQuery) -> RowsReply {
+fn reply(edge: &Edge, query: &RowsQuery) -> Reply {
     let now = edge.now();
     let state = edge.state();
     let known = &state.known;
     let config = known.config.since(to_position(query.config_version));
     let servers = known.servers.since(to_position(query.servers_version));
-    let hosts = match needs_hosts(&state, query) {
-        true => host_messages(edge, &state.hosts),
-        false => Vec::new(),
-    };
-    let mut reply = RowsReply {
+    let mut head = RowsReply {
         age_ms: state.rows_age(now).unwrap_or(Millis::MAX).0,
         config_changed: known.config.newest_change().0,
         expiry_grace_ms: state.roster.grace_left(now).0,
         store_time_ms: state.store_clock.store_time(now).map_or(0, |time| time.0),
-        hosts,
         hosts_digest: state.hosts.digest(),
         ..RowsReply::default()
     };
+    let mut reply = Reply::default();
+    if needs_hosts(&state, query) {
+        let hosts = || host_messages(edge, &state.hosts);
+        reply.hosts = edge.replies.hosts(state.hosts.digest(), hosts);
+    }
     if let Some(config) = config {
-        reply.config_version = config.newest_stated.0;
-        reply.config_lag = config.newest_stated.0.saturating_sub(config.up_to.0);
+        head.config_version = config.newest_stated.0;
+        head.config_lag = config.newest_stated.0.saturating_sub(config.up_to.0);
         let row = config
             .rows
             .into_iter()
             .find(|row| row.key == Table::CONFIG_KEY);
-        reply.config = row.and_then(|row| row.value);
+        head.config = row.and_then(|row| row.value);
     }
     if let Some(servers) = servers {
-        reply.servers_version = servers.newest_stated.0;
-        reply.servers_lag = servers.newest_stated.0.saturating_sub(servers.up_to.0);
-        reply.has_gap = servers.has_gap;
+        head.servers_version = servers.newest_stated.0;
+        head.servers_lag = servers.newest_stated.0.saturating_sub(servers.up_to.0);
+        head.has_gap = servers.has_gap;
+        let revision = known.servers_revision;
         match servers.extent {
-            Extent::After(_) if query.accepts_changes => {
-                reply.changes = servers.rows.into_iter().map(to_message).collect();
+            Extent::After(after) if query.accepts_changes => {
+                if !servers.rows.is_empty() {
+                    let rows = || servers.rows;
+                    reply.rows = edge.replies.changed_servers(revision, after, rows);
+                }
             }
             Extent::After(_) if servers.rows.is_empty() => {}
             Extent::After(_) | Extent::Whole => {
-                let all = known.servers.rows().all();
-                reply.servers = all.into_iter().map(to_message).collect();
-                reply.has_all_servers = true;
+                let all = || known.servers.rows().all();
+                reply.rows = edge.replies.all_servers(revision, all);
+                head.has_all_servers = true;
             }
         }
     }
+    reply.set_head(head);
     reply
 }
 
@@ -179,11 +213,3 @@
         .map(to_message)
         .collect()
 }
-
-fn to_message(row: Row) -> ServerRow {
-    ServerRow {
-        key: row.key.to_string(),
-        value: row.value,
-        version: row.version.0,
-    }
-}
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -25,6 +25,8 @@
     pub config: TableCopy,
     /// Backend servers.
     pub servers: TableCopy,
+    /// Changes with the rows of the servers.
+    pub servers_revision: u64,
     /// Newest versions that other hosts reported, of the configuration and of the servers.
     reported_versions: (Version, Version),
 }
@@ -266,6 +268,7 @@
     ) -> Result<Taken, Rejected> {
         let is_first = self.known.servers.position().is_none();
         let rows = self.known.servers.take(answer)?;
+        self.known.servers_revision += u64::from(!rows.is_empty());
         if ends_outage {
             self.roster.store_recovered(now);
         }
--- a/crates/edge/src/subscribe.rs
+++ b/crates/edge/src/subscribe.rs
@@ -12,7 +12,7 @@
 use crate::counters;
 use crate::edge::Edge;
 use crate::follow::wait_until_behind;
-use crate::peers::{self, PeerLink};
+use crate::peers::{self, PeerLink, QueryResult};
 
 /// Shortest pause until a source is asked again.
 const MIN_SOURCE_PAUSE: Millis = Millis(20);
@@ -142,7 +142,7 @@
 ) -> io::Result<Reply> {
     let longest_wait = edge.state().sources.bounds().longest_wait();
     let asking = async {
-        let (wait, open) = match link {
+        let (mut wait, open) = match link {
             Some((addr, open)) if *addr == peer => (longest_wait, open),
             // The first answer comes at once.
             _ => {
@@ -150,9 +150,20 @@
                 (Millis::ZERO, &mut link.insert((peer, open)).1)
             }
         };
-        peers::query(edge, peer, open, wait).await
+        loop {
+            match peers::query(edge, peer, open, wait).await? {
+                QueryResult::Taken { age, changed } => return io::Result::Ok((age, changed)),
+                QueryResult::Busy { pause } => {
+                    counters::source_busy();
+                    // Hosts that were turned away together do not ask together again.
+                    let pause = pause + Millis(fastrand::u64(..=pause.0));
+                    tokio::time::sleep(pause.duration()).await;
+                    wait = Millis::ZERO;
+                }
+            }
+        }
     };
-    let result = tokio::select! {
+    let (age, changed) = tokio::select! {
         result = asking => result?,
         () = wait_until_replaced(edge, peer) => return Ok(Reply::Replaced),
         () = wait_until_overdue(edge) => return Ok(Reply::Late),
@@ -161,11 +172,9 @@
     };
     let now = edge.now();
     let sources = &mut edge.state().sources;
-    Ok(match sources.record_answer(now, peer, result.age) {
-        true => Reply::Current {
-            changed: result.changed,
-        },
-        false => Reply::TooOld { age: result.age },
+    Ok(match sources.record_answer(now, peer, age) {
+        true => Reply::Current { changed },
+        false => Reply::TooOld { age },
     })
 }
 
