admit, edge: hosts of zones with more than 32 hosts report their load in groups

Cause: each change of a host's load went to all hosts of its zone, in a zone of 75 hosts up to 26 times a second to 74 receivers, which grows with the square of the number of hosts. Change: hosts of such zones form groups of about 16 by a rendezvous hash. A change goes to the group, at once while a budget of 2,400 bytes a second allows it. Other groups only hear that a host is alive: it tells one host of each group, which relays that to its group (field 17 of UsageUpdate). Hosts that read the store tell all others. Engines of a zone are dealt to the groups, and a host prefers those of its own; it counts the servers' own reports for the requests of other groups. The rule (update_plan.rs) is without I/O and holds the former rule for smaller zones unchanged; the sending task moves to announce.rs.

--- a/crates/admit/src/fleet.rs
+++ b/crates/admit/src/fleet.rs
@@ -1,13 +1,14 @@
 //! Load and health of all backend servers, as one host knows them.
 
-use bv_types::{BackendId, HostId, Millis, ServiceId, Tokens};
+use std::sync::Arc;
+
+use bv_types::{BackendId, Millis, ServiceId, Tokens};
 use fastrand::Rng;
 
 use crate::health::Fault;
-use crate::peers::{PeerLoad, Peers, ServerLoad};
-use crate::queue::QueuedCall;
+use crate::host_groups::HostGroups;
+use crate::peers::{Peers, ServerLoad};
 use crate::server::{InFlightSend, Report, Server};
-use crate::update_intervals;
 
 /// Identifies one send.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -73,14 +74,6 @@
 const INITIAL_STREAM_MS: f64 = 3_500.0;
 const INITIAL_OUTPUT_TOKENS: f64 = 1_000.0;
 const INITIAL_PROMPT_TOKENS: f64 = 3_000.0;
-/// Time, beyond the interval of the reports, for which an engine gets no requests after another host
-/// reported that the engine changes its role.
-const ROLE_CHANGE_TTL: Millis = Millis(1_200);
-/// Time, beyond the interval of the reports, for which a server counts as refusing after another host
-/// reported it.
-const REFUSING_TTL: Millis = Millis(1_000);
-/// Time after which a waiting call moves one host forward in the admission order of the hosts.
-const ADMISSION_STEP_TIME: Millis = Millis(100);
 /// Weight of the newest sample in a moving average.
 const SAMPLE_WEIGHT: f64 = 0.05;
 /// Weight of a sample that may be slow because of other load.
@@ -91,9 +84,11 @@
 pub struct Fleet {
     servers: Vec<Server>,
     service_stats: Vec<ServiceStats>,
-    peers: Peers,
+    pub(crate) peers: Peers,
     /// Number of other hosts that should report their load.
-    expected_peers: usize,
+    pub(crate) expected_peers: usize,
+    /// Groups of the hosts, if some zone is divided.
+    pub(crate) groups: Option<Arc<HostGroups>>,
     /// Engines that change their role on an order of this host, each with the end of the change.
     own_role_changes: Vec<(BackendId, Millis)>,
     next_send: u64,
@@ -108,6 +103,7 @@
             service_stats: Vec::new(),
             peers: Peers::default(),
             expected_peers: 0,
+            groups: None,
             own_role_changes: Vec::new(),
             next_send: 0,
             rng: Rng::with_seed(seed),
@@ -273,77 +269,6 @@
         (prefill_ms, stats.stream_ms * share)
     }
 
-    /// Sets the number of other hosts that should report their load.
-    pub fn expect_peers(&mut self, count: usize) {
-        self.expected_peers = count;
-    }
-
-    /// Whether another host reports its load.
-    pub fn hears(&self, host: &HostId) -> bool {
-        self.peers.contains(host)
-    }
-
-    /// Number of other hosts that should report their load and do not.
-    pub fn missing_peers(&self) -> usize {
-        self.expected_peers.saturating_sub(self.peers.len())
-    }
-
-    /// Records the load that another host reported. `message_seq` is the start time of its process
-    /// and the sequence number of the message; a message that is not newer than the last one is
-    /// ignored.
-    pub fn update_peer(
-        &mut self,
-        now: Millis,
-        host: HostId,
-        message_seq: (u64, u64),
-        load: PeerLoad,
-    ) {
-        let (loads, changing) = (load.loads.clone(), load.engines_changing_role.clone());
-        let refusing = load.refusing.clone();
-        let Some(before) = self.peers.update(now, host, message_seq, load) else {
-            return;
-        };
-        self.add_peer_load(&before.loads, -1.0);
-        self.add_peer_load(&loads, 1.0);
-        let interval = update_intervals::remote_interval(self.expected_peers + 1);
-        for engine in changing {
-            self.server_or_insert(&engine).changing_until = now + interval + ROLE_CHANGE_TTL;
-        }
-        for id in refusing {
-            self.server_or_insert(&id).peer_refusing_until = now + interval + REFUSING_TTL;
-        }
-    }
-
-    /// Removes the load of hosts whose messages have stopped.
-    pub fn expire_peers(&mut self, now: Millis) {
-        for expired in self.peers.expire(now, self.expected_peers + 1) {
-            self.add_peer_load(&expired.loads, -1.0);
-        }
-    }
-
-    /// Number of other hosts whose waiting call is admitted before `own`. `first_for` is the time
-    /// for which `own` has been the first call of this host. For each `ADMISSION_STEP_TIME` of it,
-    /// one host less is counted, since the hosts before this one may not use the capacity.
-    pub fn peers_before(&self, now: Millis, own: &QueuedCall, first_for: Millis) -> usize {
-        let skipped = (first_for.0 / ADMISSION_STEP_TIME.0) as usize;
-        let hosts = self.expected_peers + 1;
-        self.peers
-            .calls_before(now, hosts, own)
-            .saturating_sub(skipped)
-    }
-
-    /// Number of other hosts that have calls waiting for capacity.
-    pub fn waiting_peer_count(&self) -> usize {
-        let peers = self.peers.iter();
-        peers.filter(|peer| peer.load.waiting_tokens.0 > 0).count()
-    }
-
-    /// Tokens of the calls that wait for capacity at other hosts.
-    pub fn peer_waiting_tokens(&self) -> Tokens {
-        let peers = self.peers.iter();
-        peers.map(|peer| peer.load.waiting_tokens).sum()
-    }
-
     /// Load of this host at model engines. Plain servers have no tokens and are left out.
     pub fn own_loads(&self) -> Vec<ServerLoad> {
         let loads = self.servers.iter().map(|server| {
@@ -357,24 +282,6 @@
         loads.filter(|load| load.tokens.0 > 0).collect()
     }
 
-    pub(crate) fn expected_peers(&self) -> usize {
-        self.expected_peers
-    }
-
-    pub(crate) fn all_peers_known(&self) -> bool {
-        self.peers.len() >= self.expected_peers
-    }
-
-    /// Adds (`sign` 1) or subtracts (`sign` -1) the load of one host. The numbers are whole, so the
-    /// sums stay exact.
-    fn add_peer_load(&mut self, loads: &[ServerLoad], sign: f64) {
-        for load in loads {
-            let peers = &mut self.server_or_insert(&load.server).peers;
-            peers.requests += sign * f64::from(load.requests);
-            peers.tokens += sign * load.tokens.0 as f64;
-        }
-    }
-
     /// Number of this host's requests at a server.
     pub fn own_sends(&self, id: &BackendId) -> usize {
         self.find(id).map_or(0, |server| server.sends.len())
@@ -413,7 +320,7 @@
             .map_or(INITIAL_STREAM_MS, |s| s.stream_ms)
     }
 
-    fn server_or_insert(&mut self, id: &BackendId) -> &mut Server {
+    pub(crate) fn server_or_insert(&mut self, id: &BackendId) -> &mut Server {
         let at = match self.servers.binary_search_by(|s| s.id.cmp(id)) {
             Ok(at) => at,
             Err(at) => {
--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -9,12 +9,15 @@
 mod announced;
 mod call;
 mod fleet;
+mod fleet_peers;
 mod health;
+mod host_groups;
 mod model;
 mod peers;
 mod queue;
 mod server;
 pub mod update_intervals;
+mod update_plan;
 
 pub use announced::{
     AllResting, AnnouncedChange, Announcement, Announcements, Block, Instance, MAX_INSTANCES,
@@ -23,10 +26,12 @@
 pub use call::{CallRequest, Choice};
 pub use fleet::{Fleet, SendId, SendOutcome, Work};
 pub use health::{Fault, Health};
+pub use host_groups::{HostDigest, HostGroups, MAX_UNDIVIDED_ZONE, host_digest};
 pub use model::{ModelPlan, ModelRequest};
 pub use peers::{PeerLoad, ServerLoad};
 pub use queue::{Queue, QueuedCall, Ticket};
 pub use server::Report;
+pub use update_plan::{News, Receivers, Recipients, UpdatePlan};
 
 /// Why a request cannot be placed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/admit/src/model.rs
+++ b/crates/admit/src/model.rs
@@ -17,6 +17,9 @@
 /// Penalty of a KV cache transfer between zones, in ms: it takes twice as long and costs up to
 /// three times as much.
 const CROSS_ZONE_TRANSFER_MS: f64 = 40.0;
+/// Penalty of an engine that was dealt to another group of hosts, in ms: more than the random part and
+/// the slowdown by a full engine together, less than the wait for two usual prompts.
+const OTHER_GROUP_MS: f64 = 170.0;
 /// Range of the random part of a score, in ms, which spreads requests over equal engines.
 const BASE_JITTER_MS: f64 = 1.0;
 /// Increase of that range for each other host, in ms. All hosts would otherwise choose the same
@@ -119,10 +122,6 @@
 }
 
 impl Cost {
-    fn of(ms: f64) -> Self {
-        Cost { ms, penalty: 0.0 }
-    }
-
     fn plus(self, ms: f64) -> Self {
         Cost {
             ms: self.ms + ms,
@@ -336,7 +335,7 @@
 
     /// Range of the random part of a score, in ms.
     fn jitter_range_ms(&self) -> f64 {
-        let hosts = self.expected_peers() as f64 * JITTER_PER_HOST_MS;
+        let hosts = self.competing_peers() as f64 * JITTER_PER_HOST_MS;
         let waiting = self.waiting_peer_count() as f64 * JITTER_PER_WAITING_HOST_MS;
         (BASE_JITTER_MS + hosts + waiting).min(MAX_JITTER_MS)
     }
@@ -350,6 +349,15 @@
         CROSS_ZONE_MS + (interval.0 as f64 * STALENESS_WEIGHT).min(MAX_STALENESS_MS)
     }
 
+    /// Penalty of an engine of this zone that other hosts choose first and whose load this host does
+    /// not hear of.
+    fn group_penalty_ms(&self, entry: &Registration) -> f64 {
+        match self.is_of_other_group(&entry.id, &entry.zone) {
+            true => OTHER_GROUP_MS,
+            false => 0.0,
+        }
+    }
+
     fn direct_ms(&self, request: &ModelRequest<'_>) -> f64 {
         request.prompt.0 as f64 / self.prefill_tokens_per_ms(request.service) * DIRECT_SLOWDOWN
             + DIRECT_PENALTY_MS
@@ -365,8 +373,12 @@
     ) -> Option<Cost> {
         let rate = self.prefill_tokens_per_ms(request.service);
         let own = request.prompt.0 as f64 / rate + self.distance_ms(request, entry);
+        let group_penalty = self.group_penalty_ms(entry);
         let Some(server) = self.find(&entry.id) else {
-            return Some(Cost::of(own));
+            return Some(Cost {
+                ms: own,
+                penalty: group_penalty,
+            });
         };
         if server.is_unavailable(now) {
             return None;
@@ -376,7 +388,7 @@
         let elapsed = oldest.map_or(0.0, |at| (now - at).0 as f64);
         Some(Cost {
             ms: own + (ahead - elapsed).max(0.0),
-            penalty: penalty_ms(now, server, summary.baseline_error_share),
+            penalty: penalty_ms(now, server, summary.baseline_error_share) + group_penalty,
         })
     }
 
@@ -394,8 +406,12 @@
             _ => 0.0,
         };
         let own = self.distance_ms(request, entry) + transfer;
+        let group_penalty = self.group_penalty_ms(entry);
         let Some(server) = self.find(&entry.id) else {
-            return Some(Cost::of(own));
+            return Some(Cost {
+                ms: own,
+                penalty: group_penalty,
+            });
         };
         // While some engine is not avoided, waiting for capacity there is better than an avoided
         // engine.
@@ -419,7 +435,7 @@
         // Fuller engines produce fewer tokens a second and leave less capacity for a large request.
         Some(Cost {
             ms: own + load.requests * SLOWDOWN_PER_REQUEST_MS,
-            penalty: penalty_ms(now, server, summary.baseline_error_share),
+            penalty: penalty_ms(now, server, summary.baseline_error_share) + group_penalty,
         })
     }
 }
--- a/crates/admit/src/peers.rs
+++ b/crates/admit/src/peers.rs
@@ -2,6 +2,7 @@
 
 use bv_types::{BackendId, HostId, Millis, Tokens};
 
+use crate::host_groups::HostGroups;
 use crate::queue::{QueuedCall, rank};
 use crate::update_intervals;
 
@@ -70,17 +71,60 @@
         }
     }
 
+    /// Records that a host is alive, without its load. Returns the load that no longer counts, since
+    /// the host reports none to this one; none if `keeps_load`.
+    pub fn hear(&mut self, now: Millis, host: &HostId, keeps_load: bool) -> PeerLoad {
+        match self.0.binary_search_by(|p| p.host.cmp(host)) {
+            Ok(at) => {
+                let peer = &mut self.0[at];
+                peer.received_at = peer.received_at.max(now);
+                match keeps_load {
+                    true => PeerLoad::default(),
+                    false => std::mem::take(&mut peer.load),
+                }
+            }
+            Err(at) => {
+                let peer = Peer {
+                    host: host.clone(),
+                    message_seq: (0, 0),
+                    received_at: now,
+                    load: PeerLoad::default(),
+                };
+                self.0.insert(at, peer);
+                PeerLoad::default()
+            }
+        }
+    }
+
+    /// Removes and returns the load of hosts that report none to this one.
+    pub fn take_far_loads(&mut self, groups: &HostGroups) -> Vec<PeerLoad> {
+        let far = self.0.iter_mut().filter(|peer| !groups.is_near(&peer.host));
+        far.map(|peer| std::mem::take(&mut peer.load)).collect()
+    }
+
     /// Removes hosts whose messages have stopped, and returns their load.
-    pub fn expire(&mut self, now: Millis, hosts: usize) -> Vec<PeerLoad> {
-        let lifetime = update_intervals::load_lifetime(hosts);
-        let is_expired = |peer: &mut Peer| now >= peer.received_at + lifetime;
+    pub fn expire(
+        &mut self,
+        now: Millis,
+        hosts: usize,
+        groups: Option<&HostGroups>,
+    ) -> Vec<PeerLoad> {
+        let is_expired = |peer: &mut Peer| {
+            now >= peer.received_at + update_intervals::load_lifetime(hosts, groups, &peer.host)
+        };
         let expired = self.0.extract_if(.., is_expired);
         expired.map(|peer| peer.load).collect()
     }
 
     /// Number of hosts whose first waiting call goes before `own`.
-    pub fn calls_before(&self, now: Millis, hosts: usize, own: &QueuedCall) -> usize {
-        let lifetime = update_intervals::waiting_lifetime(hosts);
+    pub fn calls_before(
+        &self,
+        now: Millis,
+        hosts: usize,
+        groups: Option<&HostGroups>,
+        own: &QueuedCall,
+    ) -> usize {
+        let lifetime = update_intervals::waiting_lifetime(hosts, groups);
         let recent = self.0.iter().filter(|p| now < p.received_at + lifetime);
         let calls = recent.filter_map(|peer| peer.load.first_waiting);
         calls
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -5,6 +5,7 @@
 //! decide where they go, forwards them and follows the tables of the store or another host that does. The platform's names
 //! and formats are defined in `bv-platform` only.
 
+mod announce;
 mod announced;
 mod answer;
 mod answer_log;
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -15,7 +15,9 @@
 use tracing_subscriber::EnvFilter;
 
 use crate::edge::Edge;
-use crate::{counters, crash_rows, follow, listen, replies, roles, stop, subscribe, usage};
+use crate::{
+    announce, counters, crash_rows, follow, listen, replies, roles, stop, subscribe, usage,
+};
 
 /// Port of the metrics endpoint; must match `deploy/system.toml`.
 const METRICS_PORT: u16 = 9464;
@@ -137,7 +139,7 @@
     tokio::spawn(follow::query_peers(edge.clone()));
     tokio::spawn(roles::balance(edge.clone()));
     tokio::spawn(crash_rows::exchange(edge.clone()));
-    tokio::spawn(usage::send_updates(edge.clone(), datagrams.clone()));
+    tokio::spawn(announce::send_updates(edge.clone(), datagrams.clone()));
     tokio::spawn(usage::receive_updates(edge.clone(), datagrams));
     tokio::spawn(replies::listen(edge.clone(), peers));
     tokio::spawn(listen::readiness(edge.clone(), ready));
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -1,6 +1,6 @@
 //! State of the host that its decisions are based on.
 
-use bv_admit::{Announcements, Fleet, Queue};
+use bv_admit::{Announcements, Fleet, HostDigest, HostGroups, Queue};
 use bv_blame::{Block, CrashWatch};
 use bv_platform::{DecodeError, Row, Table, decode_config, decode_server};
 use bv_retry::HostBudgets;
@@ -105,6 +105,8 @@
     /// Model calls that wait for capacity.
     pub queue: Queue,
     pub hosts: Hosts,
+    /// Digests of hosts of other groups that are to be relayed to the own group.
+    pub heard: Vec<HostDigest>,
     pub known: KnownRows,
     /// Where the rows of the store come from.
     pub sources: SourceChoice,
@@ -135,6 +137,7 @@
             announced: Announcements::new(seed),
             queue: Queue::default(),
             hosts: Hosts::default(),
+            heard: Vec::new(),
             known: KnownRows::default(),
             sources: SourceChoice::new(bounds),
             store_clock: StoreClock::default(),
@@ -219,6 +222,7 @@
             info!(count = hosts.count(), "hosts: changed");
         }
         self.fleet.expect_peers(hosts.others().len());
+        self.fleet.set_groups(HostGroups::new(own, hosts.others()));
         self.sources.set_hosts(own, hosts.others());
         self.retry_budgets.set_hosts(now, hosts.count());
         self.hosts = hosts;
--- a/crates/edge/src/usage.rs
+++ b/crates/edge/src/usage.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use bv_admit::{PeerLoad, QueuedCall, ServerLoad, update_intervals};
+use bv_admit::{PeerLoad, QueuedCall, ServerLoad, host_digest};
 use bv_blame::Report;
 use bv_platform::Table;
 use bv_types::{BackendId, HostId, Millis, Tokens, Version};
@@ -21,64 +21,76 @@
     ContentSurvival, EngineCrash, decode_report, encode_crash, encode_survival,
 };
 use crate::edge::Edge;
+use crate::state::State;
 use crate::trials::{self, TrialMessage, TrialStep};
 
-/// Interval at which an unchanged update is sent again, since datagrams can be lost.
-const REFRESH_INTERVAL: Millis = Millis(500);
-/// Minimum time between two updates, with [`COALESCE_PER_HOST_US`] added for each host of this zone;
-/// changes within it are sent together.
-const COALESCE_TIME: Millis = Millis(8);
-/// Increase of that time for each host, in microseconds: what the hosts of a zone send and read grows
-/// with the square of their number.
-const COALESCE_PER_HOST_US: u64 = 400;
+/// Largest number of hosts of other groups that are relayed at once.
+const MAX_HEARD: usize = 128;
 /// Largest datagram; enough for some hundred engines.
 const MAX_DATAGRAM_BYTES: usize = 16 << 10;
 /// Pause after a failed read of the socket.
 const ERROR_PAUSE: Millis = Millis(50);
 
 #[derive(Clone, PartialEq, Message)]
-struct UsageUpdate {
+pub(crate) struct UsageUpdate {
     #[prost(string, tag = "1")]
-    host: String,
+    pub host: String,
     /// Start of the sender's process, in ms since the Unix epoch.
     #[prost(uint64, tag = "2")]
-    incarnation: u64,
+    pub incarnation: u64,
     #[prost(uint64, tag = "3")]
-    sequence: u64,
+    pub sequence: u64,
     #[prost(message, repeated, tag = "4")]
-    uses: Vec<EngineUse>,
+    pub uses: Vec<EngineUse>,
     #[prost(uint64, tag = "5")]
-    waiting_tokens: u64,
+    pub waiting_tokens: u64,
     /// Engines that change their role on an order of the sender.
     #[prost(string, repeated, tag = "6")]
-    changing: Vec<String>,
+    pub changing: Vec<String>,
     /// Version of the newest configuration change that the sender knows.
     #[prost(uint64, tag = "7")]
-    config_changed: u64,
+    pub config_changed: u64,
     /// Version of the newest server change that the sender knows.
     #[prost(uint64, tag = "8")]
-    servers_changed: u64,
+    pub servers_changed: u64,
     #[prost(message, optional, tag = "9")]
-    head: Option<QueueHead>,
+    pub head: Option<QueueHead>,
     /// Time since the store confirmed the sender's rows, in ms; absent if the sender does not read
     /// the store for others, or is not answered.
     #[prost(uint64, optional, tag = "10")]
-    store_age_ms: Option<u64>,
+    pub store_age_ms: Option<u64>,
     /// Servers that refused the sender's latest request.
     #[prost(string, repeated, tag = "11")]
-    refusing: Vec<String>,
+    pub refusing: Vec<String>,
     #[prost(message, repeated, tag = "12")]
-    crashes: Vec<EngineCrash>,
+    pub crashes: Vec<EngineCrash>,
     #[prost(message, repeated, tag = "13")]
-    survivals: Vec<ContentSurvival>,
+    pub survivals: Vec<ContentSurvival>,
     /// Present in a datagram that carries no usage.
     #[prost(message, optional, tag = "14")]
-    trial: Option<TrialMessage>,
+    pub trial: Option<TrialMessage>,
+    /// Present where hosts are divided into groups.
+    #[prost(message, optional, tag = "17")]
+    pub presence: Option<Presence>,
+}
+
+/// What hosts in groups tell each other besides their load.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct Presence {
+    /// Whether the datagram says nothing about the sender's load.
+    #[prost(bool, tag = "1")]
+    pub has_no_load: bool,
+    /// Whether the receiver relays to its group that the sender is alive.
+    #[prost(bool, tag = "2")]
+    pub is_relayed: bool,
+    /// Digests of hosts of other groups that the sender heard lately.
+    #[prost(fixed32, repeated, tag = "3")]
+    pub heard: Vec<u32>,
 }
 
 /// The first call in the sender's queue. Times are sent as durations, since clocks differ.
 #[derive(Clone, PartialEq, Message)]
-struct QueueHead {
+pub(crate) struct QueueHead {
     #[prost(uint32, tag = "1")]
     priority: u32,
     /// Time since the arrival of the call, in ms.
@@ -92,7 +104,7 @@
 }
 
 #[derive(Clone, PartialEq, Message)]
-struct EngineUse {
+pub(crate) struct EngineUse {
     #[prost(string, tag = "1")]
     server: String,
     #[prost(uint32, tag = "2")]
@@ -101,98 +113,7 @@
     tokens: u64,
 }
 
-/// What was sent last to a group of hosts.
-#[derive(Debug, Default)]
-struct LastSent {
-    load: PeerLoad,
-    reads_store: bool,
-    /// News of crashes that other hosts wait for.
-    crash_news: u64,
-    at: Millis,
-}
-
-impl LastSent {
-    /// Whether the group is to be told the current load. `interval` is the minimum time between two
-    /// updates; whether a call waits is told sooner, since other hosts leave capacity to it, and so
-    /// is whether this host reads the store and that an engine has crashed.
-    fn is_due(
-        &self,
-        now: Millis,
-        load: &PeerLoad,
-        (reads_store, crash_news): (bool, u64),
-        interval: Millis,
-    ) -> bool {
-        let is_waiting_changed = load.first_waiting.is_some() != self.load.first_waiting.is_some();
-        is_waiting_changed
-            || reads_store != self.reads_store
-            || crash_news != self.crash_news
-            || (*load != self.load && now >= self.at + interval)
-            || now >= self.at + interval.max(REFRESH_INTERVAL)
-    }
-}
-
-/// Sends this host's usage to the other hosts.
-pub(crate) async fn send_updates(edge: Arc<Edge>, socket: Arc<UdpSocket>) {
-    let incarnation = edge.now().0;
-    let mut sequence = 0;
-    let mut last_near = LastSent::default();
-    let mut last_remote = LastSent::default();
-    let mut blocks_due = Millis::ZERO;
-    loop {
-        let change = edge.own_load_changed.notified();
-        // Without a change the update is sent again all the same, in case a datagram was lost.
-        let _ = tokio::time::timeout(REFRESH_INTERVAL.duration(), change).await;
-        let (near, remote) = edge.state().hosts.addresses_by_zone(&edge.settings.zone);
-        let pause = COALESCE_TIME + Millis(near.len() as u64 * COALESCE_PER_HOST_US / 1_000);
-        tokio::time::sleep(pause.duration()).await;
-        let now = edge.now();
-        edge.end_rests(now);
-        edge.update_blocks(now);
-        let load = own_load(&edge, now);
-        let store_age = edge.state().sources.own_report(now);
-        let reads_store = store_age.is_some();
-        let crash_news = edge.state().crashes.urgent_news();
-        let remote_interval = update_intervals::remote_interval(near.len() + remote.len() + 1);
-        let mut receivers = Vec::new();
-        if last_near.is_due(now, &load, (reads_store, crash_news), Millis::ZERO) {
-            receivers.extend(near);
-            last_near = LastSent {
-                load: load.clone(),
-                reads_store,
-                crash_news,
-                at: now,
-            };
-        }
-        if last_remote.is_due(now, &load, (reads_store, crash_news), remote_interval) {
-            receivers.extend(remote);
-            last_remote = LastSent {
-                load: load.clone(),
-                reads_store,
-                crash_news,
-                at: now,
-            };
-        }
-        if !receivers.is_empty() {
-            sequence += 1;
-            let report = edge.state().crashes.report(now);
-            let update = encode_update(&edge, now, (incarnation, sequence), &load, store_age);
-            send_to(&socket, &with_report(update, &report), &receivers);
-        }
-        // A host that was cut off or has started again missed the reports of the crashes.
-        if now >= blocks_due {
-            blocks_due = now + REFRESH_INTERVAL;
-            let report = edge.state().crashes.report_blocks(now);
-            let peer = edge.state().hosts.peer(fastrand::usize(..));
-            if let Some(peer) = peer.filter(|_| !report.is_empty()) {
-                sequence += 1;
-                let update = encode_update(&edge, now, (incarnation, sequence), &load, store_age);
-                send_to(&socket, &with_report(update, &report), &[peer]);
-            }
-        }
-    }
-}
-
-fn send_to(socket: &UdpSocket, update: &UsageUpdate, receivers: &[SocketAddr]) {
+pub(crate) fn send_to(socket: &UdpSocket, update: &UsageUpdate, receivers: &[SocketAddr]) {
     let datagram = update.encode_to_vec();
     let kind = control_kind(update);
     for peer in receivers {
@@ -234,20 +155,7 @@
     send_to(socket, &with_report(update, &report), &[to]);
 }
 
-/// Load that this host reports to the others.
-fn own_load(edge: &Edge, now: Millis) -> PeerLoad {
-    let mut state = edge.state();
-    state.fleet.expire_peers(now);
-    PeerLoad {
-        loads: state.fleet.own_loads(),
-        waiting_tokens: state.queue.tokens(),
-        first_waiting: state.queue.first(now),
-        engines_changing_role: state.fleet.engines_changing_role(now),
-        refusing: state.fleet.refusing(now),
-    }
-}
-
-fn encode_update(
+pub(crate) fn encode_update(
     edge: &Edge,
     now: Millis,
     (incarnation, sequence): (u64, u64),
@@ -281,7 +189,7 @@
     }
 }
 
-fn with_report(update: UsageUpdate, report: &Report) -> UsageUpdate {
+pub(crate) fn with_report(update: UsageUpdate, report: &Report) -> UsageUpdate {
     UsageUpdate {
         crashes: report.crashes.iter().map(encode_crash).collect(),
         survivals: report.survivals.iter().map(encode_survival).collect(),
@@ -334,6 +242,28 @@
     }
 }
 
+/// Records which hosts are alive according to a datagram of a host.
+fn receive_presence(state: &mut State, now: Millis, host: &HostId, presence: Option<&Presence>) {
+    let (Some(presence), Some(groups)) = (presence, state.fleet.groups().cloned()) else {
+        if presence.is_some() {
+            state.fleet.hear(now, host);
+        }
+        return;
+    };
+    if presence.has_no_load {
+        state.fleet.hear(now, host);
+    }
+    if presence.is_relayed && state.heard.len() < MAX_HEARD {
+        state.heard.push(host_digest(host));
+    }
+    for digest in &presence.heard {
+        let heard = groups.host(*digest).filter(|host| !groups.is_near(host));
+        if let Some(host) = heard {
+            state.fleet.hear(now, host);
+        }
+    }
+}
+
 fn apply_update(
     edge: &Edge,
     peer: SocketAddr,
@@ -370,7 +300,16 @@
     };
     let message_seq = (update.incarnation, update.sequence);
     let mut state = edge.state();
-    state.fleet.update_peer(now, host, message_seq, peer_load);
+    receive_presence(&mut state, now, &host, update.presence.as_ref());
+    match update.presence {
+        Some(Presence {
+            has_no_load: true, ..
+        }) => {
+            let changing = &peer_load.engines_changing_role;
+            state.fleet.record_peer_role_changes(now, changing);
+        }
+        _ => state.fleet.update_peer(now, host, message_seq, peer_load),
+    }
     state.crashes.receive(now, &report);
     let known = &mut state.known;
     known.record_reported(
