--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -5,6 +5,7 @@
 //! decide where they go, forwards them and follows the tables of the store or another host that does. The platform's names
 //! and formats are defined in `bv-platform` only.
 
+mod announce;
 mod announced;
 mod answer;
 mod answer_log;
@@ -27,12 +28,14 @@
 mod peers;
 mod plain;
 mod relay;
+mod replies;
 mod request;
 mod retries;
 mod roles;
 mod run;
 mod send;
 mod serve;
+mod shared_replies;
 mod silence;
 mod state;
 mod stop;
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -1,6 +1,6 @@
 //! State of the host that its decisions are based on.
 
-use bv_admit::{Announcements, Fleet, Queue};
+use bv_admit::{Announcements, Fleet, HostDigest, HostGroups, Queue};
 use bv_blame::{Block, CrashWatch};
 use bv_platform::{DecodeError, Row, Table, decode_config, decode_server};
 use bv_retry::HostBudgets;
@@ -25,6 +25,8 @@
     pub config: TableCopy,
     /// Backend servers.
     pub servers: TableCopy,
+    /// Changes with the rows of the servers.
+    pub servers_revision: u64,
     /// Newest versions that other hosts reported, of the configuration and of the servers.
     reported_versions: (Version, Version),
 }
@@ -103,6 +105,8 @@
     /// Model calls that wait for capacity.
     pub queue: Queue,
     pub hosts: Hosts,
+    /// Digests of hosts of other groups that are to be relayed to the own group.
+    pub heard: Vec<HostDigest>,
     pub known: KnownRows,
     /// Where the rows of the store come from.
     pub sources: SourceChoice,
@@ -133,6 +137,7 @@
             announced: Announcements::new(seed),
             queue: Queue::default(),
             hosts: Hosts::default(),
+            heard: Vec::new(),
             known: KnownRows::default(),
             sources: SourceChoice::new(bounds),
             store_clock: StoreClock::default(),
@@ -217,6 +222,7 @@
             info!(count = hosts.count(), "hosts: changed");
         }
         self.fleet.expect_peers(hosts.others().len());
+        self.fleet.set_groups(HostGroups::new(own, hosts.others()));
         self.sources.set_hosts(own, hosts.others());
         self.retry_budgets.set_hosts(now, hosts.count());
         self.hosts = hosts;
@@ -266,6 +272,7 @@
     ) -> Result<Taken, Rejected> {
         let is_first = self.known.servers.position().is_none();
         let rows = self.known.servers.take(answer)?;
+        self.known.servers_revision += u64::from(!rows.is_empty());
         if ends_outage {
             self.roster.store_recovered(now);
         }
