limit: quotas by cost that an owner lends to hosts, on the bucket of the request limits

Cause: the limits of teams count requests, at hosts that always reach the owner; teams of the platform have quotas in tokens, and hosts may be cut off, frozen or restarted all at once. Change: Lender (bucket and demand of the hosts) serves OwnedTeams as before and OwnedQuotas; HostQuotas lets requests wait for the owner's reply and spends the host's own part without one. Neither does I/O. Measured: cargo test -p bv-limit: 5 tests and the doc test pass; OwnedTeams keeps its tests unchanged.

--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -24,12 +24,19 @@
 //! ```
 
 mod allowances;
+mod bucket;
+mod lender;
 mod owner;
+mod quota_host;
+mod quota_owner;
 
 use bv_types::{Millis, RatePerSec, Tokens};
 
 pub use allowances::{Admission, HostAllowances};
+pub use bucket::Quota;
 pub use owner::OwnedTeams;
+pub use quota_host::{GRANT_TIME, HostQuotas, QuotaState, Ticket};
+pub use quota_owner::{HostView, OwnedQuotas, QuotaAsk, QuotaGrant};
 
 /// Time within which the requests of an allowance must start; requests left after it are void.
 /// Tokens of an allowance stay granted until they are given back.
--- a/crates/limit/src/owner.rs
+++ b/crates/limit/src/owner.rs
@@ -2,70 +2,18 @@
 
 use bv_types::{HostId, Incarnation, Millis, RatePerSec, TeamId, Tokens};
 
+use crate::bucket::Quota;
+use crate::lender::{Lender, Want};
 use crate::{ALLOWANCE_TIME, Allowance, AllowanceRequest, Limits};
 
 /// Entry host process that requests an allowance.
 type Requester<'a> = (&'a HostId, Incarnation);
 
-/// Token bucket of the request rate of a team.
-#[derive(Debug, Clone)]
-struct Bucket {
-    level: f64,
-    refilled_at: Millis,
-}
-
-impl Bucket {
-    fn full(rate: RatePerSec, now: Millis) -> Self {
-        Bucket {
-            level: bucket_capacity(rate),
-            refilled_at: now,
-        }
-    }
-
-    fn refill(&mut self, rate: RatePerSec, now: Millis) {
-        let added = rate.get() * (now - self.refilled_at).0 as f64 / 1000.0;
-        self.level = (self.level + added).min(bucket_capacity(rate));
-        self.refilled_at = self.refilled_at.max(now);
-    }
-}
-
-/// Requests of one second, but at least one, so that rates below 1 per second admit any requests.
-fn bucket_capacity(rate: RatePerSec) -> f64 {
-    (rate.get() * ALLOWANCE_TIME.0 as f64 / 1000.0).max(1.0)
-}
-
-/// Time for which unmet demand of a host takes precedence over hosts that were granted more.
-const UNMET_DEMAND_TIME: Millis = Millis(300);
-/// Half-life of the count of requests that a host was granted.
-const GRANTED_HALF_LIFE_MS: f64 = 1_000.0;
-/// Time after which the demand of a host that requests no allowance is removed.
-const DEMAND_EXPIRY: Millis = Millis(5_000);
-
-/// Recent demand of one host.
-#[derive(Debug, Clone)]
-struct Demand {
-    host: HostId,
-    /// Part of the host's latest [`AllowanceRequest`] that was not granted, in requests.
-    unmet: u64,
-    /// Granted requests, decayed until `updated_at`.
-    granted: f64,
-    updated_at: Millis,
-}
-
-impl Demand {
-    fn granted_at(&self, now: Millis) -> f64 {
-        let age = (now - self.updated_at).0 as f64;
-        self.granted * (-age / GRANTED_HALF_LIFE_MS).exp2()
-    }
-
-    /// Number of requests to leave in the bucket for this host while another host, which was
-    /// recently granted `other_granted` requests, takes from it.
-    fn reserved(&self, now: Millis, other_granted: f64) -> f64 {
-        if now >= self.updated_at + UNMET_DEMAND_TIME {
-            return 0.0;
-        }
-        let deficit = (other_granted - self.granted_at(now)).max(0.0);
-        deficit.min(self.unmet as f64)
+/// Requests of one second may start at once.
+fn request_quota(rate: RatePerSec) -> Quota {
+    Quota {
+        rate,
+        burst: rate.get() * ALLOWANCE_TIME.0 as f64 / 1000.0,
     }
 }
 
@@ -80,8 +28,7 @@
 #[derive(Debug, Clone)]
 struct Team {
     id: TeamId,
-    bucket: Option<Bucket>,
-    demands: Vec<Demand>,
+    requests: Option<Lender>,
     token_grants: Vec<TokenGrant>,
     last_used: Millis,
 }
@@ -127,7 +74,9 @@
         for team in &mut self.teams {
             team.token_grants
                 .retain(|grant| !grant.is_to((host, incarnation)));
-            team.demands.retain(|demand| demand.host != *host);
+            if let Some(requests) = &mut team.requests {
+                requests.forget(host);
+            }
         }
     }
 
@@ -159,8 +108,7 @@
             Err(index) => {
                 let team = Team {
                     id: id.clone(),
-                    bucket: None,
-                    demands: Vec::new(),
+                    requests: None,
                     token_grants: Vec::new(),
                     last_used: now,
                 };
@@ -183,46 +131,17 @@
         let Some(rate) = limits.requests else {
             return wanted;
         };
-        let previously_granted = self.granted(now, host);
-        let reserved: f64 = self
-            .demands
-            .iter()
-            .filter(|demand| demand.host != *host)
-            .map(|demand| demand.reserved(now, previously_granted))
-            .sum();
-        let bucket = self.bucket.get_or_insert_with(|| Bucket::full(rate, now));
-        bucket.refill(rate, now);
-        let granted = (wanted as f64)
-            .min(bucket.level - reserved)
-            .floor()
-            .max(0.0);
-        bucket.level -= granted;
-        self.record_demand(
-            now,
-            host,
-            wanted - granted as u64,
-            previously_granted + granted,
-        );
-        granted as u64
-    }
-
-    /// Requests that a host was granted, decayed until now.
-    fn granted(&self, now: Millis, host: &HostId) -> f64 {
-        self.demands
-            .iter()
-            .find(|demand| demand.host == *host)
-            .map_or(0.0, |demand| demand.granted_at(now))
-    }
-
-    fn record_demand(&mut self, now: Millis, host: &HostId, unmet: u64, granted: f64) {
-        self.demands
-            .retain(|demand| demand.host != *host && now < demand.updated_at + DEMAND_EXPIRY);
-        self.demands.push(Demand {
-            host: host.clone(),
-            unmet,
-            granted,
-            updated_at: now,
-        });
+        let quota = request_quota(rate);
+        let lender = self
+            .requests
+            .get_or_insert_with(|| Lender::new(quota.capacity(), now));
+        lender.refill(now, quota, 1.0);
+        let want = Want {
+            least: wanted.min(1),
+            waiting: wanted,
+            ahead: 0,
+        };
+        lender.take(now, quota.capacity(), host, want)
     }
 
     fn take_tokens(&mut self, limits: Limits, requester: Requester<'_>, wanted: Tokens) -> Tokens {
