edge, platform: quotas of teams over all hosts, in field 15 of usage updates

Cause: a team with a quota could spend without limit. Change: Edge::admit_quota is called after the body was read; a request without an allowance asks the owner of the team, waits at most 150 ms (500 ms while no other host is heard) and gets 429 with the time at which the quota is likely to have room. A request that was admitted and not run gives its cost back.

--- a/crates/edge/src/counters.rs
+++ b/crates/edge/src/counters.rs
@@ -35,6 +35,10 @@
 const BLOCKED_CONTENTS: &str = "burdockvale_blocked_contents";
 const BAD_HEADERS: &str = "burdockvale_unreadable_headers_total";
 const KEYS_CHECKED: &str = "burdockvale_keys_checked_total";
+const QUOTAS: &str = "burdockvale_quota_requests_total";
+const QUOTA_MESSAGES: &str = "burdockvale_quota_messages_total";
+const QUOTA_BYTES: &str = "burdockvale_quota_bytes_total";
+const QUOTA_TEAMS: &str = "burdockvale_quota_teams";
 const LOGS_DROPPED: &str = "burdockvale_log_lines_dropped_total";
 
 /// Upper bounds of the latency histogram, in seconds.
@@ -107,9 +111,33 @@
     describe_counter!(BAD_HEADERS, "Headers of answers that cannot be read.");
     describe_counter!(LOGS_DROPPED, "Log lines left out to bound their rate.");
     describe_counter!(KEYS_CHECKED, "Requests whose key was checked, by result.");
+    describe_counter!(QUOTAS, "Requests of teams with a quota, by result.");
+    describe_counter!(QUOTA_MESSAGES, "Messages about quotas, by direction.");
+    describe_counter!(QUOTA_BYTES, "Bytes of messages about quotas, by direction.");
+    describe_gauge!(
+        QUOTA_TEAMS,
+        "Teams whose quota this host lends, or spends, by role."
+    );
     Ok(handle)
 }
 
+/// Counts a request of a team with a quota.
+pub(crate) fn quota_request(result: &'static str) {
+    counter!(QUOTAS, "result" => result).increment(1);
+}
+
+/// Counts a message about a quota and its bytes.
+pub(crate) fn quota_message(direction: &'static str, bytes: usize) {
+    counter!(QUOTA_MESSAGES, "direction" => direction).increment(1);
+    counter!(QUOTA_BYTES, "direction" => direction).increment(bytes as u64);
+}
+
+/// Sets the number of teams whose quota this host lends, and of those whose quota it spends.
+pub(crate) fn quota_teams(lent: usize, spent: usize) {
+    gauge!(QUOTA_TEAMS, "role" => "owner").set(lent as f64);
+    gauge!(QUOTA_TEAMS, "role" => "host").set(spent as f64);
+}
+
 pub(crate) fn answered(status: StatusCode, took: Millis) {
     counter!(ANSWERED, "status" => status.as_u16().to_string()).increment(1);
     histogram!(LATENCY).record(took.0 as f64 / 1_000.0);
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -15,6 +15,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::logs::LogBudget;
+use crate::quota::Quotas;
 use crate::send::ConnectionPool;
 use crate::state::State;
 
@@ -55,6 +56,8 @@
     reads_store: watch::Sender<bool>,
     /// Notified when what is known of crashes or trials changes.
     pub trials_changed: Notify,
+    /// Quotas of the teams.
+    pub quotas: Quotas,
     /// Socket for datagrams to other hosts, once it is open.
     pub datagrams: OnceLock<Arc<UdpSocket>>,
     /// Notified when the load that this host reports to the others changes.
@@ -84,12 +87,13 @@
             logs: LogBudget::new(clock.now()),
             started_at: clock.now(),
             settings,
-            clock,
             store,
             state,
             pool: ConnectionPool::default(),
             capacity_changed: Notify::new(),
             trials_changed: Notify::new(),
+            quotas: Quotas::new(clock.now(), fastrand::u64(..)),
+            clock,
             datagrams: OnceLock::new(),
             own_load_changed: Notify::new(),
             queue_changed: Notify::new(),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -26,6 +26,8 @@
 mod owner;
 mod peers;
 mod plain;
+mod quota;
+mod quota_messages;
 mod relay;
 mod request;
 mod retries;
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -339,7 +339,11 @@
     edge.state()
         .retry_budgets
         .request(req.arrived, &req.service, limits);
-    let admitted = admit(edge, &req).await;
+    let quota = edge.admit_quota(&req).await;
+    let admitted = match &quota {
+        Ok(_) => admit(edge, &req).await,
+        Err(failure) => Err(*failure),
+    };
     let result = match req.route.kind.is_stream() {
         _ if let Err(failure) = admitted => Err(failure),
         true => stream(edge, ModelCall::new(edge, req.clone()), count_guard).await,
@@ -356,6 +360,9 @@
             response
         }
         Err(failure) => {
+            if let (Ok(quota), Failure::NotRun { .. }) = (quota, failure) {
+                quota.give_back();
+            }
             counters::refused(failure.code());
             edge.logs.failed(now, &req, failure);
             failure.response()
--- a/crates/edge/src/usage.rs
+++ b/crates/edge/src/usage.rs
@@ -16,10 +16,12 @@
 use tokio::net::UdpSocket;
 use tracing::debug;
 
+use crate::counters;
 use crate::crash_reports::{
     ContentSurvival, EngineCrash, decode_report, encode_crash, encode_survival,
 };
 use crate::edge::Edge;
+use crate::quota_messages::{self, QuotaMessage};
 use crate::trials::{self, TrialMessage, TrialStep};
 
 /// Interval at which an unchanged update is sent again, since datagrams can be lost.
@@ -73,6 +75,9 @@
     /// Present in a datagram that carries no usage.
     #[prost(message, optional, tag = "14")]
     trial: Option<TrialMessage>,
+    /// Present in a datagram that carries no usage.
+    #[prost(message, optional, tag = "15")]
+    quota: Option<QuotaMessage>,
 }
 
 /// The first call in the sender's queue. Times are sent as durations, since clocks differ.
@@ -224,6 +229,20 @@
     send_to(socket, &with_report(update, &report), &[to]);
 }
 
+/// Sends a message about a quota to one host.
+pub(crate) fn send_quota(edge: &Edge, to: SocketAddr, message: QuotaMessage) {
+    let Some(socket) = edge.datagrams.get() else {
+        return;
+    };
+    let update = UsageUpdate {
+        host: edge.settings.host.to_string(),
+        quota: Some(message),
+        ..UsageUpdate::default()
+    };
+    counters::quota_message("sent", update.encoded_len());
+    send_to(socket, &update, &[to]);
+}
+
 /// Load that this host reports to the others.
 fn own_load(edge: &Edge, now: Millis) -> PeerLoad {
     let mut state = edge.state();
@@ -338,6 +357,10 @@
         edge.trials_changed.notify_waiters();
         return Ok(());
     }
+    if let Some(message) = &update.quota {
+        quota_messages::receive(edge, peer, &host, message);
+        return Ok(());
+    }
     let mut loads = Vec::with_capacity(update.uses.len());
     for engine_use in update.uses {
         loads.push(ServerLoad {
