--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -27,6 +27,8 @@
 mod owner;
 mod peers;
 mod plain;
+mod quota;
+mod quota_messages;
 mod relay;
 mod replies;
 mod request;
--- a/crates/edge/src/usage.rs
+++ b/crates/edge/src/usage.rs
@@ -21,6 +21,7 @@
     ContentSurvival, EngineCrash, decode_report, encode_crash, encode_survival,
 };
 use crate::edge::Edge;
+use crate::quota_messages::{self, QuotaMessage};
 use crate::state::State;
 use crate::trials::{self, TrialMessage, TrialStep};
 
@@ -70,6 +71,9 @@
     /// Present in a datagram that carries no usage.
     #[prost(message, optional, tag = "14")]
     pub trial: Option<TrialMessage>,
+    /// Present in a datagram that carries no usage.
+    #[prost(message, optional, tag = "15")]
+    pub quota: Option<QuotaMessage>,
     /// Present where hosts are divided into groups.
     #[prost(message, optional, tag = "17")]
     pub presence: Option<Presence>,
@@ -167,6 +171,20 @@
     send_to(socket, &with_report(update, &report), &[to]);
 }
 
+/// Sends a message about a quota to one host.
+pub(crate) fn send_quota(edge: &Edge, to: SocketAddr, message: QuotaMessage) {
+    let Some(socket) = edge.datagrams.get() else {
+        return;
+    };
+    let update = UsageUpdate {
+        host: edge.settings.host.to_string(),
+        quota: Some(message),
+        ..UsageUpdate::default()
+    };
+    counters::quota_message("sent", update.encoded_len());
+    send_to(socket, &update, &[to]);
+}
+
 pub(crate) fn encode_update(
     edge: &Edge,
     now: Millis,
@@ -326,6 +344,10 @@
         edge.trials_changed.notify_waiters();
         return Ok(());
     }
+    if let Some(message) = &update.quota {
+        quota_messages::receive(edge, peer, &host, message);
+        return Ok(());
+    }
     let mut loads = Vec::with_capacity(update.uses.len());
     for engine_use in update.uses {
         loads.push(ServerLoad {
