platform, admit: the pace that a server reports counts in the estimate of its time

Servers may send a fourth figure in X-Burdockvale-Server-Load: how long work takes there now, in percent of the usual time. It was ignored, so a call went to a server that had just reported to be slow. It is read now, and multiplies the usual time of a call, bounded to 0.5 to 2.5 and fading within 300 ms, since it changes many times a second. Placement is unchanged where no server sends it.

--- a/crates/admit/src/call.rs
+++ b/crates/admit/src/call.rs
@@ -59,11 +59,12 @@
         let call_ms = self.call_ms(request.service);
         let mut best: Option<(f64, f64, &Registration)> = None;
         for entry in entries {
+            let server = self.find(&entry.id);
+            let call_ms = call_ms * server.map_or(1.0, |s| s.pace_factor(now));
             let mut predicted = call_ms;
             if entry.zone != *request.zone {
                 predicted += CROSS_ZONE_MS;
             }
-            let server = self.find(&entry.id);
             let in_progress = server.map_or(0.0, |s| s.load(now, false).requests);
             predicted += waiting_ms(in_progress, entry.slots, call_ms);
             let score = predicted
--- a/crates/admit/src/server.rs
+++ b/crates/admit/src/server.rs
@@ -18,13 +18,22 @@
 /// Tokens assumed for a request of another host that is known only from a report.
 const USUAL_REQUEST_TOKENS: f64 = 4_200.0;
 
+/// Time over which the weight of a reported pace falls to zero. It changes many times a second, since
+/// servers share their machines with others.
+const PACE_FADE_TIME: Millis = Millis(300);
+/// Bounds of the factor that a reported pace puts on the time of a call, so that a false one costs
+/// little. The noise of shared machines is up to 2.5 times.
+const PACE_BOUNDS: (f64, f64) = (0.5, 2.5);
+
 /// Load that a server reported.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Report {
     /// Requests that it ran.
     pub running: u32,
     /// Requests that waited there.
     pub waiting: u32,
+    /// How long work took there, in percent of the usual time; none if the server does not report it.
+    pub pace: Option<u32>,
 }
 
 /// Requests and tokens in progress.
@@ -54,6 +63,8 @@
     /// Requests of other hosts at the time of the latest report.
     reported_peer_requests: f64,
     reported_at: Millis,
+    /// The latest reported pace and its time.
+    pace: Option<(u32, Millis)>,
     full_until: Millis,
     /// Requests refused in a row.
     consecutive_refusals: u32,
@@ -76,6 +87,7 @@
             peers: Load::default(),
             reported_peer_requests: 0.0,
             reported_at: Millis::ZERO,
+            pace: None,
             full_until: Millis::ZERO,
             consecutive_refusals: 0,
             refused_send: None,
@@ -90,6 +102,18 @@
         let total = f64::from(report.running) + f64::from(report.waiting);
         self.reported_peer_requests = (total - self.sends.len() as f64).max(0.0);
         self.reported_at = now;
+        self.pace = report.pace.map(|pace| (pace, now));
+    }
+
+    /// Factor on the usual time of a call, by the pace that the server reported; 1 if it reports none.
+    pub fn pace_factor(&self, now: Millis) -> f64 {
+        let Some((pace, reported_at)) = self.pace else {
+            return 1.0;
+        };
+        let age = (now - reported_at).0 as f64 / PACE_FADE_TIME.0 as f64;
+        let (least, most) = PACE_BOUNDS;
+        let factor = (f64::from(pace) / 100.0).clamp(least, most);
+        1.0 + (factor - 1.0) * (1.0 - age).max(0.0)
     }
 
     /// Records that the server refused a reservation.
--- a/crates/admit/tests/call_choice.rs
+++ b/crates/admit/tests/call_choice.rs
@@ -54,6 +54,7 @@
     let report = Report {
         running: 6,
         waiting: 14,
+        pace: None,
     };
     fleet.record_report(Millis(0), &id("a"), report);
     assert_ne!(choose(&mut fleet, 0, &[]).as_deref(), Ok("a"));
@@ -157,3 +158,26 @@
     assert_ne!(choose(&mut fleet, 1_000, &[]).as_deref(), Ok("a"));
     assert_eq!(choose(&mut fleet, 1_300, &[]).as_deref(), Ok("a"));
 }
+
+/// Guards against calls to a server that has just reported that work takes twice as long there, and
+/// against an old report that still keeps calls away.
+#[test]
+fn slow_pace_counts_while_it_is_new() {
+    let mut fleet = Fleet::new(1);
+    let report = |pace| Report {
+        running: 1,
+        waiting: 0,
+        pace: Some(pace),
+    };
+    fleet.record_report(Millis(0), &id("a"), report(240));
+    assert_ne!(choose(&mut fleet, 0, &[]).as_deref(), Ok("a"));
+    assert_eq!(choose(&mut fleet, 300, &[]).as_deref(), Ok("a"));
+    // A pace that cannot be true counts as the slowest that is believed.
+    fleet.record_report(Millis(400), &id("a"), report(u32::MAX));
+    for server in ["b", "c"] {
+        fleet.begin(Millis(400), &id(server), CALL);
+        let full = (0..12).map(|_| fleet.begin(Millis(400), &id(server), CALL));
+        assert_eq!(full.count(), 12);
+    }
+    assert_eq!(choose(&mut fleet, 400, &[]).as_deref(), Ok("a"));
+}
--- a/crates/admit/tests/decode_capacity.rs
+++ b/crates/admit/tests/decode_capacity.rs
@@ -155,6 +155,7 @@
     let report = Report {
         running: 12,
         waiting: 0,
+        pace: None,
     };
     fleet.record_report(Millis(0), &id("d1"), report);
     assert_eq!(names(&plan(&mut fleet, 10, &engines()).unwrap()).1, "d2");
--- a/crates/admit/tests/odd_numbers.rs
+++ b/crates/admit/tests/odd_numbers.rs
@@ -14,6 +14,7 @@
     let report = Report {
         running: u32::MAX,
         waiting: u32::MAX,
+        pace: Some(u32::MAX),
     };
     fleet.record_report(Millis(0), &id("a"), report);
     let (service, zone) = (service(), zone("north"));
--- a/crates/edge/src/send.rs
+++ b/crates/edge/src/send.rs
@@ -180,6 +180,7 @@
         let report = Report {
             running: load.running,
             waiting: load.waiting,
+            pace: load.pace,
         };
         edge.state()
             .fleet
