dispatch: slots of plain servers are granted in one order over all hosts

The new crate holds the decisions without I/O: Waiting (one order, with equal shares between teams of one priority), Pace (adaptive limit of the calls in progress at one server), Dispatcher (ask, grant, renew, end, expire) and Asking (when a host asks, and when it places a call by itself). Nothing uses it yet.

--- /dev/null
+++ b/crates/dispatch/src/asking.rs
@@ -0,0 +1,80 @@
+//! When the host of a call asks the dispatcher, and when it places the call by itself.
+
+use bv_types::Millis;
+
+/// Time without a reply after which an ask is repeated, since datagrams can be lost.
+const REPEAT_INTERVAL: Millis = Millis(30);
+/// Time without a reply after which the host places the call by itself.
+pub const REPLY_TIMEOUT: Millis = Millis(60);
+/// Time between a reply and the next ask for a call that waits. Replies are at most 100 ms apart.
+pub const RENEW_INTERVAL: Millis = Millis(70);
+/// Time for which a host asks no dispatcher that did not reply.
+pub const SILENCE: Millis = Millis(1_000);
+
+/// What the host does next for a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AskStep {
+    /// Asks the dispatcher.
+    Send,
+    /// Waits for a reply until this time.
+    Wait(Millis),
+    /// Places the call by itself.
+    PlaceAlone,
+}
+
+/// The asks for one call.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Asking {
+    /// Time of the first ask that has no reply yet.
+    unanswered: Option<Millis>,
+    sent_at: Millis,
+    replied_at: Option<Millis>,
+}
+
+impl Asking {
+    /// The next step; [`AskStep::Send`] counts as done.
+    pub fn step(&mut self, now: Millis) -> AskStep {
+        let Some(unanswered) = self.unanswered else {
+            let due = self.replied_at.map_or(now, |at| at + RENEW_INTERVAL);
+            if now < due {
+                return AskStep::Wait(due);
+            }
+            self.unanswered = Some(now);
+            self.sent_at = now;
+            return AskStep::Send;
+        };
+        if now >= unanswered + REPLY_TIMEOUT {
+            return AskStep::PlaceAlone;
+        }
+        let repeat = self.sent_at + REPEAT_INTERVAL;
+        if now < repeat {
+            return AskStep::Wait(repeat.min(unanswered + REPLY_TIMEOUT));
+        }
+        self.sent_at = now;
+        AskStep::Send
+    }
+
+    /// Records that the call is queued.
+    pub fn queued(&mut self, now: Millis) {
+        self.unanswered = None;
+        self.replied_at = Some(now);
+    }
+}
+
+/// Whether a dispatcher replies to this host.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Reach {
+    silent_until: Millis,
+}
+
+impl Reach {
+    /// Whether the dispatcher is asked.
+    pub fn may_ask(self, now: Millis) -> bool {
+        now >= self.silent_until
+    }
+
+    /// Records that the dispatcher did not reply in time.
+    pub fn silent(&mut self, now: Millis) {
+        self.silent_until = now + SILENCE;
+    }
+}
