edge: calls of plain services wait for a slot that a dispatcher grants

Where servers of a plain service report their pace, a host asks the dispatcher of the service (chosen by Edge::owner) for a slot before it sends a call, sends on the grant and reports the end with the response time (field 16 of UsageUpdate). Without a reply within 60 ms, when it hears no other host, and where no server reports its pace, it places the call by itself as before; in the last case no datagram is sent. The choice of a server moved from plain.rs to plain_place.rs, and slots.rs holds the slots of this host's calls. Counters: burdockvale_slots_*.

--- a/crates/dispatch/src/ask.rs
+++ b/crates/dispatch/src/ask.rs
@@ -20,8 +20,8 @@
     pub priority: u8,
     /// Team of the caller; calls without a team share as one.
     pub team: Option<TeamId>,
-    /// Zone of the asking host.
-    pub zone: ZoneId,
+    /// Zone of the asking host, if known.
+    pub zone: Option<ZoneId>,
     /// When the call arrived at its host.
     pub arrived: Millis,
     /// When its answer is late for the route's objective.
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -229,7 +229,7 @@
         while !self.waiting.is_empty() && self.servers.free(now) > 0 {
             let order = self.waiting.order(now, self.servers.work_ms());
             let found = order.into_iter().find_map(|ask| {
-                let server = self.servers.best(now, &ask.zone, &ask.tried)?;
+                let server = self.servers.best(now, ask.zone.as_ref(), &ask.tried)?;
                 Some((ask.id.clone(), server.id.clone(), server.in_use(now) + 1))
             });
             let Some((id, server, at_once)) = found else {
--- a/crates/dispatch/src/servers.rs
+++ b/crates/dispatch/src/servers.rs
@@ -247,14 +247,14 @@
     }
 
     /// The free server that answers a call from `zone` soonest.
-    pub fn best(&self, now: Millis, zone: &ZoneId, tried: &[BackendId]) -> Option<&Server> {
+    pub fn best(&self, now: Millis, zone: Option<&ZoneId>, tried: &[BackendId]) -> Option<&Server> {
         let free = self
             .servers
             .iter()
             .filter(|s| s.is_free(now) && !tried.contains(&s.id));
         let scored = free.map(|server| {
             let load = f64::from(server.in_use(now) + 1) / f64::from(server.slots.max(1));
-            let distance = if server.zone == *zone {
+            let distance = if zone.is_none_or(|zone| server.zone == *zone) {
                 0.0
             } else {
                 CROSS_ZONE_MS
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -51,7 +51,7 @@
         },
         priority: 1,
         team: None,
-        zone: zone("z0"),
+        zone: Some(zone("z0")),
         arrived: Millis(now),
         on_time_until: Millis(now + 200),
         deadline: Millis(now + 1_500),
--- a/crates/edge/src/counters.rs
+++ b/crates/edge/src/counters.rs
@@ -1,5 +1,6 @@
 //! Metrics of the host.
 
+use bv_dispatch::Dispatcher;
 use bv_retry::{Balance, Settlement};
 use bv_roster::Rejected;
 use bv_route::KeyError;
@@ -35,6 +36,11 @@
 const BLOCKED_CONTENTS: &str = "burdockvale_blocked_contents";
 const BAD_HEADERS: &str = "burdockvale_unreadable_headers_total";
 const KEYS_CHECKED: &str = "burdockvale_keys_checked_total";
+const SLOTS: &str = "burdockvale_slots_total";
+const SLOT_WAIT: &str = "burdockvale_slot_wait_seconds";
+const SLOTS_WAITING: &str = "burdockvale_slots_waiting";
+const SLOTS_IN_USE: &str = "burdockvale_slots_in_use";
+const SLOTS_LIMIT: &str = "burdockvale_slots_limit";
 const LOGS_DROPPED: &str = "burdockvale_log_lines_dropped_total";
 
 /// Upper bounds of the latency histogram, in seconds.
@@ -106,6 +112,23 @@
     );
     describe_counter!(BAD_HEADERS, "Headers of answers that cannot be read.");
     describe_counter!(LOGS_DROPPED, "Log lines left out to bound their rate.");
+    describe_counter!(
+        SLOTS,
+        "Calls that asked for a slot of a plain server, by result."
+    );
+    describe_histogram!(SLOT_WAIT, "Time from the arrival of a call to its slot.");
+    describe_gauge!(
+        SLOTS_WAITING,
+        "Calls that wait at the dispatcher of a service."
+    );
+    describe_gauge!(
+        SLOTS_IN_USE,
+        "Calls in progress at a server, as its dispatcher knows."
+    );
+    describe_gauge!(
+        SLOTS_LIMIT,
+        "Largest number of calls in progress at a server."
+    );
     describe_counter!(KEYS_CHECKED, "Requests whose key was checked, by result.");
     Ok(handle)
 }
@@ -225,3 +248,23 @@
 pub(crate) fn blocked_contents(count: usize) {
     gauge!(BLOCKED_CONTENTS).set(count as f64);
 }
+
+/// Counts a call that asked for a slot.
+pub(crate) fn slot(result: &'static str) {
+    counter!(SLOTS, "result" => result).increment(1);
+}
+
+/// Records the time from the arrival of a call to its slot.
+pub(crate) fn slot_wait(wait: Millis) {
+    histogram!(SLOT_WAIT).record(wait.0 as f64 / 1_000.0);
+}
+
+/// Sets the load of a dispatcher at this host.
+pub(crate) fn dispatcher(service: &ServiceId, now: Millis, dispatcher: &Dispatcher) {
+    let service = service.to_string();
+    gauge!(SLOTS_WAITING, "service" => service).set(dispatcher.waiting() as f64);
+    for (server, in_use, limit) in dispatcher.loads(now) {
+        gauge!(SLOTS_IN_USE, "server" => server.to_string()).set(f64::from(in_use));
+        gauge!(SLOTS_LIMIT, "server" => server.to_string()).set(f64::from(limit));
+    }
+}
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -55,6 +55,8 @@
     reads_store: watch::Sender<bool>,
     /// Notified when what is known of crashes or trials changes.
     pub trials_changed: Notify,
+    /// Notified when messages to dispatchers are to be sent.
+    pub dispatch_due: Notify,
     /// Socket for datagrams to other hosts, once it is open.
     pub datagrams: OnceLock<Arc<UdpSocket>>,
     /// Notified when the load that this host reports to the others changes.
@@ -90,6 +92,7 @@
             pool: ConnectionPool::default(),
             capacity_changed: Notify::new(),
             trials_changed: Notify::new(),
+            dispatch_due: Notify::new(),
             datagrams: OnceLock::new(),
             own_load_changed: Notify::new(),
             queue_changed: Notify::new(),
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -3,11 +3,12 @@
 use std::pin::Pin;
 use std::sync::Arc;
 
-use bv_admit::{CallRequest, Fault, PlacementError, SendOutcome, Work};
+use bv_admit::{Fault, SendOutcome, Work};
+use bv_dispatch::SendEnd;
 use bv_platform::{BackendHeaders, strip_answer};
 use bv_retry::{Delivery, OVERLAP, SendKind, Silence, SilenceStep};
 use bv_roster::Registration;
-use bv_types::{BackendId, Millis, Refusal, Tokens};
+use bv_types::{BackendId, Millis, Tokens};
 use bytes::Bytes;
 use http::{Response, StatusCode};
 
@@ -15,10 +16,12 @@
 use crate::counters;
 use crate::crashes::WatchedRun;
 use crate::edge::{Edge, TrackedSend};
+use crate::plain_place::{Target, end_slot};
 use crate::request::CallerRequest;
-use crate::retries::{Retries, RetryKind};
-use crate::send::{Answer, Connection, SendError, has_marked_end, open, read_answer, send};
+use crate::retries::Retries;
+use crate::send::{Answer, SendError, has_marked_end, read_answer, send};
 use crate::silence::{SearchOutcome, record_search};
+use crate::slots::Slot;
 
 /// Time without an answer, in latency objectives, after which another server is sought for an
 /// idempotent call: the call is late already, and its server probably hangs.
@@ -28,35 +31,27 @@
 
 /// Whether a server may have run the request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum RunState {
+pub(crate) enum RunState {
     NotRun,
     MayHaveRun,
 }
 
-struct Call<'a> {
-    edge: &'a Arc<Edge>,
-    req: &'a Arc<CallerRequest>,
-    tried: Vec<BackendId>,
+pub(crate) struct Call<'a> {
+    pub edge: &'a Arc<Edge>,
+    pub req: &'a Arc<CallerRequest>,
+    pub tried: Vec<BackendId>,
     /// Server that was left before the next one had accepted or refused the call.
     left: Option<BackendId>,
     /// Number of servers that may have run the request.
     runs: u32,
-    run_state: RunState,
-    retries: Retries,
+    pub run_state: RunState,
+    pub retries: Retries,
     /// Whether a reused connection failed, after which only new connections are used.
-    fresh_only: bool,
+    pub fresh_only: bool,
     /// Error response of a server, kept while another server is tried.
     error_response: Option<Response<Body>>,
 }
 
-/// The chosen server and the connection to it.
-struct Target {
-    server: Registration,
-    connection: Connection,
-    /// Whether the connection was idle, so that the server may have closed it.
-    is_reused: bool,
-}
-
 /// A call that was sent to a server.
 struct Sending<'a> {
     server: Registration,
@@ -64,6 +59,7 @@
     run: WatchedRun,
     sent_at: Millis,
     is_reused: bool,
+    slot: Option<Slot>,
     /// Waits for the head of the answer; dropping it closes the connection.
     answer: AnswerFuture<'a>,
 }
@@ -117,7 +113,7 @@
     loop {
         let sending = match moved.take() {
             Some(sending) => *sending,
-            None => match call.next() {
+            None => match call.next().await {
                 Ok(target) => call.begin(target),
                 Err(_) if call.may_return() => continue,
                 Err(failure) => return call.give_up(failure),
@@ -133,88 +129,13 @@
 }
 
 impl<'a> Call<'a> {
-    /// Chooses the next server and a connection to it.
-    fn next(&mut self) -> Result<Target, Failure> {
-        let server = self.place()?;
-        let connection = self.connection(self.edge.now(), &server.id);
-        Ok(Target {
-            is_reused: matches!(connection, Connection::Open(_)),
-            server,
-            connection,
-        })
-    }
-
-    fn place(&mut self) -> Result<Registration, Failure> {
-        let now = self.edge.now();
-        let remaining = self.req.remaining(now);
-        if remaining == Millis::ZERO {
-            return Err(self.final_failure(Refusal::QueuedTooLong));
-        }
-        if let Some(refusal) = self.edge.blocked(self.req) {
-            return Err(match self.run_state {
-                RunState::NotRun => refusal,
-                RunState::MayHaveRun => Failure::AnswerLost,
-            });
-        }
-        let service = &self.req.service;
-        let mut guard = self.edge.state();
-        let state = &mut *guard;
-        let query = CallRequest {
-            service,
-            zone: &self.edge.settings.zone,
-            tried: &self.tried,
-            remaining,
-        };
-        let entries = state.roster.of_service(now, service);
-        let entries = state.announced.allowed(now, entries);
-        let choice = state.fleet.place_call(now, query, entries);
-        let resting = match choice {
-            Err(PlacementError::NoServer | PlacementError::NoCapacity) => {
-                let entries = state.roster.of_service(now, service);
-                let longest = self.req.longest_retry_after(now);
-                state.announced.all_resting(now, longest, entries)
-            }
-            _ => None,
-        };
-        drop(guard);
-        match choice {
-            Ok(choice) => {
-                if !self.retries.take(self.req, RetryKind::Call) {
-                    return Err(self.final_failure(Refusal::RetryBudget));
-                }
-                Ok(choice.server)
-            }
-            Err(PlacementError::NoServer | PlacementError::NoCapacity) => {
-                Err(match (resting, self.run_state) {
-                    (Some(resting), RunState::NotRun) => Failure::resting(resting),
-                    _ => self.final_failure(Refusal::NoBackend),
-                })
-            }
-            Err(PlacementError::TooLate { retry_after }) => Err(match self.run_state {
-                RunState::MayHaveRun => Failure::AnswerLost,
-                RunState::NotRun => Failure::NotRun {
-                    reason: Refusal::QueueFull,
-                    retry_after,
-                },
-            }),
-        }
-    }
-
-    /// The failure to report for a request that is not sent again.
-    fn final_failure(&self, reason: Refusal) -> Failure {
-        match self.run_state {
-            RunState::NotRun => Failure::refused(reason),
-            RunState::MayHaveRun if reason == Refusal::QueuedTooLong => Failure::DeadlinePassed,
-            RunState::MayHaveRun => Failure::AnswerLost,
-        }
-    }
-
     /// Sends the call.
     fn begin(&mut self, target: Target) -> Sending<'a> {
         let Target {
             server,
             connection,
             is_reused,
+            slot,
         } = target;
         let (edge, req) = (self.edge, self.req);
         let sent_at = edge.now();
@@ -231,6 +152,7 @@
             server,
             sent_at,
             is_reused,
+            slot,
             answer: Box::pin(async move {
                 let headers = BackendHeaders::default();
                 let remaining = req.remaining(sent_at);
@@ -375,36 +297,6 @@
         self.run_state = RunState::MayHaveRun;
     }
 
-    /// Takes a retry and opens a connection to another server.
-    async fn open_next(&mut self) -> Option<Target> {
-        let next = self.next().ok()?;
-        if next.is_reused {
-            return Some(next);
-        }
-        match open(&next.server, self.req.remaining(self.edge.now())).await {
-            Ok(channel) => Some(Target {
-                connection: Connection::Open(channel),
-                ..next
-            }),
-            Err(err) => {
-                let (now, server) = (self.edge.now(), next.server.id);
-                self.edge.logs.send_failed(now, self.req, &server, &err);
-                counters::retry(err.code());
-                let mut state = self.edge.state();
-                state.fleet.record_fault(now, &server, err.fault());
-                self.tried.push(server);
-                None
-            }
-        }
-    }
-
-    /// Reuses an idle connection only if the call may be repeated: the server may have closed it.
-    fn connection(&self, now: Millis, server: &BackendId) -> Connection {
-        let may_reuse = self.req.route.kind.may_repeat() && !self.fresh_only;
-        let idle = may_reuse.then(|| self.edge.pool.take(now, server));
-        idle.flatten().map_or(Connection::Fresh, Connection::Open)
-    }
-
     /// A time as a multiple of the route's latency objective.
     fn objectives(&self, factor: f64) -> Millis {
         Millis((self.req.route.objective.0 as f64 * factor) as u64)
@@ -413,6 +305,7 @@
     /// Handles an answer that says that the call did not run.
     fn handle_refusal(&mut self, sending: Sending<'a>, refusal: &Answer) -> SendResult<'a> {
         self.retries.end(SendKind::Run, Delivery::Refused);
+        end_slot(sending.slot, SendEnd::Rejected);
         if refusal.facts.misdirected {
             let now = self.edge.now();
             sending
@@ -437,6 +330,7 @@
             tracked_send,
             run,
             sent_at,
+            slot,
             ..
         } = sending;
         self.retries.end(SendKind::Run, Delivery::Accepted);
@@ -454,6 +348,7 @@
             Ok(whole) => whole,
             Err(err) => {
                 run.fail(&err);
+                end_slot(slot, SendEnd::Failed);
                 tracked_send.end(SendOutcome::Failed(err.fault()));
                 let failure = match err {
                     SendError::Timeout(_) => Failure::DeadlinePassed,
@@ -468,6 +363,7 @@
         let error = status.is_server_error();
         tracked_send.end(SendOutcome::Answered { error });
         let took = self.edge.now() - sent_at;
+        end_slot(slot, SendEnd::Answered { took });
         self.edge
             .state()
             .fleet
@@ -490,9 +386,18 @@
             tracked_send,
             run,
             is_reused,
+            slot,
             ..
         } = sending;
         run.fail(&err);
+        // A reused connection that the server closed says nothing of the server.
+        end_slot(
+            slot,
+            match is_reused && !matches!(err, SendError::Timeout(_)) {
+                true => SendEnd::Unused,
+                false => SendEnd::Failed,
+            },
+        );
         if is_reused && !matches!(err, SendError::Timeout(_)) {
             // The fault may be that of the reused connection, so the server is tried again on a new
             // one.
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -15,7 +15,7 @@
 use tracing_subscriber::EnvFilter;
 
 use crate::edge::Edge;
-use crate::{counters, crash_rows, follow, listen, peers, roles, stop, subscribe, usage};
+use crate::{counters, crash_rows, dispatch, follow, listen, peers, roles, stop, subscribe, usage};
 
 /// Port of the metrics endpoint; must match `deploy/system.toml`.
 const METRICS_PORT: u16 = 9464;
@@ -137,6 +137,7 @@
     tokio::spawn(follow::query_peers(edge.clone()));
     tokio::spawn(roles::balance(edge.clone()));
     tokio::spawn(crash_rows::exchange(edge.clone()));
+    tokio::spawn(dispatch::run(edge.clone()));
     tokio::spawn(usage::send_updates(edge.clone(), datagrams.clone()));
     tokio::spawn(usage::receive_updates(edge.clone(), datagrams));
     tokio::spawn(peers::listen(edge.clone(), peers));
--- a/crates/edge/src/send.rs
+++ b/crates/edge/src/send.rs
@@ -182,9 +182,12 @@
             waiting: load.waiting,
             pace: load.pace,
         };
-        edge.state()
-            .fleet
-            .record_report(edge.now(), &server.id, report);
+        let now = edge.now();
+        let mut state = edge.state();
+        state.fleet.record_report(now, &server.id, report);
+        if server.stage.is_none() {
+            state.dispatch.record_load(now, server, report);
+        }
     }
     let is_usable = (facts.stamped || !needs_stamp) && !facts.encoded;
     if response.status().is_success() && !is_usable {
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -12,6 +12,7 @@
 use bv_types::{BackendId, Millis, Version};
 use tracing::info;
 
+use crate::dispatch_state::DispatchState;
 use crate::hosts::Hosts;
 
 /// Time for which removed servers are remembered, so that an outdated row does not add one again.
@@ -114,6 +115,8 @@
     pub retry_budgets: HostBudgets,
     /// Which requests crash engines.
     pub crashes: CrashWatch,
+    /// Slots of plain servers.
+    pub dispatch: DispatchState,
     /// The blocks of contents that crash engines, as they were logged last.
     pub logged_blocks: Vec<Block>,
 }
@@ -140,6 +143,7 @@
             own_confirmations: OwnConfirmations::default(),
             retry_budgets,
             crashes: CrashWatch::new(seed),
+            dispatch: DispatchState::default(),
             logged_blocks: Vec::new(),
         }
     }
--- a/crates/edge/src/usage.rs
+++ b/crates/edge/src/usage.rs
@@ -19,6 +19,8 @@
 use crate::crash_reports::{
     ContentSurvival, EngineCrash, decode_report, encode_crash, encode_survival,
 };
+use crate::dispatch;
+use crate::dispatch_messages::DispatchMessage;
 use crate::edge::Edge;
 use crate::trials::{self, TrialMessage, TrialStep};
 
@@ -73,6 +75,9 @@
     /// Present in a datagram that carries no usage.
     #[prost(message, optional, tag = "14")]
     trial: Option<TrialMessage>,
+    /// Present in a datagram that carries no usage.
+    #[prost(message, optional, tag = "16")]
+    dispatch: Option<DispatchMessage>,
 }
 
 /// The first call in the sender's queue. Times are sent as durations, since clocks differ.
@@ -224,6 +229,19 @@
     send_to(socket, &with_report(update, &report), &[to]);
 }
 
+/// Sends a message about the slots of a service to one host.
+pub(crate) fn send_dispatch(edge: &Edge, to: SocketAddr, message: DispatchMessage) {
+    let Some(socket) = edge.datagrams.get() else {
+        return;
+    };
+    let update = UsageUpdate {
+        host: edge.settings.host.to_string(),
+        dispatch: Some(message),
+        ..UsageUpdate::default()
+    };
+    send_to(socket, &update, &[to]);
+}
+
 /// Load that this host reports to the others.
 fn own_load(edge: &Edge, now: Millis) -> PeerLoad {
     let mut state = edge.state();
@@ -332,6 +350,10 @@
     let update = UsageUpdate::decode(datagram)?;
     let report = decode_report(&update.crashes, &update.survivals);
     let host: HostId = update.host.parse()?;
+    if let Some(message) = &update.dispatch {
+        dispatch::receive(edge, &host, message);
+        return Ok(());
+    }
     if let Some(message) = &update.trial {
         edge.state().crashes.receive(edge.now(), &report);
         trials::receive(edge, peer, &host, message);
