--- a/crates/dispatch/src/asking.rs
+++ b/crates/dispatch/src/asking.rs
@@ -6,8 +6,9 @@
 const REPEAT_INTERVAL: Millis = Millis(30);
 /// Time without a reply after which the host places the call by itself.
 pub const REPLY_TIMEOUT: Millis = Millis(60);
-/// Time between a reply and the next ask for a call that waits. Replies are at most 100 ms apart.
-pub const RENEW_INTERVAL: Millis = Millis(70);
+/// Shortest time between a reply and the next ask for a call that waits. The next ask is sent at a multiple
+/// of this time, at most 100 ms later, so that the asks of a host share datagrams.
+pub const RENEW_INTERVAL: Millis = Millis(50);
 /// Time for which a host asks no dispatcher that did not reply.
 pub const SILENCE: Millis = Millis(1_000);
 
@@ -35,7 +36,7 @@
     /// The next step; [`AskStep::Send`] counts as done.
     pub fn step(&mut self, now: Millis) -> AskStep {
         let Some(unanswered) = self.unanswered else {
-            let due = self.replied_at.map_or(now, |at| at + RENEW_INTERVAL);
+            let due = self.replied_at.map_or(now, renewal_after);
             if now < due {
                 return AskStep::Wait(due);
             }
@@ -61,6 +62,12 @@
     }
 }
 
+/// When an ask that was replied to is renewed.
+fn renewal_after(replied_at: Millis) -> Millis {
+    let earliest = replied_at + RENEW_INTERVAL;
+    Millis(earliest.0.next_multiple_of(RENEW_INTERVAL.0))
+}
+
 /// Whether a dispatcher replies to this host.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Reach {
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -19,8 +19,11 @@
 const WAIT_MARGIN: f64 = 1.1;
 /// Time over which arrivals are averaged, in ms.
 const ARRIVAL_WINDOW_MS: f64 = 1_000.0;
-/// Least share of the servers that counts as left to calls behind more urgent ones.
-const LEAST_SHARE: f64 = 0.05;
+/// Time of a call, as a multiple of the usual one, that must be left before its deadline: machines are
+/// shared, and the answer of a call that must run at most once may not be late.
+const DEADLINE_MARGIN: f64 = 2.0;
+/// Least share of the servers that counts as left to calls behind more urgent ones, whose bursts end.
+const LEAST_SHARE: f64 = 0.3;
 
 #[derive(Debug, Clone)]
 struct Held {
@@ -115,13 +118,15 @@
             let held = held.clone();
             self.release(now, &id, &held.server);
         }
-        if self.waiting.iter().all(|known| known.id != id) {
-            self.count_arrival(now, ask.priority);
-            if let Some(arrived) = self.returns.take(ask.key) {
-                ask.arrived = ask.arrived.min(arrived);
-            }
+        if self.waiting.find(&id).is_none()
+            && let Some(arrived) = self.returns.take(ask.key)
+        {
+            ask.arrived = ask.arrived.min(arrived);
+        }
+        let priority = ask.priority;
+        if self.waiting.put(now, ask) {
+            self.count_arrival(now, priority);
         }
-        self.waiting.put(now, ask);
         let mut actions = self.serve(now);
         if actions.iter().any(|action| action.id == id) {
             return actions;
@@ -227,9 +232,24 @@
     fn serve(&mut self, now: Millis) -> Vec<Action> {
         let mut actions = Vec::new();
         while !self.waiting.is_empty() && self.servers.free(now) > 0 {
-            let order = self.waiting.order(now, self.servers.work_ms());
-            let found = order.into_iter().find_map(|ask| {
-                let server = self.servers.best(now, ask.zone.as_ref(), &ask.tried)?;
+            let work_ms = self.servers.answer_ms();
+            let servers = &self.servers;
+            let server_of = |ask: &Ask| servers.best(now, ask.zone.as_ref(), &ask.tried);
+            // Few calls were tried elsewhere, so the first one can nearly always go.
+            let first = self.waiting.first(now, work_ms, |_| true);
+            let first = match first.filter(|ask| server_of(ask).is_some()) {
+                Some(first) => Some(first),
+                None => self
+                    .waiting
+                    .first(now, work_ms, |ask| server_of(ask).is_some()),
+            };
+            if let Some(late) = first.filter(|ask| !self.is_in_time(now, ask)) {
+                let id = late.id.clone();
+                actions.extend(self.refuse(now, &id, now));
+                continue;
+            }
+            let found = first.and_then(|ask| {
+                let server = server_of(ask)?;
                 Some((ask.id.clone(), server.id.clone(), server.in_use(now) + 1))
             });
             let Some((id, server, at_once)) = found else {
@@ -256,29 +276,59 @@
     /// Whether a waiting call stays or is refused.
     fn decide_wait(&mut self, now: Millis, id: &AskId) -> Decision {
         let work_ms = self.servers.work_ms();
-        let Some(ask) = self.waiting.iter().find(|ask| ask.id == *id).cloned() else {
+        let Some(ask) = self.waiting.find(id).cloned() else {
             return Decision::Queued { wait: Millis::ZERO };
         };
-        let ahead = self.waiting.ahead(now, work_ms, id) + 1;
+        if let Some(slot_at) = self.waiting.predicted(now, id)
+            && self.is_in_time(now, &ask)
+        {
+            let wait = slot_at - now;
+            return Decision::Queued { wait };
+        }
+        let ahead = self.waiting.ahead(now, self.servers.answer_ms(), id) + 1;
         let rate = self.rate_left(now, ask.priority);
         let mut wait_ms = ahead as f64 / rate * WAIT_MARGIN;
         // Calls that were told to return meanwhile have their places.
         let returning = self.returns.due_before(now + Millis(wait_ms as u64));
         wait_ms += returning as f64 / rate;
         let wait = Millis(wait_ms.min(60_000.0).ceil() as u64);
-        let answered = now + wait + Millis(work_ms as u64);
-        if answered <= ask.deadline || now < self.began_at + LEARN_TIME {
+        let is_hopeless = !self.is_in_time(now, &ask);
+        let is_learning = now < self.began_at + LEARN_TIME;
+        if !is_hopeless && (self.is_in_time(now + wait, &ask) || is_learning) {
+            self.waiting.set_predicted(now, id, now + wait);
             return Decision::Queued { wait };
         }
-        self.waiting.remove(id);
+        // A slot is free for it when as many calls have ended as are now too many before it.
+        let answered = now + wait + Millis(work_ms as u64);
+        let free_at = now + (answered - ask.deadline);
+        match self.refuse(now, id, free_at) {
+            Some(action) => action.decision,
+            None => Decision::Queued { wait },
+        }
+    }
+
+    /// Whether a call that is sent at this time is answered by its deadline.
+    fn is_in_time(&self, now: Millis, ask: &Ask) -> bool {
+        let answer_ms = self.servers.work_ms().max(self.servers.answer_ms()) * DEADLINE_MARGIN;
+        now + Millis(answer_ms as u64) <= ask.deadline
+    }
+
+    /// Refuses a waiting call, with the time of its return.
+    fn refuse(&mut self, now: Millis, id: &AskId, free_at: Millis) -> Option<Action> {
+        let ask = self.waiting.remove(id)?;
         self.stats.refused += 1;
-        let free_at = now + Millis((answered - ask.deadline).0.max(work_ms as u64));
+        let free_at = free_at.max(now + Millis(self.servers.work_ms() as u64));
+        let spacing_ms = 1.0 / self.rate_left(now, ask.priority);
         let due = self
             .returns
-            .promise(ask.key, ask.arrived, free_at, 1.0 / rate);
-        Decision::Refused {
-            retry_after: due - now,
-        }
+            .promise(ask.key, ask.arrived, free_at, spacing_ms);
+        Some(Action {
+            id: ask.id,
+            sent_at: ask.sent_at,
+            decision: Decision::Refused {
+                retry_after: due - now,
+            },
+        })
     }
 
     /// Calls of a priority that the servers end in a ms beside the more urgent ones.
--- a/crates/dispatch/src/pace.rs
+++ b/crates/dispatch/src/pace.rs
@@ -9,8 +9,9 @@
 /// Limit of a server that has just started or recovered. With 1, one slow answer would hold it up.
 const START_LIMIT: f64 = 2.0;
 /// Largest limit in slots. What is beyond the slots covers the time between the end of a call and the
-/// arrival of the next one: two zones are 5.4 ms apart and work takes 30 ms.
-const MAX_LIMIT_SLOTS: f64 = 1.5;
+/// arrival of the next one: two zones are 5.4 ms apart and work takes 30 ms. With 1.5, slots stay empty
+/// on heavy days; with 3, urgent calls wait at the servers behind others.
+const MAX_LIMIT_SLOTS: f64 = 2.0;
 /// Increase of the limit for each quick answer below the slots: it doubles in about two response times.
 const QUICK_STEP: f64 = 0.5;
 /// Response time, as a multiple of that of the peers, up to which answers count as quick. The smoothed
--- a/crates/dispatch/src/servers.rs
+++ b/crates/dispatch/src/servers.rs
@@ -115,6 +115,8 @@
     servers: Vec<Server>,
     uses: Vec<HostUses>,
     work_ms: f64,
+    /// Usual time from a grant to the end of its call, in ms; this includes waits at the servers.
+    answer_ms: f64,
 }
 
 impl Servers {
@@ -123,6 +125,7 @@
             servers: Vec::new(),
             uses: Vec::new(),
             work_ms: INITIAL_WORK_MS,
+            answer_ms: INITIAL_WORK_MS,
         }
     }
 
@@ -165,6 +168,11 @@
         self.work_ms
     }
 
+    /// Usual time from a grant to the end of its call, in ms.
+    pub fn answer_ms(&self) -> f64 {
+        self.answer_ms
+    }
+
     /// Counts a grant at a server (`change` 1) or its end (-1).
     pub fn count_grant(&mut self, now: Millis, id: &BackendId, change: i32) {
         if let Some(server) = self.find(id) {
@@ -218,6 +226,7 @@
 
     /// Records an answer that was sent with `at_once` calls in progress at the server.
     pub fn answered(&mut self, id: &BackendId, took: Millis, at_once: u32) {
+        self.answer_ms += (took.0 as f64 - self.answer_ms) * WORK_WEIGHT;
         let others = self.servers.iter().filter(|s| s.id != *id);
         let mut others: Vec<f64> = others
             .filter(|s| s.pace.is_settled())
--- a/crates/dispatch/src/waiting.rs
+++ b/crates/dispatch/src/waiting.rs
@@ -1,19 +1,24 @@
 //! One order of the waiting calls of all hosts.
 
 use std::cmp::Ordering;
+use std::collections::BTreeMap;
 
-use bv_types::{HostId, Millis, TeamId};
+use bv_types::{Millis, TeamId};
 
 use crate::ask::{Ask, AskId};
 
 /// Time without a new ask after which a call no longer waits: its host asks every 70 ms, so three asks
 /// may be lost.
 const ASK_LIFETIME: Millis = Millis(300);
+/// Time for which a predicted wait is used again. To predict it takes as long as there are calls.
+const PREDICTION_LIFETIME: Millis = Millis(250);
 
 #[derive(Debug, Clone)]
 struct Waiter {
     ask: Ask,
     asked_at: Millis,
+    /// Predicted time of its slot, and when that was predicted.
+    predicted: Option<(Millis, Millis)>,
 }
 
 /// What a team was granted at one priority. Teams with more wait for those with less.
@@ -32,33 +37,53 @@
 /// is that of arrival.
 #[derive(Debug, Default)]
 pub struct Waiting {
-    calls: Vec<Waiter>,
+    calls: BTreeMap<AskId, Waiter>,
     shares: Vec<TeamShare>,
 }
 
 impl Waiting {
-    /// Adds a call, or renews it.
-    pub fn put(&mut self, now: Millis, ask: Ask) {
-        if let Some(known) = self.calls.iter_mut().find(|w| w.ask.id == ask.id) {
+    /// Adds a call, or renews it; returns whether it is new.
+    pub fn put(&mut self, now: Millis, ask: Ask) -> bool {
+        if let Some(known) = self.calls.get_mut(&ask.id) {
             let arrived = known.ask.arrived.min(ask.arrived);
             known.ask = Ask { arrived, ..ask };
             known.asked_at = now;
-            return;
+            return false;
         }
-        let is_team_waiting = self
-            .calls
-            .iter()
-            .any(|w| w.ask.priority == ask.priority && w.ask.team == ask.team);
-        if !is_team_waiting {
+        let mut calls = self.calls.values();
+        if !calls.any(|w| w.ask.priority == ask.priority && w.ask.team == ask.team) {
             self.raise_share(ask.priority, &ask.team);
         }
-        self.calls.push(Waiter { ask, asked_at: now });
+        let waiter = Waiter {
+            ask,
+            asked_at: now,
+            predicted: None,
+        };
+        self.calls.insert(waiter.ask.id.clone(), waiter);
+        true
+    }
+
+    /// A waiting call.
+    pub fn find(&self, id: &AskId) -> Option<&Ask> {
+        self.calls.get(id).map(|w| &w.ask)
     }
 
-    /// Removes a call; returns whether it waited.
+    /// Removes a call; returns it if it waited.
     pub fn remove(&mut self, id: &AskId) -> Option<Ask> {
-        let at = self.calls.iter().position(|w| w.ask.id == *id)?;
-        Some(self.calls.swap_remove(at).ask)
+        self.calls.remove(id).map(|w| w.ask)
+    }
+
+    /// The predicted time of a call's slot, if it was predicted a short time ago.
+    pub fn predicted(&self, now: Millis, id: &AskId) -> Option<Millis> {
+        let (slot_at, at) = self.calls.get(id)?.predicted?;
+        (now < at + PREDICTION_LIFETIME).then_some(slot_at)
+    }
+
+    /// Records the predicted time of a call's slot.
+    pub fn set_predicted(&mut self, now: Millis, id: &AskId, slot_at: Millis) {
+        if let Some(known) = self.calls.get_mut(id) {
+            known.predicted = Some((slot_at, now));
+        }
     }
 
     /// Removes a call that is granted a slot, and charges its team.
@@ -69,33 +94,38 @@
         Some(ask)
     }
 
-    /// The calls in their order. `work_ms` is the time of a call at a server.
-    pub fn order(&self, now: Millis, work_ms: f64) -> Vec<&Ask> {
-        let mut ranked: Vec<(f64, &Ask)> = self
-            .calls
-            .iter()
-            .map(|w| (self.granted(w.ask.priority, &w.ask.team), &w.ask))
-            .collect();
-        ranked.sort_by(|(a_share, a), (b_share, b)| {
-            a.priority
-                .cmp(&b.priority)
-                .then(a_share.total_cmp(b_share))
-                .then_with(|| a.team.cmp(&b.team))
-                .then_with(|| within_team(now, work_ms, a, b))
-        });
-        ranked.into_iter().map(|(_, ask)| ask).collect()
+    /// The first call in the order of those for which `may_go` holds. `work_ms` is the time of a call at a
+    /// server.
+    pub fn first(&self, now: Millis, work_ms: f64, may_go: impl Fn(&Ask) -> bool) -> Option<&Ask> {
+        let calls = self.calls.values().map(|w| &w.ask);
+        let mut first: Option<(f64, &Ask)> = None;
+        for ask in calls.filter(|ask| may_go(ask)) {
+            let share = self.granted(ask.priority, &ask.team);
+            let is_first = first.is_none_or(|(least, other)| {
+                let order = ask
+                    .priority
+                    .cmp(&other.priority)
+                    .then(share.total_cmp(&least))
+                    .then_with(|| ask.team.cmp(&other.team))
+                    .then_with(|| within_team(now, work_ms, ask, other));
+                order.is_lt()
+            });
+            if is_first {
+                first = Some((share, ask));
+            }
+        }
+        first.map(|(_, ask)| ask)
     }
 
     /// Number of calls that get a slot before this one, if no other arrives.
     pub fn ahead(&self, now: Millis, work_ms: f64, id: &AskId) -> usize {
-        let Some(own) = self.calls.iter().find(|w| w.ask.id == *id) else {
+        let Some(own) = self.find(id) else {
             return 0;
         };
-        let own = &own.ask;
         let mut before = 0;
         let mut in_team = 0;
         let mut others: Vec<(&Option<TeamId>, usize)> = Vec::new();
-        for Waiter { ask, .. } in &self.calls {
+        for Waiter { ask, .. } in self.calls.values() {
             match ask.priority.cmp(&own.priority) {
                 Ordering::Less => before += 1,
                 Ordering::Greater => {}
@@ -115,15 +145,10 @@
     /// Removes the calls whose hosts ask no more.
     pub fn expire(&mut self, now: Millis) -> usize {
         let before = self.calls.len();
-        self.calls.retain(|w| now < w.asked_at + ASK_LIFETIME);
+        self.calls.retain(|_, w| now < w.asked_at + ASK_LIFETIME);
         before - self.calls.len()
     }
 
-    /// The waiting calls, in no order.
-    pub fn iter(&self) -> impl Iterator<Item = &Ask> {
-        self.calls.iter().map(|w| &w.ask)
-    }
-
     /// Number of waiting calls.
     pub fn len(&self) -> usize {
         self.calls.len()
@@ -134,11 +159,6 @@
         self.calls.is_empty()
     }
 
-    /// Number of waiting calls of a host.
-    pub fn of_host(&self, host: &HostId) -> usize {
-        self.iter().filter(|ask| ask.id.host == *host).count()
-    }
-
     fn granted(&self, priority: u8, team: &Option<TeamId>) -> f64 {
         self.find_share(priority, team)
             .map_or(0.0, |at| self.shares[at].granted)
@@ -164,7 +184,7 @@
     /// Raises what counts as granted to a team that begins to wait to the least of the waiting teams, or to the
     /// most of all if none waits. Shares of teams that do not wait are forgotten when none waits.
     fn raise_share(&mut self, priority: u8, team: &Option<TeamId>) {
-        let waiting = self.calls.iter().filter(|w| w.ask.priority == priority);
+        let waiting = self.calls.values().filter(|w| w.ask.priority == priority);
         let least = waiting
             .map(|w| self.granted(priority, &w.ask.team))
             .min_by(f64::total_cmp);
