edge, dispatch, bench: a dispatcher that knows no servers refuses nothing

A dispatcher at a host that does not know the servers yet, or whose servers all pause after a failure, computed a rate of nearly 0 and refused calls that other hosts could place. It gives no reply without servers now, so the hosts place their calls themselves, and a pause counts as short. Replies go to the address that the ask came from, since the dispatcher may not know the asker's row. Gauges are set four times a second and cleared when the dispatcher ends. New: CPU time of a call at the dispatcher in bv-bench.

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -5,6 +5,7 @@
 
 mod blame;
 mod config;
+mod dispatch;
 mod ledger;
 mod limit;
 mod measure;
@@ -18,6 +19,7 @@
     figures.extend(ledger::measure());
     figures.extend(limit::measure());
     figures.extend(blame::measure());
+    figures.extend(dispatch::measure());
     figures.extend(wire::measure());
     for figure in &figures {
         println!("{figure}");
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -105,8 +105,12 @@
         }
     }
 
-    /// Handles an ask, which may be a repeated one.
+    /// Handles an ask, which may be a repeated one. Without servers there is no decision: another host may
+    /// know of some, and places the call itself without a reply.
     pub fn ask(&mut self, now: Millis, mut ask: Ask) -> Vec<Action> {
+        if self.servers.is_empty() {
+            return Vec::new();
+        }
         let id = ask.id.clone();
         let sent_at = ask.sent_at;
         if let Some(held) = self.grants.get_mut(&id) {
--- a/crates/dispatch/src/pace.rs
+++ b/crates/dispatch/src/pace.rs
@@ -82,9 +82,9 @@
         }
     }
 
-    /// Calls that the server can run at once now.
-    pub fn running_slots(&self, now: Millis) -> f64 {
-        f64::from(self.limit(now)).min(self.slots)
+    /// Calls that the server runs at once, also while it is paused: pauses are shorter than most deadlines.
+    pub fn running_slots(&self) -> f64 {
+        self.limit.min(self.slots)
     }
 
     /// Smoothed response time without waits at the server, in ms; none before the first answer.
--- a/crates/dispatch/src/servers.rs
+++ b/crates/dispatch/src/servers.rs
@@ -163,6 +163,10 @@
         self.servers.iter()
     }
 
+    pub fn is_empty(&self) -> bool {
+        self.servers.is_empty()
+    }
+
     /// Usual time of a call, in ms.
     pub fn work_ms(&self) -> f64 {
         self.work_ms
@@ -279,7 +283,7 @@
     /// Calls that all servers together end in a ms.
     pub fn rate_per_ms(&self, now: Millis) -> f64 {
         let rates = self.servers.iter().map(|server| {
-            let slots = server.pace.running_slots(now);
+            let slots = server.pace.running_slots();
             slots / self.estimate_ms(now, server)
         });
         rates.sum()
--- a/crates/dispatch/tests/grant_ends.rs
+++ b/crates/dispatch/tests/grant_ends.rs
@@ -112,3 +112,23 @@
     assert_eq!(queued.step(Millis(100)), AskStep::Send);
     assert_eq!(queued.step(Millis(160)), AskStep::PlaceAlone);
 }
+
+/// A dispatcher whose host does not know the servers yet, or whose servers pause, refuses nothing.
+#[test]
+fn unknown_and_paused_servers_are_no_reason_to_refuse() {
+    let mut unaware = Dispatcher::new(Millis(0));
+    assert!(unaware.ask(Millis(1_000), ask(1_000, "h", 1)).is_empty());
+    let mut dispatcher = dispatcher(&["a"]);
+    let first = dispatcher.ask(Millis(1_000), ask(1_000, "h", 1));
+    dispatcher.end(Millis(1_010), &first[0].id, SendEnd::Failed);
+    let short = Ask {
+        deadline: Millis(1_620),
+        ..ask(1_020, "h", 2)
+    };
+    let actions = dispatcher.ask(Millis(1_020), short);
+    assert!(
+        matches!(actions[0].decision, Decision::Queued { .. }),
+        "{actions:?}"
+    );
+    assert_eq!(granted(&dispatcher.tick(Millis(1_210))), [2]);
+}
--- a/crates/edge/src/counters.rs
+++ b/crates/edge/src/counters.rs
@@ -268,3 +268,12 @@
         gauge!(SLOTS_LIMIT, "server" => server.to_string()).set(f64::from(limit));
     }
 }
+
+/// Clears the load of a dispatcher that was at this host.
+pub(crate) fn dispatcher_ended(service: &ServiceId, now: Millis, dispatcher: &Dispatcher) {
+    gauge!(SLOTS_WAITING, "service" => service.to_string()).set(0.0);
+    for (server, _, _) in dispatcher.loads(now) {
+        gauge!(SLOTS_IN_USE, "server" => server.to_string()).set(0.0);
+        gauge!(SLOTS_LIMIT, "server" => server.to_string()).set(0.0);
+    }
+}
--- a/crates/edge/src/dispatch.rs
+++ b/crates/edge/src/dispatch.rs
@@ -24,6 +24,8 @@
 const IDLE_TICK: Millis = Millis(500);
 /// Interval at which a dispatcher takes the servers from the roster.
 const SERVERS_INTERVAL: Millis = Millis(100);
+/// Interval at which the gauges of a dispatcher are set.
+const GAUGE_INTERVAL: Millis = Millis(250);
 /// Interval at which grants in use are renewed; a lease lasts a second.
 const RENEW_GRANTS: Millis = Millis(300);
 
@@ -188,13 +190,10 @@
                 None => replies.push((action.id.host, vec![reply])),
             }
         }
-        let others = state.hosts.others();
+        let askers = state.dispatch.own.get(part).map(|own| &own.askers);
         let addressed: Vec<(SocketAddr, Vec<ReplyMessage>)> = replies
             .into_iter()
-            .filter_map(|(host, replies)| {
-                let entry = others.iter().find(|entry| entry.id == host)?;
-                Some((entry.addr, replies))
-            })
+            .filter_map(|(host, replies)| Some((*askers?.get(&host)?, replies)))
             .collect();
         drop(state);
         for (to, replies) in addressed {
@@ -297,21 +296,25 @@
         let parts: Vec<Part> = edge.state().dispatch.own.keys().cloned().collect();
         for part in parts {
             let own_tick = |own: &mut OwnDispatcher| {
-                counters::dispatcher(&part.service, now, &own.dispatcher);
+                if now >= own.counted_at + GAUGE_INTERVAL {
+                    own.counted_at = now;
+                    counters::dispatcher(&part.service, now, &own.dispatcher);
+                }
                 own.dispatcher.tick(now)
             };
             let actions = edge.state().dispatch.own.get_mut(&part).map(own_tick);
             edge.deliver(&part, actions.unwrap_or_default());
         }
         let unused = edge.state().dispatch.end_unused(now);
-        for part in unused {
+        for (part, dispatcher) in unused {
+            counters::dispatcher_ended(&part.service, now, &dispatcher);
             info!(service = %part.service, part = part.number, "dispatch: this host grants no slots");
         }
     }
 }
 
 /// Handles a message about slots.
-pub(crate) fn receive(edge: &Edge, host: &HostId, message: &DispatchMessage) {
+pub(crate) fn receive(edge: &Edge, peer: SocketAddr, host: &HostId, message: &DispatchMessage) {
     let Ok(service) = message.service.parse::<ServiceId>() else {
         return;
     };
@@ -326,6 +329,10 @@
     }
     edge.state().dispatch.record_evidence(now, &part.service);
     let zone = message.zone.parse().ok();
+    let was_idle = {
+        let own = &edge.state().dispatch.own;
+        own.values().all(|own| own.dispatcher.is_idle())
+    };
     let mut actions = Vec::new();
     edge.with_dispatcher(now, &part, |dispatcher| {
         let uses = message.uses.iter();
@@ -355,9 +362,14 @@
             }
         }
     });
+    if let Some(own) = edge.state().dispatch.own.get_mut(&part) {
+        own.askers.insert(host.clone(), peer);
+    }
     edge.deliver(&part, actions);
     // The task waits longer while there is nothing to expire.
-    edge.dispatch_due.notify_one();
+    if was_idle {
+        edge.dispatch_due.notify_one();
+    }
 }
 
 fn receive_replies(edge: &Edge, part: &Part, epoch: u64, message: &DispatchMessage) {
--- a/crates/edge/src/dispatch_state.rs
+++ b/crates/edge/src/dispatch_state.rs
@@ -6,7 +6,7 @@
 use bv_admit::Report;
 use bv_dispatch::{Ask, Decision, Dispatcher, Reach, SendEnd, ServerReport};
 use bv_roster::Registration;
-use bv_types::{BackendId, Fingerprint, Millis, ServiceId};
+use bv_types::{BackendId, Fingerprint, HostId, Millis, ServiceId};
 use tokio::sync::mpsc;
 
 use crate::dispatch_messages::EndMessage;
@@ -48,6 +48,10 @@
     pub dispatcher: Dispatcher,
     pub asked_at: Millis,
     pub servers_at: Option<Millis>,
+    /// When the gauges were set last.
+    pub counted_at: Millis,
+    /// Where the hosts that ask are reached.
+    pub askers: BTreeMap<HostId, SocketAddr>,
 }
 
 impl OwnDispatcher {
@@ -57,6 +61,8 @@
             dispatcher: Dispatcher::new(now),
             asked_at: now,
             servers_at: None,
+            counted_at: Millis::ZERO,
+            askers: BTreeMap::new(),
         }
     }
 }
@@ -187,15 +193,18 @@
     }
 
     /// Ends the dispatchers that no host asks any more.
-    pub fn end_unused(&mut self, now: Millis) -> Vec<Part> {
+    pub fn end_unused(&mut self, now: Millis) -> Vec<(Part, Dispatcher)> {
         let is_unused =
             |own: &OwnDispatcher| own.dispatcher.is_idle() && now >= own.asked_at + UNUSED_TIME;
-        let unused = self.own.iter().filter(|(_, own)| is_unused(own));
-        let unused: Vec<Part> = unused.map(|(part, _)| part.clone()).collect();
-        for part in &unused {
-            self.own.remove(part);
-        }
+        let (unused, own) = std::mem::take(&mut self.own)
+            .into_iter()
+            .partition(|(_, own)| is_unused(own));
+        self.own = own;
+        let unused: BTreeMap<Part, OwnDispatcher> = unused;
         unused
+            .into_iter()
+            .map(|(part, own)| (part, own.dispatcher))
+            .collect()
     }
 
     /// Queues an end for the dispatcher at `to`.
--- a/crates/edge/src/usage.rs
+++ b/crates/edge/src/usage.rs
@@ -351,7 +351,7 @@
     let report = decode_report(&update.crashes, &update.survivals);
     let host: HostId = update.host.parse()?;
     if let Some(message) = &update.dispatch {
-        dispatch::receive(edge, &host, message);
+        dispatch::receive(edge, peer, &host, message);
         return Ok(());
     }
     if let Some(message) = &update.trial {
