--- a/crates/edge/src/counters.rs
+++ b/crates/edge/src/counters.rs
@@ -1,5 +1,6 @@
 //! Metrics of the host.
 
+use bv_dispatch::Dispatcher;
 use bv_platform::StoreTraffic;
 use bv_retry::{Balance, Settlement};
 use bv_roster::Rejected;
@@ -43,6 +44,11 @@
 const QUOTA_MESSAGES: &str = "burdockvale_quota_messages_total";
 const QUOTA_BYTES: &str = "burdockvale_quota_bytes_total";
 const QUOTA_TEAMS: &str = "burdockvale_quota_teams";
+const SLOTS: &str = "burdockvale_slots_total";
+const SLOT_WAIT: &str = "burdockvale_slot_wait_seconds";
+const SLOTS_WAITING: &str = "burdockvale_slots_waiting";
+const SLOTS_IN_USE: &str = "burdockvale_slots_in_use";
+const SLOTS_LIMIT: &str = "burdockvale_slots_limit";
 const LOGS_DROPPED: &str = "burdockvale_log_lines_dropped_total";
 
 /// Upper bounds of the latency histogram, in seconds.
@@ -126,6 +132,23 @@
         CONTROL_BYTES,
         "Bytes of these messages without the headers of the transport."
     );
+    describe_counter!(
+        SLOTS,
+        "Calls that asked for a slot of a plain server, by result."
+    );
+    describe_histogram!(SLOT_WAIT, "Time from the arrival of a call to its slot.");
+    describe_gauge!(
+        SLOTS_WAITING,
+        "Calls that wait at the dispatcher of a service."
+    );
+    describe_gauge!(
+        SLOTS_IN_USE,
+        "Calls in progress at a server, as its dispatcher knows."
+    );
+    describe_gauge!(
+        SLOTS_LIMIT,
+        "Largest number of calls in progress at a server."
+    );
     describe_counter!(KEYS_CHECKED, "Requests whose key was checked, by result.");
     describe_counter!(QUOTAS, "Requests of teams with a quota, by result.");
     describe_counter!(QUOTA_MESSAGES, "Messages about quotas, by direction.");
@@ -219,6 +242,10 @@
     Load,
     /// Datagram about a trial.
     Trial,
+    /// Datagram about the quota of a team.
+    Quota,
+    /// Datagram about the slots of plain servers.
+    Dispatch,
     /// Query for rows.
     RowsQuery,
     /// Reply with all servers.
@@ -234,6 +261,8 @@
         match self {
             ControlKind::Load => "load",
             ControlKind::Trial => "trial",
+            ControlKind::Quota => "quota",
+            ControlKind::Dispatch => "dispatch",
             ControlKind::RowsQuery => "rows_query",
             ControlKind::AllRows => "all_rows",
             ControlKind::ChangedRows => "changed_rows",
@@ -343,3 +372,32 @@
 pub(crate) fn blocked_contents(count: usize) {
     gauge!(BLOCKED_CONTENTS).set(count as f64);
 }
+
+/// Counts a call that asked for a slot.
+pub(crate) fn slot(result: &'static str) {
+    counter!(SLOTS, "result" => result).increment(1);
+}
+
+/// Records the time from the arrival of a call to its slot.
+pub(crate) fn slot_wait(wait: Millis) {
+    histogram!(SLOT_WAIT).record(wait.0 as f64 / 1_000.0);
+}
+
+/// Sets the load of a dispatcher at this host.
+pub(crate) fn dispatcher(service: &ServiceId, now: Millis, dispatcher: &Dispatcher) {
+    let service = service.to_string();
+    gauge!(SLOTS_WAITING, "service" => service).set(dispatcher.waiting() as f64);
+    for (server, in_use, limit) in dispatcher.loads(now) {
+        gauge!(SLOTS_IN_USE, "server" => server.to_string()).set(f64::from(in_use));
+        gauge!(SLOTS_LIMIT, "server" => server.to_string()).set(f64::from(limit));
+    }
+}
+
+/// Clears the load of a dispatcher that was at this host.
+pub(crate) fn dispatcher_ended(service: &ServiceId, now: Millis, dispatcher: &Dispatcher) {
+    gauge!(SLOTS_WAITING, "service" => service.to_string()).set(0.0);
+    for (server, _, _) in dispatcher.loads(now) {
+        gauge!(SLOTS_IN_USE, "server" => server.to_string()).set(0.0);
+        gauge!(SLOTS_LIMIT, "server" => server.to_string()).set(0.0);
+    }
+}
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -61,6 +61,8 @@
     pub trials_changed: Notify,
     /// Quotas of the teams.
     pub quotas: Quotas,
+    /// Notified when messages to dispatchers are to be sent.
+    pub dispatch_due: Notify,
     /// Socket for datagrams to other hosts, once it is open.
     pub datagrams: OnceLock<Arc<UdpSocket>>,
     /// Notified when the load that this host reports to the others changes.
@@ -96,6 +98,7 @@
             pool: ConnectionPool::default(),
             capacity_changed: Notify::new(),
             trials_changed: Notify::new(),
+            dispatch_due: Notify::new(),
             quotas: Quotas::new(clock.now(), fastrand::u64(..)),
             clock,
             datagrams: OnceLock::new(),
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -16,7 +16,8 @@
 
 use crate::edge::Edge;
 use crate::{
-    announce, counters, crash_rows, follow, listen, quota, replies, roles, stop, subscribe, usage,
+    announce, counters, crash_rows, dispatch, follow, listen, quota, replies, roles, stop,
+    subscribe, usage,
 };
 
 /// Port of the metrics endpoint; must match `deploy/system.toml`.
@@ -139,6 +140,7 @@
     tokio::spawn(follow::query_peers(edge.clone()));
     tokio::spawn(roles::balance(edge.clone()));
     tokio::spawn(crash_rows::exchange(edge.clone()));
+    tokio::spawn(dispatch::run(edge.clone()));
     tokio::spawn(quota::maintain(edge.clone()));
     tokio::spawn(announce::send_updates(edge.clone(), datagrams.clone()));
     tokio::spawn(usage::receive_updates(edge.clone(), datagrams));
--- a/crates/edge/src/usage.rs
+++ b/crates/edge/src/usage.rs
@@ -20,6 +20,8 @@
 use crate::crash_reports::{
     ContentSurvival, EngineCrash, decode_report, encode_crash, encode_survival,
 };
+use crate::dispatch;
+use crate::dispatch_messages::DispatchMessage;
 use crate::edge::Edge;
 use crate::quota_messages::{self, QuotaMessage};
 use crate::state::State;
@@ -74,6 +76,9 @@
     /// Present in a datagram that carries no usage.
     #[prost(message, optional, tag = "15")]
     pub quota: Option<QuotaMessage>,
+    /// Present in a datagram that carries no usage.
+    #[prost(message, optional, tag = "16")]
+    pub dispatch: Option<DispatchMessage>,
     /// Present where hosts are divided into groups.
     #[prost(message, optional, tag = "17")]
     pub presence: Option<Presence>,
@@ -141,9 +146,13 @@
 }
 
 fn control_kind(update: &UsageUpdate) -> ControlKind {
-    match update.trial {
-        Some(_) => ControlKind::Trial,
-        None => ControlKind::Load,
+    match update {
+        UsageUpdate { trial: Some(_), .. } => ControlKind::Trial,
+        UsageUpdate { quota: Some(_), .. } => ControlKind::Quota,
+        UsageUpdate {
+            dispatch: Some(_), ..
+        } => ControlKind::Dispatch,
+        _ => ControlKind::Load,
     }
 }
 
@@ -185,6 +194,19 @@
     send_to(socket, &update, &[to]);
 }
 
+/// Sends a message about the slots of a service to one host.
+pub(crate) fn send_dispatch(edge: &Edge, to: SocketAddr, message: DispatchMessage) {
+    let Some(socket) = edge.datagrams.get() else {
+        return;
+    };
+    let update = UsageUpdate {
+        host: edge.settings.host.to_string(),
+        dispatch: Some(message),
+        ..UsageUpdate::default()
+    };
+    send_to(socket, &update, &[to]);
+}
+
 pub(crate) fn encode_update(
     edge: &Edge,
     now: Millis,
@@ -338,6 +360,10 @@
     counters::control_message(kind, Direction::Received, datagram.len());
     let report = decode_report(&update.crashes, &update.survivals);
     let host: HostId = update.host.parse()?;
+    if let Some(message) = &update.dispatch {
+        dispatch::receive(edge, peer, &host, message);
+        return Ok(());
+    }
     if let Some(message) = &update.trial {
         edge.state().crashes.receive(edge.now(), &report);
         trials::receive(edge, peer, &host, message);
