link: an answer that ends while its request is still written is not whole

Cause: a server answers a long upload at once without a length, closes its side and resets; the end of the connection marks the end of the answer, and the part was passed on as a whole one. A failed write takes the socket's error, after which a read finds an ordinary end. Change: BoundedHeads fails a read that finds the end of the connection before all bytes of the request were written. A whole answer without a marked end to a request that is never read is lost as well (502). Not covered: an orderly close after the kernel has taken the whole request.

--- a/crates/link/src/heads.rs
+++ b/crates/link/src/heads.rs
@@ -1,4 +1,5 @@
-//! A bound for the informational heads (1xx) before an answer, which the HTTP library skips without one.
+//! Checks of the bytes of a connection that the HTTP library leaves out: a bound for the informational
+//! heads (1xx) before an answer, and the end of an answer while its request is still being written.
 
 use std::io;
 use std::net::SocketAddr;
@@ -32,6 +33,15 @@
     pub max_bytes: usize,
 }
 
+/// A server closed its side of the connection while the request was still being written. An answer whose
+/// end is marked by the end of the connection may have been cut off there.
+#[derive(Debug, thiserror::Error)]
+#[error("read from {peer}: closed before the request was written completely")]
+pub struct ClosedEarly {
+    /// Address of the peer.
+    pub peer: SocketAddr,
+}
+
 /// Whether an answer was given up because of [`EndlessHeads`].
 pub fn is_endless_heads(err: &hyper::Error) -> bool {
     let mut cause = std::error::Error::source(err);
@@ -115,7 +125,8 @@
     }
 }
 
-/// A connection that fails if the heads before an answer exceed their limits.
+/// A connection that fails if the heads before an answer exceed their limits, or if it ends while the
+/// request is still being written.
 #[derive(Debug)]
 pub(crate) struct BoundedHeads<S> {
     stream: S,
@@ -123,6 +134,8 @@
     max_bytes: usize,
     heads: Heads,
     answer_expected: AnswerExpected,
+    /// Whether all bytes of the request were written; the library flushes only then.
+    is_flushed: bool,
 }
 
 impl<S> BoundedHeads<S> {
@@ -138,6 +151,7 @@
             max_bytes,
             heads: Heads::default(),
             answer_expected,
+            is_flushed: true,
         }
     }
 
@@ -167,6 +181,11 @@
         let before = buf.filled().len();
         let result = Pin::new(&mut self.stream).poll_read(cx, buf);
         match result {
+            // A failed write has taken the error of a reset, so that this read finds an ordinary end.
+            Poll::Ready(Ok(())) if buf.filled().len() == before && !self.is_flushed => {
+                let err = ClosedEarly { peer: self.peer };
+                Poll::Ready(Err(io::Error::new(io::ErrorKind::ConnectionReset, err)))
+            }
             Poll::Ready(Ok(())) => Poll::Ready(self.check(&buf.filled()[before..])),
             other => other,
         }
@@ -179,11 +198,16 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.is_flushed = false;
         Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+        let result = Pin::new(&mut self.stream).poll_flush(cx);
+        if let Poll::Ready(Ok(())) = &result {
+            self.is_flushed = true;
+        }
+        result
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -195,6 +219,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.is_flushed = false;
         Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
     }
 
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -13,5 +13,5 @@
     is_unacknowledged,
 };
 pub use collect::{CollectError, collect};
-pub use heads::{EndlessHeads, is_endless_heads};
+pub use heads::{ClosedEarly, EndlessHeads, is_endless_heads};
 pub use memory::{InboundLimits, InboundMemory, Sender, Share, bytes_while_read};
