edge: statuses from 600 to 999 are damaged answers

Cause: the HTTP library passes statuses from 600 to 999, and callers got them (measured: 600 with its body); an answer with such a status and the header X-Burdockvale-Not-Run counted as a refusal. Change: send and the reservation of memory at an engine take them for damaged answers: 502 answer_lost, or another server where the request may be repeated. 000 to 099 and other numbers of digits still end as lost answers.

--- a/crates/edge/src/model/reservation.rs
+++ b/crates/edge/src/model/reservation.rs
@@ -22,7 +22,7 @@
 use super::decode::DecodeTarget;
 use crate::counters;
 use crate::edge::{Edge, TrackedSend};
-use crate::send::{Connection, SendError, give_up, open};
+use crate::send::{Connection, SendError, give_up, is_known_status, open};
 
 /// Timeout of a reservation request; engines answer it at once and are at most 10 ms away.
 const RESERVE_TIMEOUT: Millis = Millis(400);
@@ -228,6 +228,11 @@
                 }
             },
             StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => ReserveReply::Full,
+            status if !is_known_status(status) => {
+                return Err(SendError::InvalidAnswer(
+                    "the status is not between 100 and 599",
+                ));
+            }
             status => ReserveReply::Unsupported(status),
         };
         // These answers carry neither stamp nor request id. The connection is new, and another
--- a/crates/edge/src/send.rs
+++ b/crates/edge/src/send.rs
@@ -11,7 +11,7 @@
 use bv_roster::Registration;
 use bv_types::{BackendId, Millis};
 use bytes::Bytes;
-use http::{HeaderMap, Response, header};
+use http::{HeaderMap, Response, StatusCode, header};
 use hyper::body::Incoming;
 
 use crate::counters;
@@ -162,6 +162,12 @@
         Ok(Err(err)) => return Err(classify_failure(edge, server, err)),
         Err(_) => return Err(SendError::Timeout(timeout)),
     };
+    if !is_known_status(response.status()) {
+        edge.pool.close(&server.id);
+        return Err(SendError::InvalidAnswer(
+            "the status is not between 100 and 599",
+        ));
+    }
     let facts = parse_answer_head(response.status(), response.headers());
     if facts.request_id.as_ref() != Some(&req.facts.request_id) {
         edge.pool.close(&server.id);
@@ -198,6 +204,12 @@
     })
 }
 
+/// Whether a status has a meaning in HTTP. The library passes on those from 600 to 999; callers may take
+/// them for anything, and what else the answer states cannot be relied on.
+pub(crate) fn is_known_status(status: StatusCode) -> bool {
+    status.as_u16() < 600
+}
+
 /// Opens a connection to a server.
 pub(crate) async fn open(server: &Registration, timeout: Millis) -> Result<Channel, SendError> {
     let options = ConnectOptions {
