link, edge: bodies of callers count what is allocated while they grow

Cause: the buffer of a body without a stated length grew to up to twice what was counted for it, the outgrown buffer was not counted, and what a connection had read ahead was held while the rest of a refused request was read.

--- a/crates/edge/src/connection.rs
+++ b/crates/edge/src/connection.rs
@@ -93,9 +93,12 @@
         let end = run(&edge, &guard, &mut connection, &mut drain_rx).await;
         let parts = connection.into_parts();
         stream = parts.io.into_inner().into_inner();
+        let has_read_bytes = !parts.read_buf.is_empty();
+        // The connection may stay open for seconds while the rest of a refused request is read.
+        drop(parts.read_buf);
         match end {
             // A request that arrives at this moment is still served.
-            End::Idle if parts.read_buf.is_empty() && has_unread_bytes(&stream) => {}
+            End::Idle if !has_read_bytes && has_unread_bytes(&stream) => {}
             End::Idle => return,
             End::SlowHead => {
                 refuse_head(&mut stream, Failure::refused(Refusal::ReadTimeout)).await;
--- a/crates/link/src/collect.rs
+++ b/crates/link/src/collect.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 
@@ -51,7 +51,7 @@
     if !share.resize(bytes_while_read(expected)) {
         return Err(CollectError::NoMemory { read: 0 });
     }
-    let mut buf = BytesMut::with_capacity(expected);
+    let mut buf = Vec::with_capacity(expected);
     loop {
         let frame = tokio::select! {
             biased;
@@ -72,10 +72,13 @@
             let capacity =
                 (buf.capacity() * 2).clamp(MIN_BUFFER_BYTES, limit.max(MIN_BUFFER_BYTES));
             let capacity = capacity.max(len);
-            if !share.resize(bytes_while_read(capacity)) {
+            // While the buffer grows, the old one is held beside the new one, and the allocator may keep
+            // the memory of the buffers that were outgrown.
+            if !share.resize(bytes_while_read(capacity) + buf.capacity()) {
                 return Err(CollectError::NoMemory { read: buf.len() });
             }
-            buf.reserve(capacity - buf.len());
+            // Without this, the buffer grows to twice its capacity, which the share does not cover.
+            buf.reserve_exact(capacity - buf.len());
         }
         buf.extend_from_slice(&data);
     }
--- a/crates/link/src/memory.rs
+++ b/crates/link/src/memory.rs
@@ -2,7 +2,6 @@
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use bytes::BytesMut;
 use tokio::sync::Notify;
 
 /// Most bytes that a connection holds beside the body: its read buffer, and a frame that was taken from
@@ -207,7 +206,7 @@
 
 /// A body that was read, with its share of the memory.
 pub(crate) struct SharedBody {
-    pub buf: BytesMut,
+    pub buf: Vec<u8>,
     pub _share: Share,
 }
 
