--- a/crates/edge/src/quota.rs
+++ b/crates/edge/src/quota.rs
@@ -9,8 +9,9 @@
 use bv_limit::{
     HostQuotas, HostView, OwnedQuotas, Quota, QuotaAsk, QuotaGrant, QuotaState, Ticket,
 };
+use bv_roster::HostEntry;
 use bv_route::TeamQuota;
-use bv_types::{HostId, Millis, Refusal, TeamId, Tokens};
+use bv_types::{HostId, Millis, RatePerSec, Refusal, TeamId, Tokens};
 use tokio::sync::Notify;
 use tracing::info;
 
@@ -29,7 +30,8 @@
 #[derive(Debug, Default)]
 struct View {
     known: Option<usize>,
-    heard: Vec<SocketAddr>,
+    /// Sorted by id.
+    heard: Vec<HostEntry>,
     /// Owner of each team that was looked up, sorted by team; `None` if it is this host. The choice
     /// hashes the name of each host.
     owners: Vec<(TeamId, Option<SocketAddr>)>,
@@ -107,7 +109,7 @@
         if cost == 0 {
             return Ok(QuotaGuard { counted: None });
         }
-        let quota = limit(quota);
+        let quota = self.limit(quota);
         if cost as f64 > self.largest_cost(quota) {
             return Err(self.refuse_quota(req, team, cost, self.settings.quota_window));
         }
@@ -131,8 +133,7 @@
     /// Decides about a request, after a wait if need be.
     async fn wait_for_quota(&self, team: &TeamId, quota: Quota, cost: u64) -> QuotaState {
         let now = self.now();
-        let view = self.host_view();
-        let begun = lock(&self.quotas.host).begin(now, (team, quota), view, cost);
+        let begun = lock(&self.quotas.host).begin(now, (team, quota), cost);
         let ticket = match begun {
             Ok(state) => {
                 self.ask_quota(now, team);
@@ -162,10 +163,22 @@
 
     /// Largest cost of a single request, which alone stays within the bound of a window.
     fn largest_cost(&self, quota: Quota) -> f64 {
-        let settings = &self.settings;
-        let window_s = settings.quota_window.0 as f64 / 1_000.0;
-        let allowed = quota.rate.get() * window_s + quota.burst;
-        allowed * (1.0 + settings.quota_overage) + settings.quota_slack
+        self.window_cost(quota.rate, quota.burst) + quota.tolerance
+    }
+
+    /// What a quota allows in a window.
+    fn window_cost(&self, rate: RatePerSec, burst: f64) -> f64 {
+        rate.get() * self.settings.quota_window.0 as f64 / 1_000.0 + burst
+    }
+
+    fn limit(&self, quota: TeamQuota) -> Quota {
+        let burst = quota.burst as f64;
+        let (overage, slack) = (self.settings.quota_overage, self.settings.quota_slack);
+        Quota {
+            rate: quota.rate,
+            burst,
+            tolerance: self.window_cost(quota.rate, burst) * overage + slack,
+        }
     }
 
     fn refuse_quota(
@@ -207,7 +220,7 @@
         let quota = {
             let state = self.state();
             let teams = state.in_force.table()?.teams()?;
-            limit(teams.by_id(team)?.quota?)
+            self.limit(teams.by_id(team)?.quota?)
         };
         // By the view of another host this one may own it while a third one lends.
         if self.quota_owner(team).is_some() {
@@ -256,7 +269,7 @@
             let state = self.state();
             let others = state.hosts.others().iter();
             let heard = others.filter(|host| state.fleet.hears(&host.id));
-            let heard: Vec<SocketAddr> = heard.map(|host| host.addr).collect();
+            let heard: Vec<HostEntry> = heard.cloned().collect();
             (state.hosts.count(), heard)
         };
         {
@@ -265,11 +278,15 @@
             if view.heard == heard {
                 return;
             }
-            view.heard = heard;
+            view.heard = heard.clone();
             view.owners.clear();
         }
         let is_owned = |team: &TeamId| self.quota_owner(team).is_none();
-        lock(&self.quotas.owned).change_view(now, is_owned);
+        let is_heard = |host: &HostId| {
+            *host == self.settings.host
+                || heard.binary_search_by(|other| other.id.cmp(host)).is_ok()
+        };
+        lock(&self.quotas.owned).change_view(now, is_owned, is_heard);
     }
 }
 
@@ -285,13 +302,6 @@
     quota.unit.cost(stated)
 }
 
-fn limit(quota: TeamQuota) -> Quota {
-    Quota {
-        rate: quota.rate,
-        burst: quota.burst as f64,
-    }
-}
-
 /// Looks at the hosts and gives unused allowances back, until the process ends.
 pub(crate) async fn maintain(edge: Arc<Edge>) {
     loop {
--- a/crates/limit/src/bucket.rs
+++ b/crates/limit/src/bucket.rs
@@ -33,6 +33,9 @@
     pub rate: RatePerSec,
     /// Units that may be spent at once beyond the rate.
     pub burst: f64,
+    /// Units by which all hosts together may exceed rate and burst in a window, while some do not reach
+    /// others.
+    pub tolerance: f64,
 }
 
 /// Shortest time at the rate that a bucket holds: hosts that were refused ask again only after
--- a/crates/limit/src/owner.rs
+++ b/crates/limit/src/owner.rs
@@ -14,6 +14,8 @@
     Quota {
         rate,
         burst: rate.get() * ALLOWANCE_TIME.0 as f64 / 1000.0,
+        // Hosts that do not reach the owner are not counted.
+        tolerance: f64::INFINITY,
     }
 }
 
@@ -75,7 +77,7 @@
             team.token_grants
                 .retain(|grant| !grant.is_to((host, incarnation)));
             if let Some(requests) = &mut team.requests {
-                requests.forget(host);
+                requests.forget(|other| other == host);
             }
         }
     }
@@ -135,13 +137,12 @@
         let lender = self
             .requests
             .get_or_insert_with(|| Lender::new(quota.capacity(), now));
-        lender.refill(now, quota, 1.0);
         let want = Want {
             least: wanted.min(1),
             waiting: wanted,
             ahead: 0,
         };
-        lender.take(now, quota.capacity(), host, want)
+        lender.take(now, (quota, 1.0), host, want)
     }
 
     fn take_tokens(&mut self, limits: Limits, requester: Requester<'_>, wanted: Tokens) -> Tokens {
--- a/crates/limit/src/quota_host.rs
+++ b/crates/limit/src/quota_host.rs
@@ -21,14 +21,21 @@
 const MAX_WAIT: Millis = Millis(150);
 /// Time without a reply after which a host spends its own part; three repetitions fit into it.
 const SILENT_TIME: Millis = Millis(140);
-/// Longest wait while no other host is heard or the hosts are not known, as after a restart of all.
-const MAX_WAIT_ISOLATED: Millis = Millis(500);
+/// Longest wait while the hosts are not known, as after a restart of all, no other one is heard or the owner
+/// does not reply. The own part of a quota is filled slowly.
+const MAX_WAIT_ALONE: Millis = Millis(500);
 /// Time for which requests are refused on the owner's word that the quota is spent.
 const CLOSED_TIME: Millis = Millis(250);
 /// Time for which a host asks in advance.
 const AHEAD_TIME: Millis = Millis(250);
-/// Time for which a host that does not reach the owner spends at the rate that it was granted last.
+/// Longest time for which a host that does not reach the owner spends at the rate that it was granted
+/// last. The owner is not heard after it, so that another one lends.
 const LAST_RATE_TIME: Millis = Millis(1_600);
+/// Part of the tolerance that hosts which do not reach the owner may use at the rates granted last, if
+/// they were granted the whole quota. The rest is for allowances and changes of the owner.
+const LAST_RATE_TOLERANCE: f64 = 0.25;
+/// Part of the tolerance that all hosts together may spend at once when they lose the owner.
+const FIRST_TOLERANCE: f64 = 0.7;
 /// Time constant of the rates of demand and of grants.
 const RATE_TIME_MS: f64 = 1_000.0;
 /// Share of a new sample in the usual cost of a request.
@@ -59,7 +66,7 @@
 struct Waiting {
     ticket: Ticket,
     cost: u64,
-    until: Millis,
+    began: Millis,
     /// Set once it is decided.
     decided: Option<QuotaState>,
 }
@@ -95,6 +102,8 @@
     id: TeamId,
     quota: Quota,
     allowances: Vec<Allowance>,
+    /// Units of allowances that ended, to be given back.
+    ended: u64,
     waiting: Vec<Waiting>,
     /// The request for an allowance without a reply, when it was first sent and when last.
     asked: Option<(QuotaAsk, Millis, Millis)>,
@@ -142,7 +151,6 @@
         &mut self,
         now: Millis,
         (id, quota): (&TeamId, Quota),
-        view: HostView,
         cost: u64,
     ) -> Result<QuotaState, Ticket> {
         let ticket = Ticket(self.next_ticket);
@@ -163,14 +171,10 @@
         if let Some((_, free_at)) = team.closed.filter(|(until, _)| now < *until) {
             return Ok(QuotaState::Refused((free_at - now).max(MIN_RETRY_AFTER)));
         }
-        let wait = match view.known.is_none() || view.is_isolated() {
-            true => MAX_WAIT_ISOLATED,
-            false => MAX_WAIT,
-        };
         team.waiting.push(Waiting {
             ticket,
             cost,
-            until: now + wait,
+            began: now,
             decided: None,
         });
         Err(ticket)
@@ -281,18 +285,20 @@
         if let Some(decided) = entry.decided {
             return decided;
         }
-        let (cost, until) = (entry.cost, entry.until);
+        let (cost, began) = (entry.cost, entry.began);
+        // The owner was asked for so long that one of the repetitions would have been answered.
+        let is_unanswered = team
+            .silent_since
+            .is_some_and(|since| now >= since + SILENT_TIME);
+        let is_alone = view.known.is_none() || view.is_isolated() || is_unanswered;
+        let until = began + if is_alone { MAX_WAIT_ALONE } else { MAX_WAIT };
         if view.known.is_none() {
             return match now < until {
                 true => QuotaState::Waiting(until.min(now + REPEAT_INTERVAL)),
                 false => QuotaState::Unknown,
             };
         }
-        // The owner was asked for so long that one of the repetitions would have been answered.
-        let is_unanswered = team
-            .silent_since
-            .is_some_and(|since| now >= since + SILENT_TIME);
-        if view.is_isolated() || is_unanswered {
+        if is_alone {
             let share = team.refill_share(now, view, level);
             // One request may overdraw the share.
             if share.level >= 0.0 {
@@ -341,7 +347,8 @@
     pub fn expire(&mut self, now: Millis) -> Vec<(TeamId, u64)> {
         let mut unused = Vec::new();
         for team in &mut self.teams {
-            let units = team.drop_expired(now);
+            team.drop_expired(now);
+            let units = std::mem::take(&mut team.ended);
             if units > 0 {
                 unused.push((team.id.clone(), units));
             }
@@ -399,6 +406,7 @@
             id: id.clone(),
             quota,
             allowances: Vec::new(),
+            ended: 0,
             waiting: Vec::new(),
             asked: None,
             silent_since: None,
@@ -429,9 +437,9 @@
         self.allowances.retain(|part| part.units > 0);
     }
 
-    fn drop_expired(&mut self, now: Millis) -> u64 {
+    fn drop_expired(&mut self, now: Millis) {
         let ended = self.allowances.extract_if(.., |part| now >= part.until);
-        ended.map(|part| part.units).sum()
+        self.ended += ended.map(|part| part.units).sum::<u64>();
     }
 
     /// Admits requests in the order of their arrival as far as the allowances reach.
@@ -451,21 +459,26 @@
 
     /// Rate at which this host may spend while the owner does not reply.
     fn share_rate(&self, now: Millis, view: HostView) -> f64 {
-        let equal = self.quota.rate.get() / view.hosts() as f64;
+        let rate = self.quota.rate.get();
+        let equal = rate / view.hosts() as f64;
+        let tolerated_ms = self.quota.tolerance * LAST_RATE_TOLERANCE * 1000.0 / rate;
+        let last_rate_time = LAST_RATE_TIME.min(Millis(tolerated_ms as u64));
         match self.replied {
-            Some((at, _)) if now < at + LAST_RATE_TIME => self.granted.per_sec(at).max(equal),
+            Some((at, _)) if now < at + last_rate_time => self.granted.per_sec(at).max(equal),
             _ => equal,
         }
     }
 
-    /// Begins at a random level, since many hosts lose their owner at the same moment.
+    /// Begins at a random level, since many hosts lose their owner at the same moment; in the mean below 0
+    /// unless the tolerance allows all of them a request at once.
     fn refill_share(&mut self, now: Millis, view: HostView, random: f64) -> &mut Bucket {
         let rate = self.share_rate(now, view);
-        let capacity = self.quota.capacity() / view.hosts() as f64;
         let usual_cost = self.usual_cost;
-        let share = self
-            .share
-            .get_or_insert_with(|| Bucket::new(-random * usual_cost, now));
+        let tolerated = self.quota.tolerance * FIRST_TOLERANCE / view.hosts() as f64;
+        let tolerated = tolerated.min(usual_cost);
+        let capacity = self.quota.capacity() / view.hosts() as f64 + tolerated;
+        let first = tolerated - random * usual_cost;
+        let share = self.share.get_or_insert_with(|| Bucket::new(first, now));
         share.refill(now, rate, capacity);
         share
     }
--- a/crates/limit/src/quota_owner.rs
+++ b/crates/limit/src/quota_owner.rs
@@ -62,6 +62,7 @@
 #[derive(Debug, Clone)]
 struct Team {
     id: TeamId,
+    quota: Quota,
     lender: Lender,
     /// The latest grant of each host, sent again if its request is repeated.
     replies: Vec<(HostId, QuotaGrant, Millis)>,
@@ -108,9 +109,8 @@
     ) -> QuotaGrant {
         self.check_pause(now);
         let part = view.part();
-        let team = self.team(now, team);
+        let team = self.team(now, team, quota);
         team.asked_at = now;
-        team.lender.refill(now, quota, part);
         team.replies.retain(|(_, _, at)| now < *at + REPLY_TIME);
         let known = team.replies.iter().find(|(other, _, _)| other == host);
         if let Some((_, grant, _)) = known.filter(|(_, grant, _)| grant.id == ask.id) {
@@ -121,8 +121,8 @@
             waiting: ask.waiting,
             ahead: ask.ahead,
         };
-        let capacity = quota.capacity() * part;
-        let granted = team.lender.take(now, capacity, host, want);
+        team.quota = quota;
+        let granted = team.lender.take(now, (quota, part), host, want);
         let missing = team.lender.unmet(now) - team.lender.level();
         let wait_ms = missing.max(0.0) * 1000.0 / (quota.rate.get() * part);
         let grant = QuotaGrant {
@@ -144,9 +144,18 @@
     }
 
     /// Records that this host may have begun to own other teams, which other hosts lent before. Keeps the
-    /// teams that it owned before and still owns.
-    pub fn change_view(&mut self, now: Millis, is_owned: impl Fn(&TeamId) -> bool) {
+    /// teams that it owned before and still owns, without the demand of hosts that are not heard.
+    pub fn change_view(
+        &mut self,
+        now: Millis,
+        is_owned: impl Fn(&TeamId) -> bool,
+        is_heard: impl Fn(&HostId) -> bool,
+    ) {
         self.teams.retain(|team| is_owned(&team.id));
+        for team in &mut self.teams {
+            team.lender.forget(|host| !is_heard(host));
+            team.lender.spend_kept(now, team.quota);
+        }
         self.since = now;
     }
 
@@ -159,7 +168,7 @@
     /// Empties the buckets if this host did not run for a while, in which others may have lent.
     fn check_pause(&mut self, now: Millis) {
         if now >= self.ran_at + MAX_PAUSE {
-            self.change_view(now, |_| false);
+            self.change_view(now, |_| false, |_| true);
         }
         self.ran_at = self.ran_at.max(now);
     }
@@ -178,13 +187,14 @@
         self.teams.binary_search_by(|entry| entry.id.cmp(team))
     }
 
-    fn team(&mut self, now: Millis, id: &TeamId) -> &mut Team {
+    fn team(&mut self, now: Millis, id: &TeamId, quota: Quota) -> &mut Team {
         let index = match self.position(id) {
             Ok(index) => index,
             Err(index) => {
                 // The first refill adds what was earned since then.
                 let team = Team {
                     id: id.clone(),
+                    quota,
                     lender: Lender::new(0.0, self.since),
                     replies: Vec::new(),
                     asked_at: now,
