--- a/crates/dispatch/src/waiting.rs
+++ b/crates/dispatch/src/waiting.rs
@@ -27,6 +27,22 @@
     priority: u8,
     team: Option<TeamId>,
     granted: f64,
+    /// Number of its waiting calls.
+    waiting: usize,
+}
+
+impl TeamShare {
+    fn has(&self, ask: &Ask) -> bool {
+        self.priority == ask.priority && self.team == ask.team
+    }
+
+    /// Order in which teams with waiting calls get the next slot.
+    fn order(&self, other: &TeamShare) -> Ordering {
+        self.priority
+            .cmp(&other.priority)
+            .then(self.granted.total_cmp(&other.granted))
+            .then_with(|| self.team.cmp(&other.team))
+    }
 }
 
 /// Waiting calls of all hosts.
@@ -50,10 +66,8 @@
             known.asked_at = now;
             return false;
         }
-        let mut calls = self.calls.values();
-        if !calls.any(|w| w.ask.priority == ask.priority && w.ask.team == ask.team) {
-            self.raise_share(ask.priority, &ask.team);
-        }
+        let share = self.share_of(&ask);
+        self.shares[share].waiting += 1;
         let waiter = Waiter {
             ask,
             asked_at: now,
@@ -70,7 +84,11 @@
 
     /// Removes a call; returns it if it waited.
     pub fn remove(&mut self, id: &AskId) -> Option<Ask> {
-        self.calls.remove(id).map(|w| w.ask)
+        let ask = self.calls.remove(id)?.ask;
+        if let Ok(at) = self.find_share(ask.priority, &ask.team) {
+            self.shares[at].waiting -= 1;
+        }
+        Some(ask)
     }
 
     /// The predicted time of a call's slot, if it was predicted a short time ago.
@@ -89,32 +107,29 @@
     /// Removes a call that is granted a slot, and charges its team.
     pub fn grant(&mut self, id: &AskId) -> Option<Ask> {
         let ask = self.remove(id)?;
-        let at = self.share(ask.priority, &ask.team);
-        self.shares[at].granted += 1.0;
+        if let Ok(at) = self.find_share(ask.priority, &ask.team) {
+            self.shares[at].granted += 1.0;
+        }
         Some(ask)
     }
 
     /// The first call in the order of those for which `may_go` holds. `work_ms` is the time of a call at a
     /// server.
     pub fn first(&self, now: Millis, work_ms: f64, may_go: impl Fn(&Ask) -> bool) -> Option<&Ask> {
-        let calls = self.calls.values().map(|w| &w.ask);
-        let mut first: Option<(f64, &Ask)> = None;
-        for ask in calls.filter(|ask| may_go(ask)) {
-            let share = self.granted(ask.priority, &ask.team);
-            let is_first = first.is_none_or(|(least, other)| {
-                let order = ask
-                    .priority
-                    .cmp(&other.priority)
-                    .then(share.total_cmp(&least))
-                    .then_with(|| ask.team.cmp(&other.team))
-                    .then_with(|| within_team(now, work_ms, ask, other));
-                order.is_lt()
-            });
-            if is_first {
-                first = Some((share, ask));
-            }
+        let first_of = |share: &TeamShare| {
+            let calls = self.calls.values().map(|w| &w.ask);
+            calls
+                .filter(|ask| share.has(ask) && may_go(ask))
+                .min_by(|a, b| within_team(now, work_ms, a, b))
+        };
+        let waiting = || self.shares.iter().filter(|share| share.waiting > 0);
+        let first = waiting().min_by(|a, b| a.order(b)).and_then(first_of);
+        if first.is_some() {
+            return first;
         }
-        first.map(|(_, ask)| ask)
+        let mut shares: Vec<&TeamShare> = waiting().collect();
+        shares.sort_by(|a, b| a.order(b));
+        shares.into_iter().find_map(first_of)
     }
 
     /// Number of calls that get a slot before this one, if no other arrives.
@@ -122,31 +137,26 @@
         let Some(own) = self.find(id) else {
             return 0;
         };
-        let mut before = 0;
-        let mut in_team = 0;
-        let mut others: Vec<(&Option<TeamId>, usize)> = Vec::new();
-        for Waiter { ask, .. } in self.calls.values() {
-            match ask.priority.cmp(&own.priority) {
-                Ordering::Less => before += 1,
-                Ordering::Greater => {}
-                Ordering::Equal if ask.team == own.team => {
-                    in_team += usize::from(within_team(now, work_ms, ask, own).is_lt());
-                }
-                Ordering::Equal => match others.iter_mut().find(|(team, _)| **team == ask.team) {
-                    Some((_, count)) => *count += 1,
-                    None => others.push((&ask.team, 1)),
-                },
-            }
-        }
-        let other_teams = others.iter().map(|(_, count)| *count.min(&(in_team + 1)));
-        before + in_team + other_teams.sum::<usize>()
+        let calls = self.calls.values().map(|w| &w.ask);
+        let in_team = calls.filter(|ask| ask.priority == own.priority && ask.team == own.team);
+        let in_team = in_team
+            .filter(|ask| within_team(now, work_ms, ask, own).is_lt())
+            .count();
+        let others = self.shares.iter().filter(|share| !share.has(own));
+        let others = others.map(|share| match share.priority.cmp(&own.priority) {
+            Ordering::Less => share.waiting,
+            Ordering::Equal => share.waiting.min(in_team + 1),
+            Ordering::Greater => 0,
+        });
+        in_team + others.sum::<usize>()
     }
 
     /// Removes the calls whose hosts ask no more.
     pub fn expire(&mut self, now: Millis) -> usize {
-        let before = self.calls.len();
-        self.calls.retain(|_, w| now < w.asked_at + ASK_LIFETIME);
-        before - self.calls.len()
+        let is_gone = |w: &&Waiter| now >= w.asked_at + ASK_LIFETIME;
+        let gone = self.calls.values().filter(is_gone);
+        let gone: Vec<AskId> = gone.map(|w| w.ask.id.clone()).collect();
+        gone.iter().filter_map(|id| self.remove(id)).count()
     }
 
     /// Number of waiting calls.
@@ -159,41 +169,40 @@
         self.calls.is_empty()
     }
 
-    fn granted(&self, priority: u8, team: &Option<TeamId>) -> f64 {
-        self.find_share(priority, team)
-            .map_or(0.0, |at| self.shares[at].granted)
-    }
-
     fn find_share(&self, priority: u8, team: &Option<TeamId>) -> Result<usize, usize> {
         self.shares
             .binary_search_by(|s| s.priority.cmp(&priority).then_with(|| s.team.cmp(team)))
     }
 
-    fn share(&mut self, priority: u8, team: &Option<TeamId>) -> usize {
-        self.find_share(priority, team).unwrap_or_else(|at| {
-            let share = TeamShare {
-                priority,
-                team: team.clone(),
-                granted: 0.0,
-            };
-            self.shares.insert(at, share);
-            at
-        })
-    }
-
-    /// Raises what counts as granted to a team that begins to wait to the least of the waiting teams, or to the
-    /// most of all if none waits. Shares of teams that do not wait are forgotten when none waits.
-    fn raise_share(&mut self, priority: u8, team: &Option<TeamId>) {
-        let waiting = self.calls.values().filter(|w| w.ask.priority == priority);
-        let least = waiting
-            .map(|w| self.granted(priority, &w.ask.team))
-            .min_by(f64::total_cmp);
-        let Some(least) = least else {
-            self.shares.retain(|share| share.priority != priority);
-            return;
-        };
-        let at = self.share(priority, team);
-        self.shares[at].granted = self.shares[at].granted.max(least);
+    /// The share of a call's team. For a team that begins to wait, what counts as granted is raised to the
+    /// least of the waiting teams; when none waits, the shares of the priority begin anew.
+    fn share_of(&mut self, ask: &Ask) -> usize {
+        let waiting = self
+            .shares
+            .iter()
+            .filter(|share| share.priority == ask.priority && share.waiting > 0);
+        let least = waiting.map(|share| share.granted).min_by(f64::total_cmp);
+        if least.is_none() {
+            self.shares.retain(|share| share.priority != ask.priority);
+        }
+        let least = least.unwrap_or(0.0);
+        match self.find_share(ask.priority, &ask.team) {
+            Ok(at) if self.shares[at].waiting > 0 => at,
+            Ok(at) => {
+                self.shares[at].granted = self.shares[at].granted.max(least);
+                at
+            }
+            Err(at) => {
+                let share = TeamShare {
+                    priority: ask.priority,
+                    team: ask.team.clone(),
+                    granted: least,
+                    waiting: 0,
+                };
+                self.shares.insert(at, share);
+                at
+            }
+        }
     }
 }
 
--- a/crates/edge/src/dispatch.rs
+++ b/crates/edge/src/dispatch.rs
@@ -64,15 +64,11 @@
             .filter(|s| !may_take(&s.id) || !state.announced.may_send(now, s))
             .map(|s| s.id.clone())
             .collect();
-        let parts = (0..count as u64).map(|n| Part {
-            service: service.clone(),
-            number: ((call.wrapping_add(n)) % count as u64) as u32,
-        });
-        let mut with_server = parts.filter(|part| {
-            let mut own = servers.iter().filter(|s| part.has(&s.id, count));
-            own.any(|s| !excluded.contains(&s.id))
-        });
-        let part = with_server.next()?;
+        // Parts get calls in proportion to their servers.
+        let first = (call % servers.len().max(1) as u64) as usize;
+        let mut from_first = servers.iter().cycle().skip(first).take(servers.len());
+        let server = from_first.find(|server| !excluded.contains(&server.id))?;
+        let part = Part::of(service, &server.id, count);
         Some((part, excluded))
     }
 
@@ -140,7 +136,7 @@
             let count = dispatcher_count(state.roster.of_service(now, &part.service).count());
             let servers = state.roster.of_service(now, &part.service);
             let servers = state.announced.allowed(now, servers);
-            let servers = servers.filter(|server| part.has(&server.id, count));
+            let servers = servers.filter(|s| Part::of(&part.service, &s.id, count) == *part);
             own.dispatcher.set_servers(now, servers);
         }
         if began {
--- a/crates/edge/src/dispatch_state.rs
+++ b/crates/edge/src/dispatch_state.rs
@@ -34,10 +34,13 @@
         format!("dispatch {} {}", self.service, self.number).into_bytes()
     }
 
-    /// Whether a server belongs to this part of `count`.
-    pub fn has(&self, server: &BackendId, count: usize) -> bool {
-        let Fingerprint([a, b, ..]) = Fingerprint::digest([server.as_str().as_bytes()]);
-        count <= 1 || usize::from(u16::from_le_bytes([a, b])) % count == self.number as usize
+    /// The part that a server belongs to, among `count` of its service.
+    pub fn of(service: &ServiceId, server: &BackendId, count: usize) -> Self {
+        let Fingerprint([a, b, c, d, ..]) = Fingerprint::digest([server.as_str().as_bytes()]);
+        Part {
+            service: service.clone(),
+            number: u32::from_le_bytes([a, b, c, d]) % count.max(1) as u32,
+        }
     }
 }
 
