dispatch, platform: slow answers are no reason to refuse every call

A call counted as hopeless if twice the usual time to an answer was more than what it had left. After some slow answers that held for fresh calls too, so all were refused, and no quick answer could correct the estimate (new test, failing before). In the first half of its time a call is not refused for this reason now.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -311,10 +311,13 @@
         }
     }
 
-    /// Whether a call that is sent at this time is answered by its deadline.
+    /// Whether a call that is sent at this time is likely to be answered by its deadline. In the first half
+    /// of its time it always counts so: if all calls were refused after some slow answers, no quick one could
+    /// correct the estimate.
     fn is_in_time(&self, now: Millis, ask: &Ask) -> bool {
         let answer_ms = self.servers.work_ms().max(self.servers.answer_ms()) * DEADLINE_MARGIN;
-        now + Millis(answer_ms as u64) <= ask.deadline
+        let half = Millis((ask.deadline - ask.arrived).0 / 2);
+        now + Millis(answer_ms as u64).min(half) <= ask.deadline
     }
 
     /// Refuses a waiting call, with the time of its return.
--- a/crates/dispatch/tests/grant_ends.rs
+++ b/crates/dispatch/tests/grant_ends.rs
@@ -132,3 +132,22 @@
     );
     assert_eq!(granted(&dispatcher.tick(Millis(1_210))), [2]);
 }
+
+/// Guards against a dispatcher that refuses all calls after some slow answers, and so never sees a quick one.
+#[test]
+fn slow_answers_are_no_reason_to_refuse_all() {
+    let mut dispatcher = dispatcher(&["a"]);
+    let mut now = 1_000;
+    for call in 0..200 {
+        let actions = dispatcher.ask(Millis(now), ask(now, "h", call));
+        assert_eq!(granted(&actions), [call]);
+        now += 1_400;
+        let slow = SendEnd::Answered {
+            took: Millis(1_400),
+        };
+        dispatcher.renew(Millis(now - 700), &actions[0].id);
+        dispatcher.end(Millis(now), &actions[0].id, slow);
+    }
+    let actions = dispatcher.ask(Millis(now), ask(now, "h", 1_000));
+    assert_eq!(granted(&actions), [1_000]);
+}
