dispatch: hosts that place alone do not keep the calls of others waiting

After the first second 2 grants at each server do not depend on what others send there. A queued call is refused when the usual time to an answer, not twice that, is missing; the double margin holds at the grant.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -19,8 +19,9 @@
 const WAIT_MARGIN: f64 = 1.1;
 /// Time over which arrivals are averaged, in ms.
 const ARRIVAL_WINDOW_MS: f64 = 1_000.0;
-/// Time of a call, as a multiple of the usual one, that must be left before its deadline: machines are
-/// shared, and the answer of a call that must run at most once may not be late.
+/// Time of a call, as a multiple of the usual one, that must be left before its deadline when it is granted a
+/// slot: machines are shared, and the answer of a call that must run at most once may not be late. For the
+/// decision whether it waits, the usual time is enough; with more, calls were refused that found a slot.
 const DEADLINE_MARGIN: f64 = 2.0;
 /// Least share of the servers that counts as left to calls behind more urgent ones, whose bursts end.
 const LEAST_SHARE: f64 = 0.3;
@@ -111,6 +112,10 @@
         if self.servers.is_empty() {
             return Vec::new();
         }
+        // Grants of another dispatcher have ended by then.
+        if now >= self.began_at + LEASE {
+            self.servers.set_floor();
+        }
         let id = ask.id.clone();
         let sent_at = ask.sent_at;
         if let Some(held) = self.grants.get_mut(&id) {
@@ -247,7 +252,7 @@
                     .waiting
                     .first(now, work_ms, |ask| server_of(ask).is_some()),
             };
-            if let Some(late) = first.filter(|ask| !self.is_in_time(now, ask)) {
+            if let Some(late) = first.filter(|ask| !self.is_in_time(now, ask, DEADLINE_MARGIN)) {
                 let id = late.id.clone();
                 actions.extend(self.refuse(now, &id, now));
                 continue;
@@ -284,7 +289,7 @@
             return Decision::Queued { wait: Millis::ZERO };
         };
         if let Some(slot_at) = self.waiting.predicted(now, id)
-            && self.is_in_time(now, &ask)
+            && self.is_in_time(now, &ask, DEADLINE_MARGIN)
         {
             let wait = slot_at - now;
             return Decision::Queued { wait };
@@ -296,9 +301,9 @@
         let returning = self.returns.due_before(now + Millis(wait_ms as u64));
         wait_ms += returning as f64 / rate;
         let wait = Millis(wait_ms.min(60_000.0).ceil() as u64);
-        let is_hopeless = !self.is_in_time(now, &ask);
+        let is_hopeless = !self.is_in_time(now, &ask, DEADLINE_MARGIN);
         let is_learning = now < self.began_at + LEARN_TIME;
-        if !is_hopeless && (self.is_in_time(now + wait, &ask) || is_learning) {
+        if !is_hopeless && (self.is_in_time(now + wait, &ask, 1.0) || is_learning) {
             self.waiting.set_predicted(now, id, now + wait);
             return Decision::Queued { wait };
         }
@@ -311,11 +316,12 @@
         }
     }
 
-    /// Whether a call that is sent at this time is likely to be answered by its deadline. In the first half
+    /// Whether a call that is sent at this time is likely to be answered by its deadline, with `margin` times
+    /// the usual time to an answer. In the first half
     /// of its time it always counts so: if all calls were refused after some slow answers, no quick one could
     /// correct the estimate.
-    fn is_in_time(&self, now: Millis, ask: &Ask) -> bool {
-        let answer_ms = self.servers.work_ms().max(self.servers.answer_ms()) * DEADLINE_MARGIN;
+    fn is_in_time(&self, now: Millis, ask: &Ask, margin: f64) -> bool {
+        let answer_ms = self.servers.work_ms().max(self.servers.answer_ms()) * margin;
         let half = Millis((ask.deadline - ask.arrived).0 / 2);
         now + Millis(answer_ms as u64).min(half) <= ask.deadline
     }
--- a/crates/dispatch/src/servers.rs
+++ b/crates/dispatch/src/servers.rs
@@ -19,6 +19,8 @@
 const PEAK_WINDOW: Millis = Millis(500);
 /// Time for which a host's statement of its sends without a grant counts.
 const USE_LIFETIME: Millis = Millis(500);
+/// Grants at a server that do not depend on the calls of hosts that place alone; a third of its slots.
+const FLOOR: u32 = 2;
 /// Usual time of a call before the first answer, in ms.
 const INITIAL_WORK_MS: f64 = 30.0;
 /// Weight of the newest sample of the usual time of a call.
@@ -72,8 +74,12 @@
         self.known() + (unknown * (1.0 - age).max(0.0)).round() as u32
     }
 
-    pub fn is_free(&self, now: Millis) -> bool {
-        self.in_use(now) < self.pace.limit(now)
+    /// Number of calls that may be granted now. Up to `floor` grants do not depend on the calls of hosts that
+    /// place alone.
+    fn free(&self, now: Millis, floor: u32) -> u32 {
+        let limit = self.pace.limit(now);
+        let left = limit.saturating_sub(self.in_use(now));
+        left.max(floor.min(limit).saturating_sub(self.granted))
     }
 
     fn note_peak(&mut self, now: Millis) {
@@ -117,6 +123,8 @@
     work_ms: f64,
     /// Usual time from a grant to the end of its call, in ms; this includes waits at the servers.
     answer_ms: f64,
+    /// Grants at a server that do not depend on the calls of hosts that place alone.
+    floor: u32,
 }
 
 impl Servers {
@@ -126,6 +134,7 @@
             uses: Vec::new(),
             work_ms: INITIAL_WORK_MS,
             answer_ms: INITIAL_WORK_MS,
+            floor: 0,
         }
     }
 
@@ -163,6 +172,12 @@
         self.servers.iter()
     }
 
+    /// Lets some calls be granted at each server whatever others do there. Otherwise hosts that place alone
+    /// would keep the calls of all others waiting.
+    pub fn set_floor(&mut self) {
+        self.floor = FLOOR;
+    }
+
     pub fn is_empty(&self) -> bool {
         self.servers.is_empty()
     }
@@ -264,7 +279,7 @@
         let free = self
             .servers
             .iter()
-            .filter(|s| s.is_free(now) && !tried.contains(&s.id));
+            .filter(|s| s.free(now, self.floor) > 0 && !tried.contains(&s.id));
         let scored = free.map(|server| {
             let load = f64::from(server.in_use(now) + 1) / f64::from(server.slots.max(1));
             let distance = if zone.is_none_or(|zone| server.zone == *zone) {
@@ -291,10 +306,7 @@
 
     /// Free places now.
     pub fn free(&self, now: Millis) -> u32 {
-        let free = self
-            .servers
-            .iter()
-            .map(|s| s.pace.limit(now).saturating_sub(s.in_use(now)));
+        let free = self.servers.iter().map(|s| s.free(now, self.floor));
         free.sum()
     }
 }
--- a/crates/dispatch/tests/grant_ends.rs
+++ b/crates/dispatch/tests/grant_ends.rs
@@ -151,3 +151,19 @@
     let actions = dispatcher.ask(Millis(now), ask(now, "h", 1_000));
     assert_eq!(granted(&actions), [1_000]);
 }
+
+/// Guards against calls that wait without end behind those of hosts that place alone.
+#[test]
+fn calls_without_grants_leave_some_slots() {
+    let mut dispatcher = dispatcher(&["a"]);
+    dispatcher.set_uses(Millis(1_000), &host("alone"), vec![(id("a"), 20)]);
+    assert_eq!(
+        granted(&dispatcher.ask(Millis(1_000), ask(1_000, "h", 1))),
+        [1]
+    );
+    assert_eq!(
+        granted(&dispatcher.ask(Millis(1_000), ask(1_000, "h", 2))),
+        [2]
+    );
+    assert!(granted(&dispatcher.ask(Millis(1_000), ask(1_000, "h", 3))).is_empty());
+}
