roster, edge: hosts that start together leave the tables to readers

Cause: at a start of all hosts each host read all tables, at 300 hosts and 3,000 servers 2,100 calls in the first second with some hundred MB of rows; a host whose reader did not listen yet avoided it for 3 s. Change: a host that starts reads the list of hosts first. With more than 64 hosts one that is no reader waits 2 to 6 s for the rows of a reader, up to 8 s while a reader is busy with others, and then reads by itself. A source that does not answer a starting host is avoided for 0.3 s at first, doubling as before.

--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -80,7 +80,13 @@
         let bounds = AgeBounds::new(promise);
         let retry_budgets = HostBudgets::new(clock.now(), settings.is_first_start);
         let idle_timeouts = IdleTimeouts::new(settings.config_apply_timeout);
-        let state = State::new(fastrand::u64(..), bounds, retry_budgets, idle_timeouts);
+        let state = State::new(
+            clock.now(),
+            fastrand::u64(..),
+            bounds,
+            retry_budgets,
+            idle_timeouts,
+        );
         let state = Mutex::new(state);
         Edge {
             memory,
@@ -100,7 +106,7 @@
             newer_version_reported: Notify::new(),
             rows_changed: Notify::new(),
             sources_changed: Notify::new(),
-            reads_store: watch::Sender::new(true),
+            reads_store: watch::Sender::new(false),
             grace: OnceLock::new(),
             ends: watch::Sender::new(false),
             in_progress: AtomicUsize::new(0),
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -124,6 +124,7 @@
 
 impl State {
     pub fn new(
+        now: Millis,
         seed: u64,
         bounds: AgeBounds,
         retry_budgets: HostBudgets,
@@ -139,7 +140,7 @@
             hosts: Hosts::default(),
             heard: Vec::new(),
             known: KnownRows::default(),
-            sources: SourceChoice::new(bounds),
+            sources: SourceChoice::starting(bounds, now),
             store_clock: StoreClock::default(),
             failing: Vec::new(),
             own_confirmations: OwnConfirmations::default(),
@@ -224,6 +225,7 @@
         self.fleet.expect_peers(hosts.others().len());
         self.fleet.set_groups(HostGroups::new(own, hosts.others()));
         self.sources.set_hosts(own, hosts.others());
+        self.sources.record_hosts_known(now);
         self.retry_budgets.set_hosts(now, hosts.count());
         self.hosts = hosts;
     }
--- a/crates/edge/src/subscribe.rs
+++ b/crates/edge/src/subscribe.rs
@@ -155,6 +155,7 @@
                 QueryResult::Taken { age, changed } => return io::Result::Ok((age, changed)),
                 QueryResult::Busy { pause } => {
                     counters::source_busy();
+                    edge.state().sources.record_busy(edge.now());
                     // Hosts that were turned away together do not ask together again.
                     let pause = pause + Millis(fastrand::u64(..=pause.0));
                     tokio::time::sleep(pause.duration()).await;
--- a/crates/roster/src/sources.rs
+++ b/crates/roster/src/sources.rs
@@ -27,12 +27,29 @@
 const SILENT_AVOIDANCE: Millis = Millis(3_000);
 /// Longest such time. The row of a dead host, which still names it a reader, expires only later.
 const MAX_SILENT_AVOIDANCE: Millis = Millis(48_000);
+/// The first such time until this host has followed a source: a reader that starts at the same time
+/// may listen some tenths of a second later.
+const FIRST_SILENT_AVOIDANCE: Millis = Millis(300);
 /// Time for which a source is not asked after an outdated answer.
 const OUTDATED_AVOIDANCE: Millis = Millis(1_000);
 /// The same until this host has followed a source: readers that start at the same time have their
 /// first rows some tenths of a second later.
 const FIRST_OUTDATED_AVOIDANCE: Millis = Millis(200);
 
+/// Time that a host which starts gives the store to return the list of hosts, before it reads the other
+/// tables. The store can take 240 ms for an answer.
+const HOST_LIST_WAIT: Millis = Millis(500);
+/// Number of hosts up to which hosts that start do not wait for readers: together they make some
+/// hundred calls.
+const MAX_READING_AT_START: usize = 64;
+/// Time that it gives a reader to provide the first rows, before it reads them itself: readers that start
+/// with it need six pages for 3,000 servers.
+const FIRST_ROWS_WAIT: Millis = Millis(2_000);
+/// Longest wait for a reader that has the rows and no room for another reply.
+const MAX_FIRST_WAIT: Millis = Millis(8_000);
+/// Time over which hosts spread that get no rows from readers.
+const FIRST_ROWS_SPREAD: Millis = Millis(4_000);
+
 /// Another host of which rows can be asked.
 #[derive(Debug, Clone)]
 struct Peer {
@@ -73,6 +90,12 @@
     is_known: bool,
     /// Whether another host has provided current rows since the start.
     has_followed: bool,
+    /// Start of a host that reads the list of hosts before the other tables.
+    started_at: Option<Millis>,
+    /// When the live hosts were known.
+    known_at: Option<Millis>,
+    /// When a source last had no room for its reply to this host.
+    busy_at: Millis,
     /// Place of this host in the order of readers.
     place: usize,
     /// All other hosts, sorted by address.
@@ -96,6 +119,9 @@
             is_reader: false,
             is_known: false,
             has_followed: false,
+            started_at: None,
+            known_at: None,
+            busy_at: Millis::ZERO,
             place: 0,
             peers: Vec::new(),
             candidates: Vec::new(),
@@ -106,6 +132,44 @@
         }
     }
 
+    /// The same for a host that starts now. It waits for the list of hosts and then, if it is no reader,
+    /// for the rows of one, so that hosts that start together do not all read all tables.
+    pub fn starting(bounds: AgeBounds, now: Millis) -> Self {
+        SourceChoice {
+            started_at: Some(now),
+            ..SourceChoice::new(bounds)
+        }
+    }
+
+    /// Records that the live hosts are known.
+    pub fn record_hosts_known(&mut self, now: Millis) {
+        self.known_at.get_or_insert(now);
+    }
+
+    /// Time until which this host waits for the first rows of another one; none if it does not wait.
+    fn first_wait_until(&self) -> Option<Millis> {
+        let list_until = self.started_at? + HOST_LIST_WAIT;
+        let Some(known_at) = self.known_at else {
+            return Some(list_until);
+        };
+        let hosts = self.peers.len() + 1;
+        // A host that has begun to read goes on.
+        let has_begun = known_at > list_until;
+        if self.is_reader || self.has_followed || has_begun || hosts <= MAX_READING_AT_START {
+            return None;
+        }
+        let spread = FIRST_ROWS_SPREAD.0 * self.place as u64 / hosts as u64;
+        let from = known_at.max(self.busy_at);
+        let longest = known_at + MAX_FIRST_WAIT;
+        Some((from + FIRST_ROWS_WAIT + Millis(spread)).min(longest))
+    }
+
+    /// Records that a source has rows but no room for its reply now. A host that starts waits longer
+    /// for it.
+    pub fn record_busy(&mut self, now: Millis) {
+        self.busy_at = now;
+    }
+
     /// Sets the live hosts other than `own`. Sources that are still readers stay avoided.
     pub fn set_hosts(&mut self, own: &HostEntry, others: &[HostEntry]) {
         let order = ReaderOrder::new(own, others);
@@ -151,6 +215,9 @@
 
     /// Whether this host reads the tables of the store now.
     pub fn reads_store(&self, now: Millis) -> bool {
+        if let Some(until) = self.first_wait_until() {
+            return now >= until;
+        }
         self.is_reader()
             || !self.has_followed
             || self.own_reading.substitute_since.is_some()
@@ -159,6 +226,9 @@
 
     /// Time at which this host begins to read the store unless it learns something before.
     pub fn takeover_at(&self) -> Millis {
+        if let Some(until) = self.first_wait_until() {
+            return until;
+        }
         let outdated_at = self.confirmed_at + self.bounds.max_age();
         let began = self
             .reports_ended_at
@@ -205,8 +275,13 @@
 
     /// Records that a source did not answer.
     pub fn record_silent(&mut self, now: Millis, source: SocketAddr) {
+        let is_starting = self.started_at.is_some() && !self.has_followed;
+        let first = match is_starting {
+            true => FIRST_SILENT_AVOIDANCE,
+            false => SILENT_AVOIDANCE,
+        };
         if let Some(peer) = self.peer_mut(source) {
-            let avoidance = Millis(SILENT_AVOIDANCE.0 << peer.silences.min(8));
+            let avoidance = Millis(first.0 << peer.silences.min(8));
             peer.avoid_until = now + avoidance.min(MAX_SILENT_AVOIDANCE);
             peer.silences += 1;
         }
