roster, edge: changes of the list of hosts are sent instead of the list

Cause: each change of the list of hosts sent the whole list, about 60 bytes for each host, to every follower of a reader. Hosts that do not understand changes, or have another list, get the whole list.

--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 
 use bv_platform::{Row, Table};
-use bv_roster::{Answer, Extent, HostEntry, TableAnswer};
+use bv_roster::{Answer, Extent, HostChanges, HostEntry, TableAnswer};
 use bv_types::{Millis, Version};
 use bytes::{Bytes, BytesMut};
 use futures_util::{SinkExt, StreamExt};
@@ -50,6 +50,9 @@
     /// come when it confirms them again.
     #[prost(uint64, optional, tag = "6")]
     pub age_ms: Option<u64>,
+    /// Whether the querying host understands changes of the list of hosts.
+    #[prost(bool, tag = "20")]
+    pub accepts_host_changes: bool,
 }
 
 /// Row of a server.
@@ -128,6 +131,14 @@
     /// reply; all other fields say nothing then. 0 in other replies.
     #[prost(uint64, tag = "20")]
     pub retry_after_ms: u64,
+    /// Digest of the list of hosts that `changed_hosts` and `gone_hosts` change; 0 if there are none.
+    #[prost(uint64, tag = "21")]
+    pub hosts_base: u64,
+    #[prost(message, repeated, tag = "22")]
+    pub changed_hosts: Vec<HostMessage>,
+    /// Ids of hosts that are no longer in the list.
+    #[prost(string, repeated, tag = "23")]
+    pub gone_hosts: Vec<String>,
 }
 
 impl RowsReply {
@@ -136,7 +147,14 @@
         let list = |host: &HostMessage| {
             1 + prost::length_delimiter_len(host.encoded_len()) + host.encoded_len()
         };
-        let list: usize = self.hosts.iter().map(list).sum();
+        let gone = |id: &String| 3 + id.len();
+        let list: usize = self
+            .hosts
+            .iter()
+            .chain(&self.changed_hosts)
+            .map(list)
+            .sum::<usize>()
+            + self.gone_hosts.iter().map(gone).sum::<usize>();
         let kind = match self.has_all_servers || !self.servers.is_empty() {
             true => ControlKind::AllRows,
             false => ControlKind::ChangedRows,
@@ -209,6 +227,7 @@
             accepts_changes: true,
             hosts_digest: link.hosts_digest.unwrap_or(state.hosts.digest()),
             age_ms: Some((edge.now() - state.sources.confirmed_at()).0),
+            accepts_host_changes: true,
         }
     };
     let querying = async {
@@ -235,7 +254,12 @@
             pause: Millis(reply.retry_after_ms).min(MAX_BUSY_PAUSE),
         });
     }
-    link.hosts_digest = Some(reply.hosts_digest);
+    let is_base_known = reply.hosts_base == 0 || edge.state().has_host_list(reply.hosts_base);
+    link.hosts_digest = Some(match is_base_known {
+        true => reply.hosts_digest,
+        // No list has this digest, so the whole list comes with the next reply.
+        false => 0,
+    });
     Ok(apply_reply(edge, peer, &query, reply))
 }
 
@@ -288,6 +312,22 @@
         let own = edge.own_entry();
         let entries = reply.hosts.iter().filter_map(to_entry);
         state.set_hosts(now, &own, Hosts::from_entries(&own, entries));
+        state.hosts_origin = reply.hosts_digest;
+        edge.sources_changed.notify_waiters();
+        changed = true;
+    } else if reply.hosts_base != 0 && state.has_host_list(reply.hosts_base) {
+        let own = edge.own_entry();
+        let changes = HostChanges {
+            changed: reply.changed_hosts.iter().filter_map(to_entry).collect(),
+            gone: reply
+                .gone_hosts
+                .iter()
+                .filter_map(|id| id.parse().ok())
+                .collect(),
+        };
+        let entries = changes.apply(state.hosts.others()).into_iter();
+        state.set_hosts(now, &own, Hosts::from_entries(&own, entries));
+        state.hosts_origin = reply.hosts_digest;
         edge.sources_changed.notify_waiters();
         changed = true;
     }
--- a/crates/edge/src/replies.rs
+++ b/crates/edge/src/replies.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bv_platform::Table;
-use bv_roster::{Extent, HostEntry};
+use bv_roster::Extent;
 use bv_types::{Millis, Version};
 use futures_util::StreamExt;
 use prost::Message;
@@ -154,8 +154,18 @@
     };
     let mut reply = Reply::default();
     if needs_hosts(&state, query) {
-        let hosts = || host_messages(edge, &state.hosts);
-        reply.hosts = edge.replies.hosts(state.hosts.digest(), hosts);
+        let (base, digest) = (query.hosts_digest, state.hosts.digest());
+        let changes = state.host_lists.changes_since(base);
+        match changes.filter(|_| query.accepts_host_changes) {
+            Some(changes) => {
+                head.hosts_base = base;
+                reply.hosts = edge.replies.host_changes(base, digest, &changes);
+            }
+            None => {
+                let hosts = || host_messages(edge, &state.hosts);
+                reply.hosts = edge.replies.hosts(digest, hosts);
+            }
+        }
     }
     if let Some(config) = config {
         head.config_version = config.newest_stated.0;
@@ -197,19 +207,6 @@
 
 fn host_messages(edge: &Edge, hosts: &Hosts) -> Vec<HostMessage> {
     let own = edge.own_entry();
-    let to_message = |host: &HostEntry| HostMessage {
-        id: host.id.to_string(),
-        zone: host
-            .zone
-            .as_ref()
-            .map(|zone| zone.to_string())
-            .unwrap_or_default(),
-        addr: host.addr.to_string(),
-    };
-    hosts
-        .others()
-        .iter()
-        .chain([&own])
-        .map(to_message)
-        .collect()
+    let all = hosts.others().iter().chain([&own]);
+    all.map(HostMessage::from).collect()
 }
--- a/crates/edge/src/shared_replies.rs
+++ b/crates/edge/src/shared_replies.rs
@@ -8,6 +8,7 @@
 use std::sync::{Mutex, PoisonError};
 
 use bv_platform::Row;
+use bv_roster::{HostChanges, HostEntry};
 use bv_types::{Millis, Version};
 use bytes::{Buf, Bytes, BytesMut};
 use prost::Message;
@@ -30,6 +31,7 @@
     AllServers { revision: u64 },
     ServersAfter { revision: u64, after: Version },
     Hosts { digest: u64 },
+    HostChanges { base: u64, digest: u64 },
 }
 
 /// Encodings that several replies share, and the budget of all replies.
@@ -114,6 +116,17 @@
         })
     }
 
+    /// Changes that lead from one list of live hosts to another, encoded.
+    pub fn host_changes(&self, base: u64, digest: u64, changes: &HostChanges) -> Bytes {
+        let reply = || RowsReply {
+            changed_hosts: changes.changed.iter().map(HostMessage::from).collect(),
+            gone_hosts: changes.gone.iter().map(|id| id.to_string()).collect(),
+            ..RowsReply::default()
+        };
+        let content = Content::HostChanges { base, digest };
+        self.encoding(content, || Bytes::from(reply().encode_to_vec()))
+    }
+
     fn encoding(&self, content: Content, encode: impl FnOnce() -> Bytes) -> Bytes {
         let encodings = self.encodings.lock();
         let mut encodings = encodings.unwrap_or_else(PoisonError::into_inner);
@@ -135,19 +148,28 @@
 impl Content {
     /// Whether nobody needs this content once the other one is known.
     fn is_replaced_by(&self, other: &Content) -> bool {
-        match (self.revision(), other.revision()) {
-            (Some(revision), Some(newer)) => revision != newer,
-            (None, None) => true,
-            (Some(_), None) | (None, Some(_)) => false,
-        }
+        let ((are_servers, state), (other_are_servers, newer)) = (self.state(), other.state());
+        are_servers == other_are_servers && state != newer
     }
 
-    fn revision(&self) -> Option<u64> {
+    /// Whether it is about servers, and the state of the servers or hosts that it leads to.
+    fn state(&self) -> (bool, u64) {
         match self {
             Content::AllServers { revision } | Content::ServersAfter { revision, .. } => {
-                Some(*revision)
+                (true, *revision)
             }
-            Content::Hosts { .. } => None,
+            Content::Hosts { digest } | Content::HostChanges { digest, .. } => (false, *digest),
+        }
+    }
+}
+
+impl From<&HostEntry> for HostMessage {
+    fn from(host: &HostEntry) -> Self {
+        let zone = host.zone.as_ref();
+        HostMessage {
+            id: host.id.to_string(),
+            zone: zone.map(|zone| zone.to_string()).unwrap_or_default(),
+            addr: host.addr.to_string(),
         }
     }
 }
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -5,8 +5,8 @@
 use bv_platform::{DecodeError, Row, Table, decode_config, decode_server};
 use bv_retry::HostBudgets;
 use bv_roster::{
-    AgeBounds, Answer, HostEntry, Registration, Rejected, Roster, RowEffect, SourceChoice,
-    StoreClock, TableCopy,
+    AgeBounds, Answer, HostEntry, HostLists, Registration, Rejected, Roster, RowEffect,
+    SourceChoice, StoreClock, TableCopy,
 };
 use bv_route::{ApplyResult, IdleTimeouts, InForce};
 use bv_types::{BackendId, Millis, Version};
@@ -105,6 +105,10 @@
     /// Model calls that wait for capacity.
     pub queue: Queue,
     pub hosts: Hosts,
+    /// Digest of another host's list from which `hosts` was taken; 0 if it was read from the store.
+    pub hosts_origin: u64,
+    /// The latest lists of hosts.
+    pub host_lists: HostLists,
     /// Digests of hosts of other groups that are to be relayed to the own group.
     pub heard: Vec<HostDigest>,
     pub known: KnownRows,
@@ -138,6 +142,8 @@
             announced: Announcements::new(seed),
             queue: Queue::default(),
             hosts: Hosts::default(),
+            hosts_origin: 0,
+            host_lists: HostLists::default(),
             heard: Vec::new(),
             known: KnownRows::default(),
             sources: SourceChoice::starting(bounds, now),
@@ -227,9 +233,19 @@
         self.sources.set_hosts(own, hosts.others());
         self.sources.record_hosts_known(now);
         self.retry_budgets.set_hosts(now, hosts.count());
+        self.hosts_origin = 0;
+        if hosts.digest() != self.hosts.digest() {
+            let all = hosts.others().iter().chain([own]).cloned().collect();
+            self.host_lists.record(hosts.digest(), all);
+        }
         self.hosts = hosts;
     }
 
+    /// Whether the list of hosts is that with this digest, or was taken from it.
+    pub fn has_host_list(&self, digest: u64) -> bool {
+        self.hosts_origin == digest || self.hosts.digest() == digest
+    }
+
     /// Whether requests can be served.
     pub fn is_ready(&self) -> bool {
         self.in_force.table().is_some() && self.known.servers.position().is_some()
--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod age_bounds;
 mod entry;
+mod host_lists;
 mod readers;
 mod roster;
 mod row_log;
@@ -13,6 +14,7 @@
 
 pub use age_bounds::AgeBounds;
 pub use entry::{Registration, ServerState, Stage};
+pub use host_lists::{HostChanges, HostLists};
 pub use readers::HostEntry;
 pub use roster::{EXPIRY_GRACE, Roster, RowEffect};
 pub use row_log::{Row, RowLog, RowsSince};
