--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -13,7 +13,7 @@
     ServiceId, TeamId, ZoneId,
 };
 pub use reason::{Refusal, RetryReason};
-pub use size::{Bytes, Fence, PIECE_TOKENS, Pieces, RatePerSec, Tokens, Version};
+pub use size::{Bytes, Era, Fence, PIECE_TOKENS, Pieces, RatePerSec, Tokens, Version};
 
 /// Error for text that cannot be parsed as a valid value.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
--- a/crates/types/src/size.rs
+++ b/crates/types/src/size.rs
@@ -49,6 +49,10 @@
     Bytes(u64) = "number of bytes";
     /// Version of the configuration or of a table row; increases with each change.
     Version(u64) = "version";
+    /// How often the store was restored from an older copy. Versions of one era cannot be compared
+    /// with those of another, since the store assigns them again; a store that does not state its
+    /// era is in era 0.
+    Era(u64) = "era";
     /// Fencing token of a lease; increases with each holder.
     Fence(u64) = "fencing token";
 }
