roster, platform, edge: positions are compared by the store's era, then by version

After the store was restored from an older copy, its versions were below those that the hosts knew. A host rejected each answer as outdated until the versions had caught up, and took changes after a number that meant another row.

A table copy takes a whole table of a later era in place of its own, rejects changes of a later era, so that the whole table is read, and anything of an earlier one. Hosts state the era in queries (7), replies (16) and datagrams (18). Servers stay away after they left, also where the copy shows them ready; servers that the copy lacks lapse as after an outage and may write the same report again. New log line, counter and gauge.

--- a/crates/edge/src/answer_log.rs
+++ b/crates/edge/src/answer_log.rs
@@ -65,8 +65,32 @@
     }
 }
 
+/// Logs that an answer began a later era here.
+fn log_era(edge: &Edge, table: Table, taken: &Taken, answer: &AnswerLog) {
+    counters::store_era(edge.state().known.era().0);
+    let Some(era) = taken.new_era else {
+        return;
+    };
+    let source = match answer.from {
+        Origin::Store => "store",
+        Origin::Host(_) => "host",
+    };
+    counters::store_restored(table_name(table), source);
+    // The copy of the other table is still of the earlier era.
+    edge.newer_version_reported.notify_waiters();
+    info!(
+        table = table_name(table),
+        era = era.0,
+        source = %answer.from,
+        position = answer.version.0,
+        age_ms = answer.age.0,
+        "store: restored from an older copy"
+    );
+}
+
 /// Logs what an answer about the configuration did.
 pub(crate) fn log_config(edge: &Edge, taken: &Taken, answer: &AnswerLog) {
+    log_era(edge, Table::Config, taken, answer);
     for err in &taken.unreadable {
         counters::unreadable_row("config");
         warn!(source = %answer.from, error = %err, "configuration: unreadable row ignored");
@@ -104,6 +128,7 @@
 
 /// Logs what an answer about the servers did.
 pub(crate) fn log_servers(edge: &Edge, taken: &Taken, answer: &AnswerLog) {
+    log_era(edge, Table::Servers, taken, answer);
     counters::servers(edge.state().roster.usable_count(edge.now()));
     for err in &taken.unreadable {
         counters::unreadable_row("servers");
--- a/crates/edge/src/counters.rs
+++ b/crates/edge/src/counters.rs
@@ -28,6 +28,8 @@
 const BAD_ROWS: &str = "burdockvale_unreadable_rows_total";
 const FOREIGN_ROWS: &str = "burdockvale_foreign_rows_total";
 const ANSWERS_REJECTED: &str = "burdockvale_row_answers_rejected_total";
+const STORE_ERA: &str = "burdockvale_store_era";
+const STORE_RESTORATIONS: &str = "burdockvale_store_restorations_total";
 const CONFIG_VERSION: &str = "burdockvale_config_version";
 const SERVERS: &str = "burdockvale_backend_servers";
 const SERVERS_ANNOUNCED: &str = "burdockvale_server_announcements_total";
@@ -98,6 +100,14 @@
         ANSWERS_REJECTED,
         "Answers about rows that do not continue the known ones, by table and reason."
     );
+    describe_gauge!(
+        STORE_ERA,
+        "How often the store was restored from an older copy, as it states."
+    );
+    describe_counter!(
+        STORE_RESTORATIONS,
+        "Copies of tables that began a later era of the store, by table and source."
+    );
     describe_gauge!(CONFIG_VERSION, "Version of the configuration in force.");
     describe_gauge!(SERVERS, "Backend servers that may receive work.");
     describe_counter!(
@@ -192,10 +202,20 @@
     let reason = match reason {
         Rejected::Gap => "gap",
         Rejected::Outdated => "outdated",
+        Rejected::EarlierEra => "earlier_era",
+        Rejected::LaterEra => "later_era",
     };
     counter!(ANSWERS_REJECTED, "table" => table, "reason" => reason).increment(1);
 }
 
+pub(crate) fn store_restored(table: &'static str, source: &'static str) {
+    counter!(STORE_RESTORATIONS, "table" => table, "source" => source).increment(1);
+}
+
+pub(crate) fn store_era(era: u64) {
+    gauge!(STORE_ERA).set(era as f64);
+}
+
 pub(crate) fn server_announced(kind: &'static str) {
     counter!(SERVERS_ANNOUNCED, "kind" => kind).increment(1);
 }
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -3,11 +3,11 @@
 use std::sync::Arc;
 
 use bv_platform::{DecodeError, HostRow, Rows, StoreError, Table};
-use bv_roster::{Answer, Extent, FeedAnswer, TableAnswer, store_intervals};
+use bv_roster::{Answer, Extent, FeedAnswer, Rejected, TableAnswer, store_intervals};
 use bv_types::{Millis, Version};
 use tracing::{debug, info, warn};
 
-use crate::answer_log::{AnswerLog, Origin, log_config, log_servers};
+use crate::answer_log::{AnswerLog, Origin, log_config, log_rejected, log_servers};
 use crate::counters;
 use crate::edge::Edge;
 use crate::hosts::{Hosts, recent_count};
@@ -57,9 +57,10 @@
                 log_left_out(table, &rows);
                 let mut state = edge.state();
                 state.store_clock.observe(edge.now(), rows.store_time);
-                state.known.cap_reported(table, rows.version);
+                state.known.cap_reported(table, (rows.era, rows.version));
                 Ok(Reading {
                     answer: Answer::Read(TableAnswer {
+                        era: rows.era,
                         extent: Extent::Whole,
                         rows: rows.rows,
                         has_gap: true,
@@ -99,9 +100,12 @@
                     tokio::time::sleep(store_intervals::CHANGE_PAUSE.duration()).await;
                 }
                 let mut state = edge.state();
-                state.known.cap_reported(table, rows.version);
+                state
+                    .known
+                    .cap_reported(table, (rows.era, rows.version));
                 let confirmed_at = state.store_clock.answered_at(began, now, rows.store_time);
                 let answer = Answer::Feed(FeedAnswer {
+                    era: rows.era,
                     after,
                     rows: rows.rows,
                     newest_foreign: rows.foreign.iter().copied().max(),
@@ -219,6 +223,11 @@
                 let taken = edge.state().take_config(edge.now(), reading.answer);
                 let taken = match taken {
                     Ok(taken) => taken,
+                    Err(Rejected::LaterEra) => {
+                        log_rejected(&log, Table::Config, Rejected::LaterEra);
+                        reread = true;
+                        continue;
+                    }
                     Err(reason) => {
                         health.record_rejected_and_pause(&edge, &log, reason).await;
                         continue;
@@ -232,8 +241,8 @@
                     tokio::time::sleep(NO_CONFIG_PAUSE.duration()).await;
                 }
             }
-            Err(StoreError::HistoryGone) => {
-                info!("configuration: the store has lost its history, reading the whole table");
+            Err(err @ (StoreError::HistoryGone | StoreError::EraChanged { .. })) => {
+                info!(error = %err, "configuration: the store has lost its history, reading the whole table");
                 reread = true;
             }
             Err(err) => {
@@ -279,8 +288,8 @@
         let now = edge.now();
         let reading = match result {
             Ok(reading) => reading,
-            Err(StoreError::HistoryGone) => {
-                info!("servers: the store has lost its history, reading the whole table");
+            Err(err @ (StoreError::HistoryGone | StoreError::EraChanged { .. })) => {
+                info!(error = %err, "servers: the store has lost its history, reading the whole table");
                 reread = true;
                 continue;
             }
@@ -297,6 +306,11 @@
         let taken = edge.state().take_servers(now, reading.answer, ends_outage);
         let taken = match taken {
             Ok(taken) => taken,
+            Err(Rejected::LaterEra) => {
+                log_rejected(&log, Table::Servers, Rejected::LaterEra);
+                reread = true;
+                continue;
+            }
             Err(reason) => {
                 health.record_rejected_and_pause(&edge, &log, reason).await;
                 continue;
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -10,7 +10,7 @@
 
 use bv_platform::{Row, Table};
 use bv_roster::{Answer, Extent, HostEntry, TableAnswer};
-use bv_types::{Millis, Version};
+use bv_types::{Era, Millis, Version};
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
 use prost::Message;
@@ -59,6 +59,9 @@
     /// come when it confirms them again.
     #[prost(uint64, optional, tag = "6")]
     age_ms: Option<u64>,
+    /// Era of the versions.
+    #[prost(uint64, tag = "7")]
+    era: u64,
 }
 
 /// Row of a server.
@@ -133,6 +136,9 @@
     /// Whether `changes` may lack servers that came and went in between.
     #[prost(bool, tag = "15")]
     has_gap: bool,
+    /// Era of the versions.
+    #[prost(uint64, tag = "16")]
+    era: u64,
 }
 
 /// A connection to another host, for queries one after the other.
@@ -212,8 +218,8 @@
 
 fn has_news(state: &State, query: &RowsQuery) -> bool {
     let known = &state.known;
-    known.config.newest_change().0 > query.config_version
-        || known.servers.newest_change().0 > query.servers_version
+    known.config.newest_change() > (Era(query.era), Version(query.config_version))
+        || known.servers.newest_change() > (Era(query.era), Version(query.servers_version))
         || needs_hosts(state, query)
 }
 
@@ -227,15 +233,17 @@
     let now = edge.now();
     let state = edge.state();
     let known = &state.known;
-    let config = known.config.since(to_position(query.config_version));
-    let servers = known.servers.since(to_position(query.servers_version));
+    let (era, config_changed, _) = known.newest_changes();
+    let versions = (query.config_version, query.servers_version);
+    let (config, servers) = known.since(Era(query.era), versions);
     let hosts = match needs_hosts(&state, query) {
         true => host_messages(edge, &state.hosts),
         false => Vec::new(),
     };
     let mut reply = RowsReply {
         age_ms: state.rows_age(now).unwrap_or(Millis::MAX).0,
-        config_changed: known.config.newest_change().0,
+        config_changed: config_changed.0,
+        era: era.0,
         expiry_grace_ms: state.roster.grace_left(now).0,
         store_time_ms: state.store_clock.store_time(now).map_or(0, |time| time.0),
         hosts,
@@ -270,11 +278,6 @@
     reply
 }
 
-/// Position that a query states; 0 before the table was read.
-fn to_position(version: u64) -> Option<Version> {
-    (version > 0).then_some(Version(version))
-}
-
 fn host_messages(edge: &Edge, hosts: &Hosts) -> Vec<HostMessage> {
     let own = edge.own_entry();
     let to_message = |host: &HostEntry| HostMessage {
@@ -336,10 +339,11 @@
 ) -> io::Result<QueryResult> {
     let query = {
         let state = edge.state();
-        let (config, servers) = state.positions();
+        let (era, config, servers) = state.known.positions();
         RowsQuery {
-            config_version: config.map_or(0, |version| version.0),
-            servers_version: servers.map_or(0, |version| version.0),
+            era: era.0,
+            config_version: config.0,
+            servers_version: servers.0,
             wait_ms: wait.0,
             accepts_changes: true,
             hosts_digest: link.hosts_digest.unwrap_or(state.hosts.digest()),
@@ -417,7 +421,7 @@
         Err(reason) => log_rejected(&logs[0], Table::Config, reason),
     }
     match servers {
-        Ok(taken) if taken.changed > 0 => {
+        Ok(taken) if taken.changed > 0 || taken.new_era.is_some() => {
             changed = true;
             log_servers(edge, &taken, &logs[1]);
         }
@@ -441,9 +445,11 @@
         version: Version(reply.config_changed),
     });
     TableAnswer {
+        era: Era(reply.era),
         // The configuration is the only row of its table.
         extent: match row {
             Some(_) => Extent::Whole,
+            None if reply.era > query.era => Extent::Whole,
             None => Extent::After(Version(query.config_version)),
         },
         rows: row.into_iter().collect(),
@@ -464,6 +470,7 @@
         ),
     };
     TableAnswer {
+        era: Era(reply.era),
         extent,
         rows: rows.iter().cloned().map(to_row).collect(),
         has_gap: reply.has_gap,
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -6,10 +6,10 @@
 use bv_retry::HostBudgets;
 use bv_roster::{
     AgeBounds, Answer, HostEntry, Registration, Rejected, Roster, RowEffect, SourceChoice,
-    StoreClock, TableCopy,
+    StoreClock, TableAnswer, TableCopy,
 };
 use bv_route::{ApplyResult, IdleTimeouts, InForce};
-use bv_types::{BackendId, Millis, Version};
+use bv_types::{BackendId, Era, Millis, Version};
 use tracing::info;
 
 use crate::hosts::Hosts;
@@ -26,10 +26,34 @@
     /// Backend servers.
     pub servers: TableCopy,
     /// Newest versions that other hosts reported, of the configuration and of the servers.
-    reported_versions: (Version, Version),
+    reported_versions: ((Era, Version), (Era, Version)),
 }
 
 impl KnownRows {
+    /// Latest era of the store that a copy here is of.
+    pub fn era(&self) -> Era {
+        self.config.era().max(self.servers.era())
+    }
+
+    /// That era and the versions of the newest changes in it, configuration first, for messages that
+    /// state one era. A copy of an earlier era counts as none.
+    pub fn newest_changes(&self) -> (Era, Version, Version) {
+        let era = self.era();
+        let version = |copy: &TableCopy| match copy.newest_change() {
+            (of, version) if of == era => version,
+            _ => Version(0),
+        };
+        (era, version(&self.config), version(&self.servers))
+    }
+
+    /// The same for the positions.
+    pub fn positions(&self) -> (Era, Version, Version) {
+        let era = self.era();
+        let position = |copy: &TableCopy| copy.position().filter(|_| copy.era() == era);
+        let position = |copy| position(copy).unwrap_or_default();
+        (era, position(&self.config), position(&self.servers))
+    }
+
     /// The copy of a table, if it is shared.
     pub fn copy(&self, table: Table) -> Option<&TableCopy> {
         match table {
@@ -39,6 +63,21 @@
         }
     }
 
+    /// What a host lacks of the configuration and of the servers that knows these versions of an era, 0
+    /// for none. A copy of an earlier era than the other counts as none.
+    pub fn since(
+        &self,
+        era: Era,
+        (config, servers): (u64, u64),
+    ) -> (Option<TableAnswer>, Option<TableAnswer>) {
+        let position = |version: u64| (version > 0).then_some((era, Version(version)));
+        let is_latest = |answer: &TableAnswer| answer.era == self.era();
+        (
+            self.config.since(position(config)).filter(is_latest),
+            self.servers.since(position(servers)).filter(is_latest),
+        )
+    }
+
     /// Whether another host reported a newer version of a table than this host knows.
     pub fn is_behind(&self, table: Table) -> bool {
         let reported = match table {
@@ -50,17 +89,24 @@
         copy.is_some_and(|copy| copy.newest_stated() < reported)
     }
 
-    /// Records the newest versions that another host reported.
-    pub fn record_reported(&mut self, config: Version, servers: Version) {
+    /// Records the newest versions that another host reported, and their era.
+    pub fn record_reported(&mut self, era: Era, config: Version, servers: Version) {
         self.reported_versions = (
-            self.reported_versions.0.max(config),
-            self.reported_versions.1.max(servers),
+            self.reported_versions.0.max((era, config)),
+            self.reported_versions.1.max((era, servers)),
         );
     }
 
+    /// Records that a copy began an era, so that the copy of the other table is behind.
+    fn record_era(&mut self, era: Option<Era>) {
+        if let Some(era) = era {
+            self.record_reported(era, Version(0), Version(0));
+        }
+    }
+
     /// Records the version of an answer of the store. A report of a newer one was wrong, or the
     /// next report repeats it.
-    pub fn cap_reported(&mut self, table: Table, answered: Version) {
+    pub fn cap_reported(&mut self, table: Table, answered: (Era, Version)) {
         let reported = match table {
             Table::Config => &mut self.reported_versions.0,
             Table::Servers => &mut self.reported_versions.1,
@@ -77,6 +123,8 @@
     pub changed: usize,
     /// Number of servers that became usable or ceased to be.
     pub effects: usize,
+    /// Era of the store that the answer began here, if it is later than that of the copy before.
+    pub new_era: Option<Era>,
     /// What a changed configuration did; none if it did not change.
     pub config: Option<ApplyResult>,
     /// Rows that cannot be read. They count as known, or they would be read again without end.
@@ -200,17 +248,16 @@
         Some(self.store_clock.store_time(now)? - confirmed_at)
     }
 
-    /// Time since the store confirmed the rows of all tables, directly or through other hosts.
+    /// Time since the store confirmed the rows of all tables, directly or through other hosts; none
+    /// while the copies are of different eras.
     pub fn rows_age(&self, now: Millis) -> Option<Millis> {
+        if self.known.config.era() != self.known.servers.era() {
+            return None;
+        }
         let config = self.table_age(now, Table::Config)?;
         Some(config.max(self.table_age(now, Table::Servers)?))
     }
 
-    /// Position in the copy of each table, configuration first.
-    pub fn positions(&self) -> (Option<Version>, Option<Version>) {
-        (self.known.config.position(), self.known.servers.position())
-    }
-
     /// Sets the live hosts.
     pub fn set_hosts(&mut self, now: Millis, own: &HostEntry, hosts: Hosts) {
         if hosts.count() != self.hosts.count() {
@@ -234,9 +281,13 @@
 
     /// Takes an answer about the configuration.
     pub fn take_config(&mut self, now: Millis, answer: Answer) -> Result<Taken, Rejected> {
+        let before = era_of(&self.known.config);
         let rows = self.known.config.take(answer)?;
+        let new_era = before.and_then(|before| later_era(&self.known.config, before));
+        self.known.record_era(new_era);
         let mut taken = Taken {
             changed: rows.len(),
+            new_era,
             ..Taken::default()
         };
         let row = rows.iter().find(|row| row.key == Table::CONFIG_KEY);
@@ -256,8 +307,9 @@
         Ok(taken)
     }
 
-    /// Takes an answer about the servers. Where it ends an outage of the store, the servers whose
-    /// rows are missing stay usable for a while.
+    /// Takes an answer about the servers. Where it ends an outage of the store, or the store answers
+    /// for the first time since it was restored from a copy, the servers whose rows are missing stay
+    /// usable for a while.
     pub fn take_servers(
         &mut self,
         now: Millis,
@@ -265,16 +317,21 @@
         ends_outage: bool,
     ) -> Result<Taken, Rejected> {
         let is_first = self.known.servers.position().is_none();
+        let before = era_of(&self.known.servers);
+        let is_of_store = !matches!(answer, Answer::Peer(_));
         let rows = self.known.servers.take(answer)?;
-        if ends_outage {
+        let new_era = before.and_then(|before| later_era(&self.known.servers, before));
+        self.known.record_era(new_era);
+        if ends_outage || (is_of_store && new_era.is_some()) {
             self.roster.store_recovered(now);
         }
         let mut taken = Taken {
             changed: rows.len(),
+            new_era,
             ..Taken::default()
         };
         for row in &rows {
-            match self.change_server(now, row) {
+            match self.change_server(now, row, new_era.is_some()) {
                 Ok(RowEffect::Unchanged | RowEffect::Stale) => {}
                 Ok(effect) => {
                     taken.effects += 1;
@@ -294,12 +351,22 @@
         Ok(taken)
     }
 
-    /// Applies a changed row of the server table.
-    fn change_server(&mut self, now: Millis, row: &Row) -> Result<RowEffect, DecodeError> {
+    /// Applies a changed row of the server table. Rows that are missing in a new era may be lost.
+    fn change_server(
+        &mut self,
+        now: Millis,
+        row: &Row,
+        is_new_era: bool,
+    ) -> Result<RowEffect, DecodeError> {
         let Some(body) = &row.value else {
-            return Ok(self.remove_server(now, &row.key));
+            return Ok(match BackendId::try_from(row.key.as_str()) {
+                Ok(id) if is_new_era => self.roster.lose(now, &id),
+                Ok(id) => self.roster.remove(now, &id),
+                Err(_) => RowEffect::Unchanged,
+            });
         };
         match decode_server(&row.key, body) {
+            Ok(entry) if is_new_era => Ok(self.roster.put_restored(now, entry)),
             Ok(entry) => Ok(self.roster.put(now, entry)),
             Err(err) => {
                 if let Ok(id) = BackendId::try_from(row.key.as_str()) {
@@ -310,13 +377,6 @@
         }
     }
 
-    fn remove_server(&mut self, now: Millis, key: &str) -> RowEffect {
-        match BackendId::try_from(key) {
-            Ok(id) => self.roster.remove(now, &id),
-            Err(_) => RowEffect::Unchanged,
-        }
-    }
-
     /// Forgets servers that were removed or are no longer usable.
     pub fn forget(&mut self, now: Millis) {
         self.roster.forget(now, REMOVED_SERVER_RETENTION);
@@ -324,3 +384,12 @@
         self.fleet.retain(|id| roster.usable(now, id).is_some());
     }
 }
+
+/// Era of a copy; none before the table was read.
+fn era_of(copy: &TableCopy) -> Option<Era> {
+    copy.position().map(|_| copy.era())
+}
+
+fn later_era(copy: &TableCopy, before: Era) -> Option<Era> {
+    (copy.era() > before).then_some(copy.era())
+}
--- a/crates/edge/src/usage.rs
+++ b/crates/edge/src/usage.rs
@@ -11,7 +11,7 @@
 use bv_admit::{PeerLoad, QueuedCall, ServerLoad, update_intervals};
 use bv_blame::Report;
 use bv_platform::Table;
-use bv_types::{BackendId, HostId, Millis, Tokens, Version};
+use bv_types::{BackendId, Era, HostId, Millis, Tokens, Version};
 use prost::Message;
 use tokio::net::UdpSocket;
 use tracing::debug;
@@ -73,6 +73,9 @@
     /// Present in a datagram that carries no usage.
     #[prost(message, optional, tag = "14")]
     trial: Option<TrialMessage>,
+    /// Era of the versions.
+    #[prost(uint64, tag = "18")]
+    store_era: u64,
 }
 
 /// The first call in the sender's queue. Times are sent as durations, since clocks differ.
@@ -244,13 +247,7 @@
     load: &PeerLoad,
     store_age: Option<Millis>,
 ) -> UsageUpdate {
-    let (config_changed, servers_changed) = {
-        let known = &edge.state().known;
-        (
-            known.config.newest_change().0,
-            known.servers.newest_change().0,
-        )
-    };
+    let (era, config_changed, servers_changed) = edge.state().known.newest_changes();
     UsageUpdate {
         host: edge.settings.host.to_string(),
         incarnation,
@@ -263,8 +260,9 @@
             .map(BackendId::to_string)
             .collect(),
         refusing: load.refusing.iter().map(BackendId::to_string).collect(),
-        config_changed,
-        servers_changed,
+        config_changed: config_changed.0,
+        servers_changed: servers_changed.0,
+        store_era: era.0,
         head: load.first_waiting.map(|call| encode_head(now, call)),
         store_age_ms: store_age.map(|age| age.0),
         ..UsageUpdate::default()
@@ -362,6 +360,7 @@
     state.crashes.receive(now, &report);
     let known = &mut state.known;
     known.record_reported(
+        Era(update.store_era),
         Version(update.config_changed),
         Version(update.servers_changed),
     );
--- a/crates/roster/src/roster.rs
+++ b/crates/roster/src/roster.rs
@@ -32,6 +32,8 @@
     removed_at: Option<Millis>,
     /// Whether an invalid row of another writer stands in place of the server's row.
     is_hidden: bool,
+    /// Whether the row is missing since the store was restored from a copy without it.
+    is_lost: bool,
 }
 
 impl KnownServer {
@@ -46,6 +48,8 @@
 #[derive(Debug, Default)]
 pub struct Roster {
     servers: Vec<KnownServer>,
+    /// Servers that were removed before this host learned their registration, and when.
+    unknown_removed: Vec<(BackendId, Millis)>,
     /// End of the grace period after the latest outage of the store.
     grace_until: Millis,
 }
@@ -66,16 +70,30 @@
         self.grace_until = self.grace_until.max(now + left.min(EXPIRY_GRACE));
     }
 
+    /// Applies a row of the table that a restored store shows first. A server that was removed, and of
+    /// which only the removal is known here, may be shown as it was before; it counts when it writes
+    /// its row again.
+    pub fn put_restored(&mut self, now: Millis, registration: Registration) -> RowEffect {
+        let is_removed = |(id, _): &(BackendId, Millis)| *id == registration.id;
+        match self.unknown_removed.iter().any(is_removed) {
+            true => RowEffect::Stale,
+            false => self.put(now, registration),
+        }
+    }
+
     /// Applies a row.
     pub fn put(&mut self, now: Millis, registration: Registration) -> RowEffect {
         let at = match self.find(&registration.id) {
             Ok(at) => at,
             Err(at) => {
+                self.unknown_removed
+                    .retain(|(id, _)| *id != registration.id);
                 let usable = registration.state == ServerState::Ready;
                 let known = KnownServer {
                     registration,
                     removed_at: None,
                     is_hidden: false,
+                    is_lost: false,
                 };
                 self.servers.insert(at, known);
                 return match usable {
@@ -90,11 +108,12 @@
             return RowEffect::Stale;
         }
         // A server that registers again sends a newer report; the same report is an outdated read. A
-        // server whose row was hidden may write the same report again.
+        // server whose row was hidden, or that the store lost, may write the same report again.
         if same_process
             && registration.sequence == known.registration.sequence
             && known.removed_at.is_some()
             && !known.is_hidden
+            && !known.is_lost
         {
             return RowEffect::Stale;
         }
@@ -108,6 +127,7 @@
         known.registration = registration;
         known.removed_at = None;
         known.is_hidden = false;
+        known.is_lost = false;
         match (was_usable, known.is_usable(now)) {
             (false, true) => RowEffect::Joined,
             (true, false) => RowEffect::Left,
@@ -118,10 +138,13 @@
     /// Records that a row is missing.
     pub fn remove(&mut self, now: Millis, id: &BackendId) -> RowEffect {
         let Ok(at) = self.find(id) else {
+            self.unknown_removed.retain(|(other, _)| other != id);
+            self.unknown_removed.push((id.clone(), now));
             return RowEffect::Unchanged;
         };
         let known = &mut self.servers[at];
         let was_usable = known.is_usable(now);
+        known.is_lost = false;
         if known.is_hidden {
             // The row that is missing was not the server's own.
             known.is_hidden = false;
@@ -138,6 +161,22 @@
         }
     }
 
+    /// Records that a row is missing since the store was restored from a copy. The copy may be of a time
+    /// before the server registered, so the same report makes it usable again. A server that was removed
+    /// before stays removed.
+    pub fn lose(&mut self, now: Millis, id: &BackendId) -> RowEffect {
+        let at = self.find(id).ok();
+        let was_present = at.is_some_and(|at| {
+            let known = &self.servers[at];
+            known.removed_at.is_none() || known.is_hidden || known.is_lost
+        });
+        let effect = self.remove(now, id);
+        if let (Some(at), true) = (at, was_present) {
+            self.servers[at].is_lost = true;
+        }
+        effect
+    }
+
     /// Records that an invalid row stands in place of the server's row. The server is not used until
     /// it writes its own row again.
     pub fn hide(&mut self, now: Millis, id: &BackendId) -> RowEffect {
@@ -179,6 +218,7 @@
     pub fn forget(&mut self, now: Millis, retention: Millis) {
         self.servers
             .retain(|known| known.removed_at.is_none_or(|at| now < at + retention));
+        self.unknown_removed.retain(|(_, at)| now < *at + retention);
     }
 
     /// The server, if it may receive new work.
--- a/crates/roster/src/table_copy.rs
+++ b/crates/roster/src/table_copy.rs
@@ -13,8 +13,12 @@
 //! it drops the history. The newest version that the feed states therefore becomes the position only
 //! when a later answer shows no change up to it. Until then the feed is asked from the former
 //! position, which the store refuses once the history is gone, so that the whole table is read.
+//!
+//! A store that is restored from an older copy assigns versions again, so that versions of different
+//! eras say nothing about each other. Positions are compared by era first. Only a whole table begins a
+//! later era, and nothing of an earlier one is taken.
 
-use bv_types::{Millis, Version};
+use bv_types::{Era, Millis, Version};
 
 use crate::row_log::{Row, RowLog, RowsSince};
 
@@ -34,6 +38,8 @@
 /// A complete answer about a table, of the store or of another host.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct TableAnswer {
+    /// Era of all of its versions.
+    pub era: Era,
     /// Where it begins.
     pub extent: Extent,
     /// The rows.
@@ -51,6 +57,9 @@
 /// An answer of the store's feed.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct FeedAnswer {
+    /// Era of all of its versions, also of `after`: the store counts from there in the era in which it
+    /// answers.
+    pub era: Era,
     /// Version after which changes were asked for.
     pub after: Version,
     /// The rows that changed.
@@ -77,6 +86,23 @@
     Feed(FeedAnswer),
 }
 
+impl Answer {
+    /// Era of its versions.
+    pub fn era(&self) -> Era {
+        match self {
+            Answer::Peer(answer) | Answer::Read(answer) => answer.era,
+            Answer::Feed(feed) => feed.era,
+        }
+    }
+
+    fn is_whole(&self) -> bool {
+        match self {
+            Answer::Peer(answer) | Answer::Read(answer) => answer.extent == Extent::Whole,
+            Answer::Feed(_) => false,
+        }
+    }
+}
+
 /// Why an answer was not taken.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Rejected {
@@ -84,11 +110,17 @@
     Gap,
     /// The store states a version before the position.
     Outdated,
+    /// It is of an era before that of the copy.
+    EarlierEra,
+    /// It is of an era after that of the copy and does not hold the whole table.
+    LaterEra,
 }
 
 /// The copy of a table.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
 pub struct TableCopy {
+    /// Era of all versions here.
+    era: Era,
     log: RowLog,
     position: Option<Version>,
     /// By the clock of the store, so that it stays true however long an answer is held up.
@@ -101,6 +133,11 @@
 }
 
 impl TableCopy {
+    /// Era of the versions in this copy.
+    pub fn era(&self) -> Era {
+        self.era
+    }
+
     /// Version up to which all changes are known; none before the whole table was read.
     pub fn position(&self) -> Option<Version> {
         self.position
@@ -114,13 +151,13 @@
 
     /// Newest version of the store that an answer stated. The copy may lack a change up to it that
     /// the feed hides.
-    pub fn newest_stated(&self) -> Version {
-        self.newest_stated
+    pub fn newest_stated(&self) -> (Era, Version) {
+        (self.era, self.newest_stated)
     }
 
     /// Version of the newest known change.
-    pub fn newest_change(&self) -> Version {
-        self.log.newest_change()
+    pub fn newest_change(&self) -> (Era, Version) {
+        (self.era, self.log.newest_change())
     }
 
     /// Rows that are present.
@@ -128,11 +165,21 @@
         &self.log
     }
 
-    /// Takes an answer. Returns the newest state of each row that changed here, removals included.
+    /// Takes an answer. Returns the newest state of each row that changed here, removals included. The
+    /// first answer of a later era returns all of its rows, and a removal of each row that it lacks.
     ///
     /// # Errors
     /// The answer leaves out changes that this copy lacks, or is outdated.
     pub fn take(&mut self, answer: Answer) -> Result<Vec<Row>, Rejected> {
+        if self.position.is_some() && answer.era() < self.era {
+            return Err(Rejected::EarlierEra);
+        }
+        if self.position.is_some() && answer.era() > self.era {
+            return match answer.is_whole() {
+                true => self.begin_era(answer),
+                false => Err(Rejected::LaterEra),
+            };
+        }
         match answer {
             Answer::Peer(answer) => self.take_table(answer),
             Answer::Read(read) if Some(read.up_to) < self.position => Err(Rejected::Outdated),
@@ -141,6 +188,21 @@
         }
     }
 
+    /// Replaces the copy by the whole table of a later era.
+    fn begin_era(&mut self, answer: Answer) -> Result<Vec<Row>, Rejected> {
+        let before = std::mem::take(self);
+        let present = self.take(answer)?;
+        let version = self.position.unwrap_or_default();
+        let keys = before.log.present().map(|(key, _)| key);
+        let lost = keys.filter(|key| self.log.get(key).is_none());
+        let lost = lost.map(|key| Row {
+            key: key.clone(),
+            value: None,
+            version,
+        });
+        Ok(lost.chain(present).collect())
+    }
+
     fn take_table(&mut self, answer: TableAnswer) -> Result<Vec<Row>, Rejected> {
         if let Extent::After(after) = answer.extent {
             // A row that is known here may have gone without a trace in a gap.
@@ -168,6 +230,7 @@
                 rows
             }
         };
+        self.era = answer.era;
         self.position = self.position.max(Some(answer.up_to));
         self.newest_stated = self.newest_stated.max(answer.newest_stated);
         self.confirmed_at = self.confirmed_at.max(Some(answer.confirmed_at));
@@ -194,6 +257,7 @@
             ),
         };
         let changed = self.take_table(TableAnswer {
+            era: feed.era,
             extent: Extent::After(feed.after),
             rows: feed.rows,
             has_gap: false,
@@ -214,20 +278,24 @@
         versions.map(|(_, version)| *version).max()
     }
 
-    /// What a host lacks that knows all changes up to `version`; none if this copy is empty.
-    pub fn since(&self, version: Option<Version>) -> Option<TableAnswer> {
+    /// What a host lacks that knows all changes up to `position`; none if this copy is empty. A host
+    /// that knows a later era lacks nothing, and rejects the answer for its era.
+    pub fn since(&self, position: Option<(Era, Version)>) -> Option<TableAnswer> {
         let (up_to, confirmed_at) = (self.position?, self.confirmed_at?);
-        let (extent, rows) = match version {
-            None => (Extent::Whole, self.log.all()),
-            Some(version) => match self.log.since(version) {
+        let (extent, rows) = match position {
+            Some((era, version)) if era > self.era => (Extent::After(version), Vec::new()),
+            Some((era, version)) if era == self.era => match self.log.since(version) {
                 RowsSince::Changes(rows) => (Extent::After(version), rows),
                 RowsSince::All(rows) => (Extent::Whole, rows),
             },
+            _ => (Extent::Whole, self.log.all()),
         };
+        let is_complete = |(era, version)| era == self.era && !self.log.has_gap_after(version);
         Some(TableAnswer {
+            era: self.era,
             extent,
             rows,
-            has_gap: version.is_none_or(|version| self.log.has_gap_after(version)),
+            has_gap: !position.is_some_and(is_complete),
             up_to,
             newest_stated: self.newest_stated,
             confirmed_at,
--- a/crates/roster/tests/replica/mod.rs
+++ b/crates/roster/tests/replica/mod.rs
@@ -5,7 +5,7 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 
 use bv_roster::{Answer, Extent, FeedAnswer, Rejected, Row, StoreClock, TableAnswer, TableCopy};
-use bv_types::{Millis, Version};
+use bv_types::{Era, Millis, Version};
 use smol_str::SmolStr;
 
 /// Time that one wait takes, in ms.
@@ -233,7 +233,9 @@
             Op::Ask(n, peer) => {
                 self.left.queries -= 1;
                 let position = self.hosts[n].copy.position();
-                self.hosts[n].reply = self.hosts[peer].copy.since(position);
+                self.hosts[n].reply = self.hosts[peer]
+                    .copy
+                    .since(position.map(|version| (Era(0), version)));
             }
             Op::TakeReply(n) => {
                 let host = &mut self.hosts[n];
@@ -316,6 +318,7 @@
             None => {
                 let rows = self.rows();
                 Call::Answered(Answer::Read(TableAnswer {
+                    era: Era(0),
                     extent: Extent::Whole,
                     rows,
                     has_gap: true,
@@ -326,6 +329,7 @@
             }
             Some(after) if after < self.history_from => Call::Failed,
             Some(after) => Call::Answered(Answer::Feed(FeedAnswer {
+                era: Era(0),
                 after,
                 rows: self.shown(after),
                 newest_foreign: None,
--- a/crates/roster/tests/table_copy.rs
+++ b/crates/roster/tests/table_copy.rs
@@ -1,7 +1,7 @@
 //! Guards against copies that take part of an answer, or take an answer that leaves changes out.
 
 use bv_roster::{Answer, Extent, FeedAnswer, Rejected, Row, TableAnswer, TableCopy};
-use bv_types::{Millis, Version};
+use bv_types::{Era, Millis, Version};
 
 fn row(key: &str, value: &str, version: u64) -> Row {
     Row {
@@ -13,6 +13,7 @@
 
 fn table(extent: Extent, rows: Vec<Row>, up_to: u64, confirmed_at: u64) -> TableAnswer {
     TableAnswer {
+        era: Era(0),
         extent,
         rows,
         has_gap: false,
@@ -24,6 +25,7 @@
 
 fn feed(after: u64, rows: Vec<Row>, version: u64, store_time: u64) -> Answer {
     Answer::Feed(FeedAnswer {
+        era: Era(0),
         after: Version(after),
         rows,
         newest_foreign: None,
