lease, edge: fences of engine orders hold the era, and no round follows a restoration for 16 s

A fence is the version of the replaced row plus one. A restored store assigns versions again, so that a fence of the lost seconds was used a second time, and the round whose acknowledged row was lost did not hold up the next one. A conditional write that was prepared before the restoration could succeed after it, as the row may get the expected version again.

The era is in the bits of the fence above the 40 of the version; in era 0 fences are as before. A round counts as taken when the host first saw an era above 0, and a round whose write is answered in another era than its read is not used.

--- a/crates/edge/src/roles.rs
+++ b/crates/edge/src/roles.rs
@@ -48,6 +48,7 @@
     let mut round_times = RoundTimes::default();
     loop {
         tokio::time::sleep(CHECK_INTERVAL.duration()).await;
+        observe_era(&edge, &mut round_times);
         if edge.is_stopping() {
             return;
         }
@@ -73,6 +74,15 @@
     }
 }
 
+/// Records the era of the store early, since no round is taken for a while after its begin.
+fn observe_era(edge: &Edge, round_times: &mut RoundTimes) {
+    let now = edge.now();
+    let state = edge.state();
+    if let Some(store_time) = state.store_clock.store_time(now) {
+        round_times.observe_era(state.known.era(), store_time);
+    }
+}
+
 fn find_change(edge: &Edge, watches: &mut Vec<(ServiceId, SplitWatch)>) -> Option<RoleChange> {
     let now = edge.now();
     let state = edge.state();
@@ -133,17 +143,18 @@
     let rows = edge.store.read_all(Table::Terms).await?;
     log_left_out(Table::Terms, &rows);
     let row = term_row(&rows, &change.service);
-    let latest = round_times.latest(&change.service, row.as_ref(), rows.store_time);
+    let read_at = (rows.era, rows.store_time);
+    let latest = round_times.latest(&change.service, row.as_ref(), read_at);
     let own = &edge.settings.host;
     let expected = row.map(|row| row.version);
-    let replaced = expected.unwrap_or(rows.version);
+    let replaced = (rows.era, expected.unwrap_or(rows.version));
     let Some(term) = Term::next(latest, replaced, own, rows.store_time) else {
         return Ok(());
     };
     let term_requested_at = edge.now();
     if !edge
         .store
-        .take_term(&change.service, expected, &term)
+        .take_term(&change.service, (rows.era, expected), &term)
         .await?
     {
         return Ok(());
--- a/crates/lease/tests/order_rounds.rs
+++ b/crates/lease/tests/order_rounds.rs
@@ -5,7 +5,7 @@
     MIN_TERM_INTERVAL, PoolSplit, RequestCost, Role, RoundTimes, SplitWatch, Term, TermRow,
     prefill_target,
 };
-use bv_types::{Fence, HostId, Millis, ServiceId, Version};
+use bv_types::{Era, Fence, HostId, Millis, ServiceId, Version};
 
 const COST: RequestCost = RequestCost {
     prefill_ms: 95.0,
@@ -19,28 +19,39 @@
 /// Guards against two rounds within MIN_TERM_INTERVAL and against a fence that does not grow.
 #[test]
 fn one_round_at_a_time() {
-    let first = Term::next(None, Version(7), &host("a"), Millis(100)).unwrap();
+    let first = Term::next(None, (Era(0), Version(7)), &host("a"), Millis(100)).unwrap();
     assert_eq!(first.fence, Fence(8));
     let earlier = Some(first.taken_at);
     let early = Millis(100 + MIN_TERM_INTERVAL.0 - 1);
     for name in ["a", "b"] {
-        assert_eq!(Term::next(earlier, Version(8), &host(name), early), None);
+        assert_eq!(
+            Term::next(earlier, (Era(0), Version(8)), &host(name), early),
+            None
+        );
     }
     let later = Millis(100 + MIN_TERM_INTERVAL.0);
-    let second = Term::next(earlier, Version(8), &host("b"), later).unwrap();
+    let second = Term::next(earlier, (Era(0), Version(8)), &host("b"), later).unwrap();
     assert_eq!((second.fence, second.holder.as_str()), (Fence(9), "b"));
 }
 
 /// Guards against a new round while the age of the earlier one is unknown.
 #[test]
 fn no_round_after_clock_was_set_back() {
-    let term = Term::next(None, Version(0), &host("a"), Millis(9_000)).unwrap();
-    let early = Term::next(Some(term.taken_at), Version(1), &host("b"), Millis(10));
+    let term = Term::next(None, (Era(0), Version(0)), &host("a"), Millis(9_000)).unwrap();
+    let early = Term::next(
+        Some(term.taken_at),
+        (Era(0), Version(1)),
+        &host("b"),
+        Millis(10),
+    );
     assert_eq!(early, None);
     let mut times = RoundTimes::default();
     let row = row(1, Some(term));
-    let latest = times.latest(&service(), Some(&row), Millis(10));
-    assert_eq!(Term::next(latest, Version(1), &host("b"), Millis(10)), None);
+    let latest = times.latest(&service(), Some(&row), (Era(0), Millis(10)));
+    assert_eq!(
+        Term::next(latest, (Era(0), Version(1)), &host("b"), Millis(10)),
+        None
+    );
 }
 
 fn service() -> ServiceId {
@@ -58,7 +69,8 @@
 #[test]
 fn unknown_round_counts_from_its_first_reading() {
     let mut times = RoundTimes::default();
-    let mut latest = |row: Option<&TermRow>, now| times.latest(&service(), row, Millis(now));
+    let mut latest =
+        |row: Option<&TermRow>, now| times.latest(&service(), row, (Era(0), Millis(now)));
     assert_eq!(latest(None, 100), None);
     let damaged = row(5, None);
     for now in [1_000, 5_000, 17_000] {
@@ -70,13 +82,13 @@
     assert_eq!(latest(None, 30_000), Some(Millis(20_000)));
     // The store's clock was set back.
     assert_eq!(latest(None, 10), Some(Millis(10)));
-    let future = Term::next(None, Version(8), &host("a"), Millis(90_000)).unwrap();
+    let future = Term::next(None, (Era(0), Version(8)), &host("a"), Millis(90_000)).unwrap();
     let future = row(9, Some(future));
     assert_eq!(latest(Some(&future), 40_000), Some(Millis(40_000)));
     assert_eq!(latest(Some(&future), 56_000), Some(Millis(40_000)));
     assert_eq!(latest(Some(&future), 95_000), Some(Millis(90_000)));
     times.record_taken(&service(), Millis(96_000));
-    let latest = times.latest(&service(), None, Millis(99_000));
+    let latest = times.latest(&service(), None, (Era(0), Millis(99_000)));
     assert_eq!(latest, Some(Millis(96_000)));
 }
 
@@ -164,6 +176,11 @@
 /// Guards against a fence that wraps around to a low one.
 #[test]
 fn highest_fence_has_no_successor() {
-    let next = Term::next(None, Version(u64::MAX), &host("b"), Millis(1_000_000));
+    let next = Term::next(
+        None,
+        (Era(0), Version(u64::MAX)),
+        &host("b"),
+        Millis(1_000_000),
+    );
     assert_eq!(next, None);
 }
