edge: host rows are written again, and known hosts stay in the list, after a restoration

A restored store lacks the rows of hosts that started since the copy, and holds older ones of the rest, so that the others divided the retry budget among fewer hosts, and a lost row was written only at its regular time, 8 to 30 s later.

A host that learns of an era writes its row within 2 s, spread at random. Hosts that were in the list stay in it for the lifetime of a row (25 to 75 s).

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -4,7 +4,7 @@
 
 use bv_platform::{DecodeError, HostRow, Rows, StoreError, Table};
 use bv_roster::{Answer, Extent, FeedAnswer, Rejected, TableAnswer, store_intervals};
-use bv_types::{Millis, Version};
+use bv_types::{Era, Millis, Version};
 use tracing::{debug, info, warn};
 
 use crate::answer_log::{AnswerLog, Origin, log_config, log_rejected, log_servers};
@@ -335,9 +335,15 @@
     let mut health = StoreHealth::new(Table::Hosts, edge.now());
     let mut intervals = FIRST_HOST_INTERVALS.into_iter();
     let mut row_due = Millis::ZERO;
+    let mut row_era = Era(0);
     loop {
         let now = edge.now();
         let store_time = edge.state().store_clock.store_time(now);
+        let era = edge.state().known.era();
+        if era != row_era {
+            // The store may have lost the row, or have an older one.
+            row_due = Millis::ZERO;
+        }
         let result = match store_time {
             Some(_) if !edge.reads_store() && now < row_due => {
                 let pause = ROW_CHECK_INTERVAL.min(row_due - now);
@@ -350,12 +356,13 @@
         match result {
             Ok(()) => {
                 health.record_answer(&edge, edge.now());
+                row_era = era;
                 let usual = store_intervals::row_interval(edge.host_count());
                 // Hosts that start together do not write together.
                 let usual = Millis(usual.0 - fastrand::u64(..=usual.0 / 5));
                 row_due = edge.now() + usual;
                 let interval = intervals.next().unwrap_or(usual);
-                tokio::time::sleep(interval.duration()).await;
+                sleep_within_era(&edge, era, interval).await;
             }
             Err(err) => {
                 health.record_failure_and_pause(&edge, &err).await;
@@ -367,6 +374,22 @@
     }
 }
 
+/// Sleeps, but ends soon after this host learns of a later era of the store.
+async fn sleep_within_era(edge: &Edge, era: Era, time: Millis) {
+    let until = edge.now() + time;
+    loop {
+        let left = until - edge.now();
+        if left == Millis::ZERO || edge.state().known.era() != era {
+            return;
+        }
+        // Hosts that learn of an era together do not write together.
+        let step = Millis(fastrand::u64(
+            ROW_CHECK_INTERVAL.0 / 4..=ROW_CHECK_INTERVAL.0,
+        ));
+        tokio::time::sleep(left.min(step).duration()).await;
+    }
+}
+
 async fn write_own_row(edge: &Edge, store_time: Millis) -> Result<(), StoreError> {
     let row = HostRow {
         peer_addr: edge.settings.peer_addr(),
@@ -400,7 +423,9 @@
     let now = edge.now();
     let mut state = edge.state();
     state.store_clock.observe(now, before.store_time);
-    state.set_hosts(now, &own, Hosts::read(&own, &before));
+    let hosts = Hosts::read(&own, &before);
+    let hosts = state.complete_hosts(now, &own, (before.era, hosts));
+    state.set_hosts(now, &own, hosts);
     drop(state);
     edge.rows_changed.notify_waiters();
     edge.sources_changed.notify_waiters();
--- a/crates/edge/src/hosts.rs
+++ b/crates/edge/src/hosts.rs
@@ -4,7 +4,7 @@
 
 use bv_platform::{HostRow, Rows};
 use bv_roster::{HostEntry, store_intervals};
-use bv_types::{Fingerprint, HostId, ZoneId};
+use bv_types::{Era, Fingerprint, HostId, Millis, ZoneId};
 use bytes::Bytes;
 
 /// Live hosts, without this one.
@@ -79,6 +79,45 @@
     }
 }
 
+/// Hosts that were known before the store was restored from an older copy.
+///
+/// The copy lacks the rows of hosts that started since, and those that it has are older by the lost
+/// time, so that they may have expired. Without these hosts the others would divide the retry budget
+/// among fewer hosts. Each host writes its row again within seconds.
+#[derive(Debug, Default)]
+pub(crate) struct RestoredHosts {
+    /// Era in which the rows of hosts were read last.
+    era: Option<Era>,
+    kept: Vec<HostEntry>,
+    keep_until: Millis,
+}
+
+impl RestoredHosts {
+    /// Adds the hosts that are kept to those of the rows that were read in `era`.
+    pub fn complete(
+        &mut self,
+        now: Millis,
+        own: &HostEntry,
+        before: &Hosts,
+        (era, read): (Era, Hosts),
+    ) -> Hosts {
+        if self.era.replace(era).is_some_and(|known| known < era) {
+            self.kept = before.others().to_vec();
+            let hosts = before.count().unwrap_or_default();
+            self.keep_until = now + store_intervals::row_lifetime(hosts);
+        }
+        if now >= self.keep_until {
+            self.kept.clear();
+        }
+        let missing = |kept: &&HostEntry| !read.others().iter().any(|host| host.id == kept.id);
+        let missing: Vec<HostEntry> = self.kept.iter().filter(missing).cloned().collect();
+        match missing.is_empty() {
+            true => read,
+            false => Hosts::from_entries(own, read.others().iter().cloned().chain(missing)),
+        }
+    }
+}
+
 /// Number of rows that were written recently. Rows of hosts that are gone for good stay in the table.
 pub(crate) fn recent_count(rows: &Rows) -> usize {
     let is_recent = |body: &Bytes| {
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -12,7 +12,7 @@
 use bv_types::{BackendId, Era, Millis, Version};
 use tracing::info;
 
-use crate::hosts::Hosts;
+use crate::hosts::{Hosts, RestoredHosts};
 
 /// Time for which removed servers are remembered, so that an outdated row does not add one again.
 const REMOVED_SERVER_RETENTION: Millis = Millis(60_000);
@@ -151,6 +151,8 @@
     /// Model calls that wait for capacity.
     pub queue: Queue,
     pub hosts: Hosts,
+    /// Hosts whose rows a restored store may lack.
+    pub restored_hosts: RestoredHosts,
     pub known: KnownRows,
     /// Where the rows of the store come from.
     pub sources: SourceChoice,
@@ -181,6 +183,7 @@
             announced: Announcements::new(seed),
             queue: Queue::default(),
             hosts: Hosts::default(),
+            restored_hosts: RestoredHosts::default(),
             known: KnownRows::default(),
             sources: SourceChoice::new(bounds),
             store_clock: StoreClock::default(),
@@ -258,6 +261,17 @@
         Some(config.max(self.table_age(now, Table::Servers)?))
     }
 
+    /// Adds to the hosts of the rows that were read in an era those whose rows the store may have lost.
+    pub fn complete_hosts(
+        &mut self,
+        now: Millis,
+        own: &HostEntry,
+        (era, read): (Era, Hosts),
+    ) -> Hosts {
+        self.restored_hosts
+            .complete(now, own, &self.hosts, (era, read))
+    }
+
     /// Sets the live hosts.
     pub fn set_hosts(&mut self, now: Millis, own: &HostEntry, hosts: Hosts) {
         if hosts.count() != self.hosts.count() {
