blame, edge: a host writes its crash row again after a restoration

What a host wrote of crashes since the copy is lost, and it did not write it again before the next crash: hosts that start or cannot hear it would know nothing of a block in force.

A new era counts as if nothing had been written; the row is written only where it would be written anyway.

Measured: the test lost_row_is_written_again of bv-blame, and the others of store_exchange, pass.

--- a/crates/blame/src/exchange.rs
+++ b/crates/blame/src/exchange.rs
@@ -82,6 +82,11 @@
         self.written_crashes = own_crashes;
     }
 
+    /// Records that the store was restored from an older copy, which may lack what this host wrote.
+    pub fn record_restoration(&mut self) {
+        self.written_crashes = 0;
+    }
+
     /// Records a failed call.
     pub fn record_failure(&mut self, now: Millis) {
         self.paused_until = now + FAILURE_PAUSE;
--- a/crates/blame/tests/store_exchange.rs
+++ b/crates/blame/tests/store_exchange.rs
@@ -79,3 +79,23 @@
     assert_eq!(exchange.step(Millis(2_000), view), ExchangeStep::Wait);
     assert_eq!(exchange.step(Millis(2_100), view), ExchangeStep::Read);
 }
+
+/// Guards against evidence that a restored store lacks while hosts start again.
+#[test]
+fn lost_row_is_written_again() {
+    let mut exchange = after_read();
+    let view = ExchangeView {
+        own_crashes: 3,
+        has_suspects: true,
+        ..ExchangeView::default()
+    };
+    exchange.record_write(Millis(2_000), 3);
+    exchange.record_restoration();
+    assert_eq!(exchange.step(Millis(9_000), view), ExchangeStep::Write);
+    // Nobody needs the row without a suspect.
+    let calm = ExchangeView {
+        has_suspects: false,
+        ..view
+    };
+    assert_eq!(exchange.step(Millis(9_000), calm), ExchangeStep::Wait);
+}
--- a/crates/edge/src/crash_rows.rs
+++ b/crates/edge/src/crash_rows.rs
@@ -4,7 +4,7 @@
 
 use bv_blame::{ExchangeStep, ExchangeView, Report, StoreExchange};
 use bv_platform::{CrashRow, StoreError, Table};
-use bv_types::Millis;
+use bv_types::{Era, Millis};
 use tracing::debug;
 
 use crate::counters;
@@ -18,8 +18,14 @@
 /// and once at the start.
 pub(crate) async fn exchange(edge: Arc<Edge>) {
     let mut exchange = StoreExchange::default();
+    let mut written_era = Era(0);
     loop {
         let now = edge.now();
+        let era = edge.state().known.era();
+        if era != written_era {
+            written_era = era;
+            exchange.record_restoration();
+        }
         let view = view(&edge);
         let result = match exchange.step(now, view) {
             ExchangeStep::Wait => {
