--- a/crates/admit/tests/group_engines.rs
+++ b/crates/admit/tests/group_engines.rs
@@ -5,7 +5,7 @@
 
 use std::net::SocketAddr;
 
-use bv_admit::{Fleet, HostGroups, ModelPlan, PeerLoad, ServerLoad};
+use bv_admit::{Fleet, HostGroups, ModelPlan, PeerLoad, ServerLoad, WaitingTokens};
 use bv_roster::{HostEntry, Registration, Stage};
 use bv_types::{HostId, Millis, Tokens};
 use common::{CAPACITY, model_request, server, service, zone};
@@ -92,12 +92,15 @@
     let far = hosts[1..].iter().find(is_far).unwrap();
     let load = PeerLoad {
         loads: engines.iter().map(full).collect(),
-        waiting_tokens: Tokens(1_000),
+        waiting: vec![WaitingTokens {
+            priority: 1,
+            tokens: Tokens(1_000),
+        }],
         ..PeerLoad::default()
     };
     fleet.update_peer(Millis(0), far.id.clone(), (1, 1), load);
     fleet.hear(Millis(10), &far.id);
     assert!(fleet.hears(&far.id));
-    assert_eq!(fleet.peer_waiting_tokens(), Tokens(0));
+    assert_eq!(fleet.peer_waiting_tokens(1), Tokens(0));
     place(&mut fleet, &engines);
 }
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -3,11 +3,11 @@
 use std::sync::Arc;
 
 use bv_platform::{DecodeError, HostRow, Rows, StoreError, Table};
-use bv_roster::{Answer, Extent, FeedAnswer, TableAnswer, store_intervals};
-use bv_types::{Millis, Version};
+use bv_roster::{Answer, Extent, FeedAnswer, Rejected, TableAnswer, store_intervals};
+use bv_types::{Era, Millis, Version};
 use tracing::{debug, info, warn};
 
-use crate::answer_log::{AnswerLog, Origin, log_config, log_servers};
+use crate::answer_log::{AnswerLog, Origin, log_config, log_rejected, log_servers};
 use crate::counters;
 use crate::edge::Edge;
 use crate::hosts::{Hosts, recent_count};
@@ -57,9 +57,10 @@
                 log_left_out(table, &rows);
                 let mut state = edge.state();
                 state.store_clock.observe(edge.now(), rows.store_time);
-                state.known.cap_reported(table, rows.version);
+                state.known.cap_reported(table, (rows.era, rows.version));
                 Ok(Reading {
                     answer: Answer::Read(TableAnswer {
+                        era: rows.era,
                         extent: Extent::Whole,
                         rows: rows.rows,
                         has_gap: true,
@@ -99,9 +100,12 @@
                     tokio::time::sleep(store_intervals::CHANGE_PAUSE.duration()).await;
                 }
                 let mut state = edge.state();
-                state.known.cap_reported(table, rows.version);
+                state
+                    .known
+                    .cap_reported(table, (rows.era, rows.version));
                 let confirmed_at = state.store_clock.answered_at(began, now, rows.store_time);
                 let answer = Answer::Feed(FeedAnswer {
+                    era: rows.era,
                     after,
                     rows: rows.rows,
                     newest_foreign: rows.foreign.iter().copied().max(),
@@ -219,6 +223,11 @@
                 let taken = edge.state().take_config(edge.now(), reading.answer);
                 let taken = match taken {
                     Ok(taken) => taken,
+                    Err(Rejected::LaterEra) => {
+                        log_rejected(&log, Table::Config, Rejected::LaterEra);
+                        reread = true;
+                        continue;
+                    }
                     Err(reason) => {
                         health.record_rejected_and_pause(&edge, &log, reason).await;
                         continue;
@@ -232,8 +241,8 @@
                     tokio::time::sleep(NO_CONFIG_PAUSE.duration()).await;
                 }
             }
-            Err(StoreError::HistoryGone) => {
-                info!("configuration: the store has lost its history, reading the whole table");
+            Err(err @ (StoreError::HistoryGone | StoreError::EraChanged { .. })) => {
+                info!(error = %err, "configuration: the store has lost its history, reading the whole table");
                 reread = true;
             }
             Err(err) => {
@@ -279,8 +288,8 @@
         let now = edge.now();
         let reading = match result {
             Ok(reading) => reading,
-            Err(StoreError::HistoryGone) => {
-                info!("servers: the store has lost its history, reading the whole table");
+            Err(err @ (StoreError::HistoryGone | StoreError::EraChanged { .. })) => {
+                info!(error = %err, "servers: the store has lost its history, reading the whole table");
                 reread = true;
                 continue;
             }
@@ -297,6 +306,11 @@
         let taken = edge.state().take_servers(now, reading.answer, ends_outage);
         let taken = match taken {
             Ok(taken) => taken,
+            Err(Rejected::LaterEra) => {
+                log_rejected(&log, Table::Servers, Rejected::LaterEra);
+                reread = true;
+                continue;
+            }
             Err(reason) => {
                 health.record_rejected_and_pause(&edge, &log, reason).await;
                 continue;
@@ -321,9 +335,15 @@
     let mut health = StoreHealth::new(Table::Hosts, edge.now());
     let mut intervals = FIRST_HOST_INTERVALS.into_iter();
     let mut row_due = Millis::ZERO;
+    let mut row_era = Era(0);
     loop {
         let now = edge.now();
         let store_time = edge.state().store_clock.store_time(now);
+        let era = edge.state().known.era();
+        if era != row_era {
+            // The store may have lost the row, or have an older one.
+            row_due = Millis::ZERO;
+        }
         let result = match store_time {
             Some(_) if !edge.reads_store() && now < row_due => {
                 let pause = ROW_CHECK_INTERVAL.min(row_due - now);
@@ -336,12 +356,13 @@
         match result {
             Ok(()) => {
                 health.record_answer(&edge, edge.now());
+                row_era = era;
                 let usual = store_intervals::row_interval(edge.host_count());
                 // Hosts that start together do not write together.
                 let usual = Millis(usual.0 - fastrand::u64(..=usual.0 / 5));
                 row_due = edge.now() + usual;
                 let interval = intervals.next().unwrap_or(usual);
-                tokio::time::sleep(interval.duration()).await;
+                sleep_within_era(&edge, era, interval).await;
             }
             Err(err) => {
                 health.record_failure_and_pause(&edge, &err).await;
@@ -353,6 +374,22 @@
     }
 }
 
+/// Sleeps, but ends soon after this host learns of a later era of the store.
+async fn sleep_within_era(edge: &Edge, era: Era, time: Millis) {
+    let until = edge.now() + time;
+    loop {
+        let left = until - edge.now();
+        if left == Millis::ZERO || edge.state().known.era() != era {
+            return;
+        }
+        // Hosts that learn of an era together do not write together.
+        let step = Millis(fastrand::u64(
+            ROW_CHECK_INTERVAL.0 / 4..=ROW_CHECK_INTERVAL.0,
+        ));
+        tokio::time::sleep(left.min(step).duration()).await;
+    }
+}
+
 async fn write_own_row(edge: &Edge, store_time: Millis) -> Result<(), StoreError> {
     let row = HostRow {
         peer_addr: edge.settings.peer_addr(),
@@ -386,7 +423,9 @@
     let now = edge.now();
     let mut state = edge.state();
     state.store_clock.observe(now, before.store_time);
-    state.set_hosts(now, &own, Hosts::read(&own, &before));
+    let hosts = Hosts::read(&own, &before);
+    let hosts = state.complete_hosts(now, &own, (before.era, hosts));
+    state.set_hosts(now, &own, hosts);
     drop(state);
     edge.rows_changed.notify_waiters();
     edge.sources_changed.notify_waiters();
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -8,7 +8,7 @@
 
 use bv_platform::{Row, Table};
 use bv_roster::{Answer, Extent, HostChanges, HostEntry, TableAnswer};
-use bv_types::{Millis, Version};
+use bv_types::{Era, Millis, Version};
 use bytes::{Bytes, BytesMut};
 use futures_util::{SinkExt, StreamExt};
 use prost::Message;
@@ -53,6 +53,9 @@
     /// Whether the querying host understands changes of the list of hosts.
     #[prost(bool, tag = "20")]
     pub accepts_host_changes: bool,
+    /// Era of the versions.
+    #[prost(uint64, tag = "7")]
+    pub era: u64,
 }
 
 /// Row of a server.
@@ -127,6 +130,9 @@
     /// Whether `changes` may lack servers that came and went in between.
     #[prost(bool, tag = "15")]
     pub has_gap: bool,
+    /// Era of the versions.
+    #[prost(uint64, tag = "16")]
+    pub era: u64,
     /// Time after which the querying host may ask again, in ms, if the sender had no room for its
     /// reply; all other fields say nothing then. 0 in other replies.
     #[prost(uint64, tag = "20")]
@@ -219,10 +225,11 @@
 ) -> io::Result<QueryResult> {
     let query = {
         let state = edge.state();
-        let (config, servers) = state.positions();
+        let (era, config, servers) = state.known.positions();
         RowsQuery {
-            config_version: config.map_or(0, |version| version.0),
-            servers_version: servers.map_or(0, |version| version.0),
+            era: era.0,
+            config_version: config.0,
+            servers_version: servers.0,
             wait_ms: wait.0,
             accepts_changes: true,
             hosts_digest: link.hosts_digest.unwrap_or(state.hosts.digest()),
@@ -340,7 +347,7 @@
         Err(reason) => log_rejected(&logs[0], Table::Config, reason),
     }
     match servers {
-        Ok(taken) if taken.changed > 0 => {
+        Ok(taken) if taken.changed > 0 || taken.new_era.is_some() => {
             changed = true;
             log_servers(edge, &taken, &logs[1]);
         }
@@ -364,9 +371,11 @@
         version: Version(reply.config_changed),
     });
     TableAnswer {
+        era: Era(reply.era),
         // The configuration is the only row of its table.
         extent: match row {
             Some(_) => Extent::Whole,
+            None if reply.era > query.era => Extent::Whole,
             None => Extent::After(Version(query.config_version)),
         },
         rows: row.into_iter().collect(),
@@ -387,6 +396,7 @@
         ),
     };
     TableAnswer {
+        era: Era(reply.era),
         extent,
         rows: rows.into_iter().map(to_row).collect(),
         has_gap: reply.has_gap,
--- a/crates/edge/src/replies.rs
+++ b/crates/edge/src/replies.rs
@@ -6,7 +6,7 @@
 
 use bv_platform::Table;
 use bv_roster::Extent;
-use bv_types::{Millis, Version};
+use bv_types::{Era, Millis, Version};
 use futures_util::StreamExt;
 use prost::Message;
 use tokio::io::AsyncWriteExt;
@@ -127,8 +127,8 @@
 
 fn has_news(state: &State, query: &RowsQuery) -> bool {
     let known = &state.known;
-    known.config.newest_change().0 > query.config_version
-        || known.servers.newest_change().0 > query.servers_version
+    known.config.newest_change() > (Era(query.era), Version(query.config_version))
+        || known.servers.newest_change() > (Era(query.era), Version(query.servers_version))
         || needs_hosts(state, query)
 }
 
@@ -142,11 +142,13 @@
     let now = edge.now();
     let state = edge.state();
     let known = &state.known;
-    let config = known.config.since(to_position(query.config_version));
-    let servers = known.servers.since(to_position(query.servers_version));
+    let (era, config_changed, _) = known.newest_changes();
+    let versions = (query.config_version, query.servers_version);
+    let (config, servers) = known.since(Era(query.era), versions);
     let mut head = RowsReply {
         age_ms: state.rows_age(now).unwrap_or(Millis::MAX).0,
-        config_changed: known.config.newest_change().0,
+        config_changed: config_changed.0,
+        era: era.0,
         expiry_grace_ms: state.roster.grace_left(now).0,
         store_time_ms: state.store_clock.store_time(now).map_or(0, |time| time.0),
         hosts_digest: state.hosts.digest(),
@@ -200,11 +202,6 @@
     reply
 }
 
-/// Position that a query states; 0 before the table was read.
-fn to_position(version: u64) -> Option<Version> {
-    (version > 0).then_some(Version(version))
-}
-
 fn host_messages(edge: &Edge, hosts: &Hosts) -> Vec<HostMessage> {
     let own = edge.own_entry();
     let all = hosts.others().iter().chain([&own]);
--- a/crates/edge/src/usage.rs
+++ b/crates/edge/src/usage.rs
@@ -11,7 +11,7 @@
 use bv_admit::{PeerLoad, QueuedCall, ServerLoad, WaitingTokens, host_digest};
 use bv_blame::Report;
 use bv_platform::Table;
-use bv_types::{BackendId, HostId, Millis, Tokens, Version};
+use bv_types::{BackendId, Era, HostId, Millis, Tokens, Version};
 use prost::Message;
 use tokio::net::UdpSocket;
 use tracing::debug;
@@ -82,6 +82,9 @@
     /// Present where hosts are divided into groups.
     #[prost(message, optional, tag = "17")]
     pub presence: Option<Presence>,
+    /// Era of the versions.
+    #[prost(uint64, tag = "18")]
+    pub store_era: u64,
     /// Tokens of the waiting calls by priority; absent if all have the priority of `head`.
     #[prost(message, repeated, tag = "19")]
     pub waiting: Vec<PriorityTokens>,
@@ -214,13 +217,7 @@
     load: &PeerLoad,
     store_age: Option<Millis>,
 ) -> UsageUpdate {
-    let (config_changed, servers_changed) = {
-        let known = &edge.state().known;
-        (
-            known.config.newest_change().0,
-            known.servers.newest_change().0,
-        )
-    };
+    let (era, config_changed, servers_changed) = edge.state().known.newest_changes();
     UsageUpdate {
         host: edge.settings.host.to_string(),
         incarnation,
@@ -234,8 +231,9 @@
             .map(BackendId::to_string)
             .collect(),
         refusing: load.refusing.iter().map(BackendId::to_string).collect(),
-        config_changed,
-        servers_changed,
+        config_changed: config_changed.0,
+        servers_changed: servers_changed.0,
+        store_era: era.0,
         head: load.first_waiting.map(|call| encode_head(now, call)),
         store_age_ms: store_age.map(|age| age.0),
         ..UsageUpdate::default()
@@ -407,6 +405,7 @@
     state.crashes.receive(now, &report);
     let known = &mut state.known;
     known.record_reported(
+        Era(update.store_era),
         Version(update.config_changed),
         Version(update.servers_changed),
     );
