edge: the log names why the body of a call's answer could not be read

Cause: a call whose answer broke off in its body ended with answer_lost and no line that names the cause. Change: send: failed is logged for it as for a failed send, with the cause of the connection's error. Measured: early_answers at_most_once_calls finds 'closed before the request was written completely' in the output.

--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -455,6 +455,8 @@
             Err(err) => {
                 run.fail(&err);
                 tracked_send.end(SendOutcome::Failed(err.fault()));
+                let (now, logs) = (self.edge.now(), &self.edge.logs);
+                logs.send_failed(now, self.req, &server.id, &err);
                 let failure = match err {
                     SendError::Timeout(_) => Failure::DeadlinePassed,
                     _ => Failure::AnswerLost,
--- a/crates/edge/src/send.rs
+++ b/crates/edge/src/send.rs
@@ -286,7 +286,7 @@
     let body = match tokio::time::timeout(timeout.duration(), reading).await {
         Ok(Ok(body)) => body,
         Ok(Err(CollectError::Broken(err))) => {
-            let text = format!("read body: {err}");
+            let text = format!("read body: {err}: {}", cause(&err));
             return Err(connection_lost(&err, text));
         }
         Ok(Err(err)) => {
