--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -350,6 +350,8 @@
                 run.fail(&err);
                 end_slot(slot, SendEnd::Failed);
                 tracked_send.end(SendOutcome::Failed(err.fault()));
+                let (now, logs) = (self.edge.now(), &self.edge.logs);
+                logs.send_failed(now, self.req, &server.id, &err);
                 let failure = match err {
                     SendError::Timeout(_) => Failure::DeadlinePassed,
                     _ => Failure::AnswerLost,
