admit, edge: presence of hosts of other groups is recorded under the name of its message

Cause: Fleet::hear had to be guessed beside Fleet::hears, which asks. Change: it is record_presence, as the field Presence of the datagram; the digest of a host says what it is for. No behaviour.

--- a/crates/admit/src/fleet_peers.rs
+++ b/crates/admit/src/fleet_peers.rs
@@ -42,10 +42,10 @@
 
     /// Records that another host is alive and reports no load in its message, or that a third host
     /// has heard it.
-    pub fn hear(&mut self, now: Millis, host: &HostId) {
+    pub fn record_presence(&mut self, now: Millis, host: &HostId) {
         let is_near = |groups: &Arc<HostGroups>| groups.is_near(host);
         let keeps_load = self.groups.as_ref().is_none_or(is_near);
-        let load = self.peers.hear(now, host, keeps_load);
+        let load = self.peers.record_presence(now, host, keeps_load);
         self.add_peer_load(&load.loads, -1.0);
     }
 
--- a/crates/admit/src/host_groups.rs
+++ b/crates/admit/src/host_groups.rs
@@ -17,7 +17,7 @@
 /// Usual number of hosts in a group.
 const GROUP_SIZE: usize = 16;
 
-/// Identifies a host in relayed news.
+/// Digest of a host id, by which presence is relayed between groups.
 pub type HostDigest = u32;
 
 /// The groups of all hosts, as one host sees them. A zone that is not divided is one group.
--- a/crates/admit/src/peers.rs
+++ b/crates/admit/src/peers.rs
@@ -73,7 +73,7 @@
 
     /// Records that a host is alive, without its load. Returns the load that no longer counts, since
     /// the host reports none to this one; none if `keeps_load`.
-    pub fn hear(&mut self, now: Millis, host: &HostId, keeps_load: bool) -> PeerLoad {
+    pub fn record_presence(&mut self, now: Millis, host: &HostId, keeps_load: bool) -> PeerLoad {
         match self.0.binary_search_by(|p| p.host.cmp(host)) {
             Ok(at) => {
                 let peer = &mut self.0[at];
--- a/crates/admit/tests/group_engines.rs
+++ b/crates/admit/tests/group_engines.rs
@@ -99,7 +99,7 @@
         ..PeerLoad::default()
     };
     fleet.update_peer(Millis(0), far.id.clone(), (1, 1), load);
-    fleet.hear(Millis(10), &far.id);
+    fleet.record_presence(Millis(10), &far.id);
     assert!(fleet.hears(&far.id));
     assert_eq!(fleet.peer_waiting_tokens(1), Tokens(0));
     place(&mut fleet, &engines);
--- a/crates/edge/src/usage.rs
+++ b/crates/edge/src/usage.rs
@@ -330,12 +330,12 @@
 fn receive_presence(state: &mut State, now: Millis, host: &HostId, presence: Option<&Presence>) {
     let (Some(presence), Some(groups)) = (presence, state.fleet.groups().cloned()) else {
         if presence.is_some() {
-            state.fleet.hear(now, host);
+            state.fleet.record_presence(now, host);
         }
         return;
     };
     if presence.has_no_load {
-        state.fleet.hear(now, host);
+        state.fleet.record_presence(now, host);
     }
     if presence.is_relayed && state.heard.len() < MAX_HEARD {
         state.heard.push(host_digest(host));
@@ -343,7 +343,7 @@
     for digest in &presence.heard {
         let heard = groups.host(*digest).filter(|host| !groups.is_near(host));
         if let Some(host) = heard {
-            state.fleet.hear(now, host);
+            state.fleet.record_presence(now, host);
         }
     }
 }
