--- a/review/stand-ins-2/crowd.rs
+++ b/review/stand-ins-2/crowd.rs
@@ -1,10 +1,11 @@
 //! Fault: clients that the operators do not control keep many channels open, each with a chunked body that
-//! stops short of its end. The host's memory goes beyond `memory_mb`, so that the platform kills it.
+//! stops short of its end. The hosts' memory goes beyond `memory_mb`, so that the platform kills them.
 
 use std::io::{Result, Write};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::thread::sleep;
+use std::thread::{JoinHandle, sleep};
 use std::time::{Duration, Instant};
 
 use crate::Outcome;
@@ -15,14 +16,25 @@
     route,
 };
 
-/// Channels of the crowd: as many as a host with 4,100 descriptors serves at once.
+const HOSTS: usize = 2;
+/// Ends of one host by itself in a day that the rule does not allow.
+const ENDS: usize = 3;
+/// Channels to each host: about as many as one with 4,100 descriptors serves at once.
 const CHANNELS: usize = 1_600;
 /// Bytes of the head of each request; the limit of the manifest is 16,384.
 const HEAD_BYTES: usize = 15_000;
 /// Bytes of the only chunk, of which the last one is never sent; the limit of a body is 4,194,304.
 const CHUNK_BYTES: usize = 0x7000;
+/// Time over which the requests of a crowd are sent: 69 MB in 2.5 s are 220 of the 1,000 Mbit/s of a machine's
+/// link, so that no packets wait there.
+const SENDING: Duration = Duration::from_millis(2_500);
 /// How long the crowd stays.
-const STAY: Duration = Duration::from_secs(3);
+const STAY: Duration = Duration::from_millis(4_000);
+/// Time from a start of a host to the crowd. The rule leaves out ends within a second of a disruption on the
+/// machine, such as a start.
+const CALM: Duration = Duration::from_millis(1_500);
+/// Pause before the platform starts a process again.
+const RESTART_DELAY: Duration = Duration::from_millis(500);
 
 pub fn run(record: &Record, has_trouble: bool) -> Outcome {
     let store = Store::start(free_address());
@@ -43,86 +55,119 @@
             runner
         })
         .collect();
-    let mut host = Host::start(1, store.addr, 8);
-    if !host.wait_ready() {
-        return Outcome::NotRun("the host is not ready".into());
-    }
-    sleep(Duration::from_millis(800));
-    if !is_served(&host, "before") {
-        return Outcome::NotRun("an ordinary call is not served".into());
-    }
-    record.add(format!(
-        "an ordinary call is served; the host uses {:.1} MB at most",
-        host.peak_mb()
-    ));
-    let has_crowd = Arc::new(AtomicBool::new(true));
-    let crowd = has_trouble.then(|| {
-        let (addr, stays) = (host.frontend(), has_crowd.clone());
-        std::thread::spawn(move || -> Result<usize> {
-            let mut conns: Vec<Conn> = Vec::new();
-            let text = unfinished_request();
-            for _ in 0..CHANNELS {
-                conns.push(client(addr)?);
-            }
-            // The host may have been killed meanwhile.
-            let sent = conns
-                .iter_mut()
-                .filter_map(|c| c.stream.write_all(&text).ok())
-                .count();
-            while stays.load(Ordering::Relaxed) {
-                sleep(Duration::from_millis(20));
-            }
-            Ok(sent)
-        })
-    });
-    let began = Instant::now();
-    let mut is_killed = false;
-    while began.elapsed() < STAY && !is_killed {
-        sleep(Duration::from_millis(10));
-        // The platform kills a process that exceeds its memory.
-        let used = host.used_mb();
-        if used > MEMORY_MB {
+    let mut hosts: Vec<Host> = (1..=HOSTS).map(|n| Host::start(n, store.addr, 8)).collect();
+    let mut ends = [0; HOSTS];
+    for wave in 1..=ENDS {
+        if !hosts.iter().all(Host::wait_ready) {
+            return Outcome::NotRun("a host is not ready".into());
+        }
+        sleep(CALM);
+        if !hosts
+            .iter()
+            .all(|host| is_served(host, &format!("before-{wave}")))
+        {
+            return Outcome::NotRun("an ordinary call is not served".into());
+        }
+        let stays = Arc::new(AtomicBool::new(true));
+        let crowds: Vec<JoinHandle<Result<usize>>> = hosts
+            .iter()
+            .filter(|_| has_trouble)
+            .map(|host| crowd(host.frontend(), stays.clone()))
+            .collect();
+        let killed = watch(record, &mut hosts, wave);
+        // The crowd is still there.
+        for (host, is_killed) in hosts.iter().zip(&killed) {
+            let served = is_served(host, &format!("after-{wave}"));
+            let state = match is_killed {
+                true => "ended".to_owned(),
+                false => format!("peak {:.1} MB", host.peak_mb()),
+            };
             record.add(format!(
-                "the host uses {used:.1} MB of {MEMORY_MB} MB and is killed"
+                "wave {wave}: {}: {state}, an ordinary call is served: {served}",
+                host.name
             ));
-            host.signal_if_running(SIGKILL);
-            is_killed = true;
         }
-        if host.has_ended() && !is_killed {
-            record.add("the host has ended by itself");
-            is_killed = true;
+        stays.store(false, Ordering::Relaxed);
+        for crowd in crowds {
+            match crowd.join() {
+                Ok(Ok(sent)) => record.note(format!("unfinished requests sent: {sent}")),
+                Ok(Err(err)) => record.note(format!("the crowd cannot connect: {err}")),
+                Err(_) => return Outcome::NotRun("the crowd failed".into()),
+            }
         }
-    }
-    record.add(format!("peak: {:.1} MB", host.peak_mb()));
-    has_crowd.store(false, Ordering::Relaxed);
-    if let Some(crowd) = crowd {
-        match crowd.join() {
-            Ok(Ok(sent)) => record.add(format!(
-                "{sent} of {CHANNELS} channels sent an unfinished request"
-            )),
-            Ok(Err(err)) => return Outcome::NotRun(format!("the crowd cannot connect: {err}")),
-            Err(_) => return Outcome::NotRun("the crowd failed".into()),
+        sleep(RESTART_DELAY);
+        for (n, is_killed) in killed.into_iter().enumerate() {
+            if is_killed {
+                ends[n] += 1;
+                hosts[n].restart();
+            }
         }
     }
-    sleep(Duration::from_millis(300));
-    record.add(format!(
-        "an ordinary call afterwards is served: {}",
-        is_served(&host, "after")
-    ));
     runners.iter().for_each(|runner| record.note_runs(runner));
-    let runs: usize = runners.iter().map(|r| r.runs.lock().unwrap().len()).sum();
-    record.add(format!("{runs} runs"));
-    match is_killed {
+    record.add(format!("ends of the hosts: {ends:?}"));
+    match ends.iter().all(|ends| *ends >= ENDS) {
         true => Outcome::Broken,
         false => Outcome::Held,
     }
 }
 
+/// Opens the channels of a crowd and sends a request without its end on each.
+fn crowd(addr: SocketAddr, stays: Arc<AtomicBool>) -> JoinHandle<Result<usize>> {
+    std::thread::spawn(move || {
+        let mut conns: Vec<Conn> = Vec::new();
+        for _ in 0..CHANNELS {
+            conns.push(client(addr)?);
+        }
+        let text = unfinished_request();
+        let began = Instant::now();
+        let mut sent = 0;
+        for (number, conn) in conns.iter_mut().enumerate() {
+            let due = SENDING * number as u32 / CHANNELS as u32;
+            sleep(due.saturating_sub(began.elapsed()));
+            // The host may have been killed meanwhile.
+            sent += usize::from(conn.stream.write_all(&text).is_ok());
+        }
+        while stays.load(Ordering::Relaxed) {
+            sleep(Duration::from_millis(20));
+        }
+        Ok(sent)
+    })
+}
+
+/// Watches the hosts as the platform does, which kills a process that exceeds its memory. Returns which hosts
+/// have ended.
+fn watch(record: &Record, hosts: &mut [Host], wave: usize) -> [bool; HOSTS] {
+    let began = Instant::now();
+    let mut ended = [false; HOSTS];
+    while began.elapsed() < STAY && !ended.iter().all(|ended| *ended) {
+        sleep(Duration::from_millis(10));
+        for (host, ended) in hosts
+            .iter_mut()
+            .zip(&mut ended)
+            .filter(|(_, ended)| !**ended)
+        {
+            let used = host.used_mb();
+            if host.has_ended() {
+                record.add(format!("wave {wave}: {} has ended by itself", host.name));
+                *ended = true;
+            } else if used > MEMORY_MB {
+                record.add(format!(
+                    "wave {wave}: {} uses {used:.1} MB of {MEMORY_MB} MB after {} ms and is killed",
+                    host.name,
+                    began.elapsed().as_millis()
+                ));
+                host.signal(SIGKILL);
+                *ended = true;
+            }
+        }
+    }
+    ended
+}
+
 fn unfinished_request() -> Vec<u8> {
-    let mut head =
-        "POST /draft/reply HTTP/1.1\r\nHost: a.example\r\nX-Burdockvale-Request-Id: crowd\r\n\
-                    Transfer-Encoding: chunked\r\n"
-            .to_owned();
+    let mut head = "POST /draft/reply HTTP/1.1\r\nHost: a.example\r\n\
+                    X-Burdockvale-Request-Id: crowd\r\nTransfer-Encoding: chunked\r\n"
+        .to_owned();
     let mut number = 0;
     while head.len() < HEAD_BYTES - 300 {
         head += &format!("X-Note-{number}: {}\r\n", "n".repeat(250));
@@ -138,13 +183,8 @@
         let call = || -> Result<u16> {
             let mut conn = client(host.frontend())?;
             let extra = "X-Burdockvale-Deadline-Ms: 600\r\n";
-            let text = request(
-                "POST",
-                "/booking/seat",
-                &format!("{name}-{n}"),
-                extra,
-                "seat 7",
-            );
+            let id = format!("{name}-{n}");
+            let text = request("POST", "/booking/seat", &id, extra, "seat 7");
             conn.stream.write_all(text.as_bytes())?;
             Ok(conn.message(true)?.status())
         };
--- a/review/stand-ins-2/short_grace.rs
+++ b/review/stand-ins-2/short_grace.rs
@@ -27,12 +27,15 @@
 /// Requests sent to a stopped host up to this time after its SIGTERM are left out: the rule excuses those
 /// on which a runner is at work in the last sixth of the grace period.
 const EXCUSED: Duration = Duration::from_secs(3);
+/// `timeout_ms` of the route, and the time budget of each request.
+const TIMEOUT: Duration = Duration::from_millis(600);
 
 /// What a client saw of a request.
 struct Sent {
     id: String,
     host: usize,
     at: Instant,
+    took: Duration,
     result: Result<u16, String>,
 }
 
@@ -112,6 +115,7 @@
                         id,
                         host,
                         at,
+                        took: at.elapsed(),
                         result,
                     });
                     sleep(Duration::from_millis(50));
@@ -217,7 +221,7 @@
         };
         let after = request.at.saturating_duration_since(stopped);
         let has_run = ran.contains(&request.id);
-        let counts = has_run && after > EXCUSED;
+        let counts = has_run && after > EXCUSED && request.took < TIMEOUT;
         lost += u32::from(counts);
         record.add(format!(
             "{} sent {} ms after SIGTERM to host {}: no answer ({err}), ran: {has_run}, counts: {counts}",
