--- a/review/stand-ins-3/parts.rs
+++ b/review/stand-ins-3/parts.rs
@@ -36,15 +36,36 @@
     settings: PathBuf,
 }
 
+/// Limits of a machine.
+#[derive(Debug, Clone, Copy)]
+pub struct MachineLimits {
+    pub cpu_share: f64,
+    pub memory_mb: u64,
+    pub files: u64,
+}
+
+/// A large machine of `zvanets-sms-grown`.
+const LARGE: MachineLimits = MachineLimits { cpu_share: 0.5, memory_mb: 512, files: 8_192 };
+
 impl Host {
     pub fn start(ip: &str, store: SocketAddr, is_first_start: bool) -> Result<Host, String> {
+        Host::start_with(ip, store, is_first_start, LARGE)
+    }
+
+    pub fn start_with(
+        ip: &str,
+        store: SocketAddr,
+        is_first_start: bool,
+        limits: MachineLimits,
+    ) -> Result<Host, String> {
+        let MachineLimits { cpu_share, memory_mb, files } = limits;
         let name = format!("frontend-{}", ip.replace('.', "-"));
         let text = format!(
             r#"{{"node_name":"{name}","role":"entry","machine_class":"frontend","serves":["frontend"],
             "ip_address":"{ip}","zone":"sofia-a","region":"sofia","zones":{{"sofia-a":"sofia"}},
             "listen_addresses":{{"frontend":"{ip}:8149","ready":"{ip}:8141"}},"internal_port_range":[7380,7395],
             "seeds":[],"bootstrap":{is_first_start},
-            "limits":{{"cpu_share":0.5,"cpu_cores":1,"memory_mb":512,"file_descriptors":8192,"link_mbps":200,
+            "limits":{{"cpu_share":{cpu_share},"cpu_cores":1,"memory_mb":{memory_mb},"file_descriptors":{files},"link_mbps":1000,
             "disk_mb":0}},"data_directory":null,"discovery":"platform","entry":"virtual_ip",
             "heartbeat_interval_ms":1200,"bounds":{{{BOUNDS}}},
             "platform":{{"address":"{store}","form":"table","writes_per_s":1200,"reads_per_s":6000,"tx_ms":3.0,
@@ -71,6 +92,15 @@
         })
     }
 
+    /// Memory of the process that is not of files, in kB.
+    pub fn memory_kb(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.process.id());
+        let status = fs::read_to_string(path).unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:"));
+        let number = line.and_then(|line| line.split_whitespace().next()?.parse().ok());
+        number.unwrap_or(0)
+    }
+
     /// Waits until the readiness check is answered with 200.
     pub fn wait_ready(&mut self) -> Result<(), String> {
         let until = Instant::now() + READY_TIMEOUT;
--- a/review/stand-ins-3/rig.rs
+++ b/review/stand-ins-3/rig.rs
@@ -7,6 +7,7 @@
 mod http;
 mod json;
 mod quota;
+mod memory;
 mod parts;
 mod recover;
 mod store;
@@ -22,6 +23,7 @@
     };
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let played = match scenario.as_str() {
+        "memory" => memory::play(has_trouble),
         "quota" => quota::play(has_trouble),
         "target" => target::play(has_trouble),
         "recover" => recover::play(has_trouble),
