--- a/review/stand-ins-3/quota.rs
+++ b/review/stand-ins-3/quota.rs
@@ -28,14 +28,14 @@
 const TOKENS: (u64, u64) = (3_000, 200);
 /// Clients of the tenant at each machine.
 const CLIENTS: u64 = 16;
-/// Traffic starts this long after the machines, as the sheet says.
-const TRAFFIC_AT: Duration = Duration::from_secs(14);
+/// The tenant sends more than its quota for 11 s, as long as `hot_tenant` takes at most.
+const TRAFFIC_AT: Duration = Duration::from_millis(17_500);
 const ADDED_AT: Duration = Duration::from_millis(18_500);
-const END_AT: Duration = Duration::from_secs(36);
+const END_AT: Duration = Duration::from_millis(28_500);
 /// Time for which the runner works on a request.
 const WORK: Duration = Duration::from_millis(50);
 /// Pause of a client after a refusal.
-const PAUSE: Duration = Duration::from_millis(200);
+const PAUSE: Duration = Duration::from_millis(300);
 
 struct Sent {
     at: Instant,
@@ -201,7 +201,7 @@
         let _ = writeln!(record, "{machine}: sent {all}, 200 {}, 429 {}, 503 {}", of(200), of(429), of(503));
     }
     let _ = writeln!(record, "second after the machines' start, tokens run:");
-    for second in TRAFFIC_AT.as_secs()..END_AT.as_secs() {
+    for second in TRAFFIC_AT.as_secs()..=END_AT.as_secs() {
         let is_in = |run: &&Ran| (run.at - began).as_secs() == second;
         let tokens: u64 = ran.iter().filter(is_in).map(|run| run.tokens).sum();
         let _ = writeln!(record, "{second} {tokens}");
