--- a/review/stand-ins-3/memory.rs
+++ b/review/stand-ins-3/memory.rs
@@ -29,6 +29,8 @@
 const BODY_BYTES: usize = 3_600;
 const TRAFFIC_AT: Duration = Duration::from_secs(3);
 const END_AT: Duration = Duration::from_secs(100);
+/// Pause of a thread after each request, so that a machine gets at most 2,000 requests a second.
+const REQUEST_PAUSE: Duration = Duration::from_millis(2);
 const MONITOR_PAUSE: Duration = Duration::from_millis(50);
 /// Pause until the platform starts a process again.
 const RESTART_PAUSE: Duration = Duration::from_millis(500);
@@ -91,6 +93,7 @@
                 return;
             }
             number += 1;
+            thread::sleep(REQUEST_PAUSE);
             match send(channel, to, &request(number, head_bytes)) {
                 Some(200) => counts.answered.fetch_add(1, Ordering::Relaxed),
                 Some(429 | 503) => counts.refused.fetch_add(1, Ordering::Relaxed),
