--- a/review/stand-ins-3/endless.rs
+++ b/review/stand-ins-3/endless.rs
@@ -20,7 +20,7 @@
 /// A small machine of `vleiroete-park-grown`.
 const LIMITS: MachineLimits = MachineLimits { cpu_share: 0.12, memory_mb: 88, files: 4_100 };
 /// Callers of the servers in trouble, at each machine.
-const CALLERS: usize = 1_200;
+const CALLERS: usize = 1_000;
 const TRAFFIC_AT: Duration = Duration::from_secs(3);
 const END_AT: Duration = Duration::from_secs(105);
 const MONITOR_PAUSE: Duration = Duration::from_millis(50);
